--- /dev/null
+++ b/scripts/freePorts.mjs
@@ -0,0 +1,14 @@
+// Prints as many free loopback ports as asked for, each from the operating system.
+import { createServer } from "node:net";
+
+const servers = await Promise.all(
+  Array.from(
+    { length: Number(process.argv[2]) },
+    () =>
+      new Promise((resolve) => {
+        const server = createServer().listen(0, "127.0.0.1", () => resolve(server));
+      }),
+  ),
+);
+for (const server of servers) console.log(server.address().port);
+for (const server of servers) server.close();
--- /dev/null
+++ b/src/burn/Histogram.ts
@@ -0,0 +1,47 @@
+/** Mergeable latency histograms: HdrHistogram, milliseconds, two significant digits. */
+import {
+  build,
+  decodeFromCompressedBase64,
+  encodeIntoCompressedBase64,
+  type Histogram,
+} from "hdr-histogram-js";
+
+export type { Histogram };
+
+const HIGHEST_MS = 3_600_000;
+const SIGNIFICANT_DIGITS = 2;
+
+/** Makes an empty histogram. */
+export function createHistogram(): Histogram {
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: HIGHEST_MS,
+    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+    bitBucketSize: 32,
+  });
+}
+
+/** Adds a duration, clamped to the histogram's range. */
+export function addDuration(histogram: Histogram, milliseconds: number): void {
+  histogram.recordValue(Math.min(HIGHEST_MS, Math.max(0, Math.round(milliseconds))));
+}
+
+/** Encodes a histogram in HdrHistogram's compressed form. */
+export function encodeHistogram(histogram: Histogram): Uint8Array {
+  return Buffer.from(encodeIntoCompressedBase64(histogram), "base64");
+}
+
+/** Decodes a histogram; no bytes give an empty one. */
+export function decodeHistogram(bytes: Uint8Array): Histogram {
+  if (bytes.length === 0) return createHistogram();
+  return decodeFromCompressedBase64(Buffer.from(bytes).toString("base64"), 32, false);
+}
+
+/** Adds two encoded histograms. */
+export function mergeHistograms(first: Uint8Array, second: Uint8Array): Uint8Array {
+  if (first.length === 0) return second;
+  if (second.length === 0) return first;
+  const merged = decodeHistogram(first);
+  merged.add(decodeHistogram(second));
+  return encodeHistogram(merged);
+}
--- /dev/null
+++ b/src/cli/OperatorClient.ts
@@ -0,0 +1,84 @@
+/** Calls of an operator's terminal to the control leader. */
+import { SystemClock } from "../clock";
+import {
+  type ApplyRequest,
+  type ApplyResponse,
+  type BurnResponse,
+  type HistoryResponse,
+  type InForceResponse,
+  OperatorService,
+  type StatusResponse,
+} from "../gen/ploverstage/v1/control_pb";
+import type { ConfigurationVersion } from "../gen/ploverstage/v1/state_pb";
+import { LeaderClient } from "../rpc";
+import { readSecret } from "../settings";
+
+/** How operators reach the system. */
+export interface OperatorOptions {
+  /** host:port of operators' interfaces, comma separated. */
+  readonly control: string;
+  readonly secretFile: string;
+  /** Longest time that a command may take, seconds. */
+  readonly timeout: string;
+}
+
+const MS_PER_SECOND = 1_000;
+
+/** A client of the operators' interface. */
+export class OperatorClient {
+  private readonly _client: LeaderClient<typeof OperatorService>;
+  private readonly _totalMs: number;
+
+  private constructor(client: LeaderClient<typeof OperatorService>, totalMs: number) {
+    this._client = client;
+    this._totalMs = totalMs;
+  }
+
+  /**
+   * Makes a client.
+   * @throws InvalidFile - When the secret can't be read.
+   */
+  static async create(options: OperatorOptions): Promise<OperatorClient> {
+    const secret = await readSecret(options.secretFile);
+    const addresses = options.control.split(",").map((address) => address.trim());
+    const client = new LeaderClient(OperatorService, { addresses, secret, clock: new SystemClock() });
+    return new OperatorClient(client, Number(options.timeout) * MS_PER_SECOND);
+  }
+
+  /** Gets the newest configuration, or one version of it. */
+  async getConfiguration(version = 0): Promise<ConfigurationVersion | undefined> {
+    const call = await this._client.call(
+      (c, timeoutMs) => c.getConfiguration({ version }, { timeoutMs }),
+      this._totalMs,
+    );
+    return call.configuration;
+  }
+
+  /** Applies a change; a resend with the same change id gets the first answer. */
+  apply(request: Omit<ApplyRequest, "$typeName" | "$unknown">): Promise<ApplyResponse> {
+    return this._client.call((client, timeoutMs) => client.apply(request, { timeoutMs }), this._totalMs);
+  }
+
+  /** Asks whether a version is in force on every entry. */
+  getInForce(version: number): Promise<InForceResponse> {
+    return this._client.call(
+      (client, timeoutMs) => client.inForce({ version }, { timeoutMs }),
+      this._totalMs,
+    );
+  }
+
+  /** Gets the newest changes. */
+  getHistory(limit: number): Promise<HistoryResponse> {
+    return this._client.call((client, timeoutMs) => client.history({ limit }, { timeoutMs }), this._totalMs);
+  }
+
+  /** Gets the status of the whole system. */
+  getStatus(): Promise<StatusResponse> {
+    return this._client.call((client, timeoutMs) => client.status({}, { timeoutMs }), this._totalMs);
+  }
+
+  /** Gets the service-level windows and the losses. */
+  getBurn(): Promise<BurnResponse> {
+    return this._client.call((client, timeoutMs) => client.burn({}, { timeoutMs }), this._totalMs);
+  }
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,37 @@
+/** The one binary: parses arguments, runs a command, turns errors into exit codes. */
+import { Command, CommanderError } from "commander";
+import { InvalidFile } from "../errors";
+import { VERSION } from "../version";
+import { addConfigurationCommands } from "./configurationCommands";
+import { EXIT, printError } from "./output";
+import { addProcessCommands } from "./processes";
+import { addStatusCommand } from "./statusCommand";
+
+/** Runs the command that the arguments name. */
+export async function main(argv: readonly string[]): Promise<void> {
+  const program = new Command("ploverstage")
+    .description("serves language models that span several instances")
+    .version(VERSION)
+    .exitOverride()
+    .showHelpAfterError("(see ploverstage --help)")
+    .addHelpText("after", "\nExit codes: 0 done, 1 failed, 2 wrong usage, settings or configuration");
+  addProcessCommands(program);
+  addConfigurationCommands(program);
+  addStatusCommand(program);
+  for (const command of program.commands) command.exitOverride();
+  try {
+    await program.parseAsync([...argv]);
+  } catch (cause) {
+    process.exitCode = reportFailure(cause);
+  }
+}
+
+function reportFailure(cause: unknown): number {
+  if (cause instanceof CommanderError) return cause.exitCode === 0 ? EXIT.ok : EXIT.usage;
+  if (cause instanceof InvalidFile) {
+    printError(cause.message);
+    return EXIT.usage;
+  }
+  printError(cause instanceof Error ? cause.message : String(cause));
+  return EXIT.failure;
+}
--- /dev/null
+++ b/src/cli/output.ts
@@ -0,0 +1,49 @@
+/** What commands print. */
+import Table from "cli-table3";
+
+/** Exit codes of all commands. */
+export const EXIT = { ok: 0, failure: 1, usage: 2 } as const;
+
+/** Prints a line. */
+export function printLine(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+/** Prints a line of an error. */
+export function printError(line: string): void {
+  process.stderr.write(`${line}\n`);
+}
+
+/** Prints a value as one JSON line. */
+export function printJson(value: unknown): void {
+  printLine(JSON.stringify(value));
+}
+
+/** Prints rows under headings, without lines. */
+export function printTable(head: readonly string[], rows: readonly (readonly string[])[]): void {
+  const table = new Table({
+    head: [...head],
+    chars: BORDERLESS,
+    style: { head: [], border: [], compact: true },
+  });
+  for (const row of rows) table.push([...row]);
+  printLine(table.toString());
+}
+
+const BORDERLESS = {
+  top: "",
+  "top-mid": "",
+  "top-left": "",
+  "top-right": "",
+  bottom: "",
+  "bottom-mid": "",
+  "bottom-left": "",
+  "bottom-right": "",
+  left: "",
+  "left-mid": "",
+  mid: "",
+  "mid-mid": "",
+  right: "",
+  "right-mid": "",
+  middle: " ",
+};
--- /dev/null
+++ b/src/configuration/index.ts
@@ -0,0 +1,14 @@
+/** The agreed configuration. */
+export {
+  type Configuration,
+  ConfigurationSchema,
+  type Group,
+  type Limits,
+  type Model,
+  type Organisation,
+  type RequestClass,
+  type Service,
+  type Timing,
+} from "./Configuration";
+export { diffConfiguration } from "./diffConfiguration";
+export { parseConfiguration } from "./parseConfiguration";
--- /dev/null
+++ b/src/consensus/index.ts
@@ -0,0 +1,16 @@
+/** The agreement protocol: a pure core, and the driver that runs it. */
+export { ConsensusDriver, type ConsensusDriverOptions, type Transport } from "./ConsensusDriver";
+export { MemoryLog } from "./MemoryLog";
+export {
+  createMembership,
+  getMember,
+  getNextMembership,
+  getQuorumSize,
+  getVoters,
+  isVoter,
+} from "./membership";
+export type { Progress } from "./Progress";
+export { RaftNode, type RaftNodeOptions, type Role } from "./RaftNode";
+export { type RandomSource, SeededRandom } from "./RandomSource";
+export type { ConfirmedBarrier, Ready } from "./Ready";
+export { DEFAULT_TIMING, type Timing } from "./Timing";
--- /dev/null
+++ b/src/control/index.ts
@@ -0,0 +1,12 @@
+/** The control process. */
+export { ConfigurationCache, MAX_LEASE_MS } from "./ConfigurationCache";
+export {
+  type ControlProcessOptions,
+  type ControlSecrets,
+  initializeDataFolder,
+  startControlProcess,
+} from "./ControlProcess";
+export { createInitialSnapshot } from "./createInitialSnapshot";
+export { EntryRegistry } from "./EntryRegistry";
+export { InstanceMonitor } from "./InstanceMonitor";
+export { getAbsentInstances, getStrandedReason, type Loss, LossLedger } from "./LossLedger";
--- /dev/null
+++ b/src/control/routes/entryRoutes.ts
@@ -0,0 +1,135 @@
+/** Serves entries: leases with what must be in force under them, and claims. */
+import { create } from "@bufbuild/protobuf";
+import type { ConnectRouter } from "@connectrpc/connect";
+import type { Clock } from "../../clock";
+import type { Configuration } from "../../configuration";
+import type { ConsensusDriver } from "../../consensus";
+import {
+  EntryService,
+  type RenewRequest,
+  type RenewResponse,
+  RenewResponseSchema,
+} from "../../gen/ploverstage/v1/control_pb";
+import { EntryId } from "../../ids";
+import type { ConfigurationCache } from "../ConfigurationCache";
+import type { LeaderGuard } from "../LeaderGuard";
+import type { Leadership } from "../Leadership";
+import { getAbsentInstances } from "../LossLedger";
+
+/** What entry routes work with. */
+export interface EntryRouteOptions {
+  readonly driver: ConsensusDriver;
+  readonly guard: LeaderGuard;
+  readonly clock: Clock;
+  readonly configurations: ConfigurationCache;
+}
+
+/** Adds the entry service to a router. */
+export function addEntryRoutes(router: ConnectRouter, options: EntryRouteOptions): void {
+  const { driver, guard, clock } = options;
+  router.service(EntryService, {
+    renew(request) {
+      return guard.run((leadership) => renewLease(options, leadership, request));
+    },
+    claim(request) {
+      return guard.run(async () => {
+        const value = { ...request, atMs: clock.getWallMs(), retentionMs: getRetentionMs(options) };
+        const result = await driver.propose({ case: "claim", value });
+        if (result?.kind === "existingClaim") return { granted: false, existing: result.claim };
+        return { granted: result?.kind === "grantedClaim" };
+      });
+    },
+    settle(request) {
+      return guard.run(async () => {
+        await driver.propose({ case: "settle", value: request });
+        return {};
+      });
+    },
+  });
+}
+
+function getRetentionMs({ configurations }: EntryRouteOptions): number {
+  return configurations.getNewest()?.timing.claimRetention ?? DEFAULT_RETENTION_MS;
+}
+
+const DEFAULT_RETENTION_MS = 86_400_000;
+
+/** Grants a lease. Runs without a pause, so that lease and view belong together. */
+function renewLease(
+  options: EntryRouteOptions,
+  leadership: Leadership,
+  request: RenewRequest,
+): RenewResponse {
+  const now = options.clock.getMonotonicMs();
+  const entryId = EntryId(request.entryId);
+  const configuration = options.configurations.getNewest();
+  const leaseMs = configuration?.timing.lease ?? 0;
+  leadership.entries.addRenewal(request);
+  leadership.burn.setWindows(entryId, request.burn);
+  const { knownConfiguration, knownAssignment } = request;
+  leadership.leases.addLease(now, { entryId, knownConfiguration, knownAssignment }, leaseMs);
+  return createView(options, leadership, request, configuration, now);
+}
+
+function createView(
+  { driver }: EntryRouteOptions,
+  leadership: Leadership,
+  request: RenewRequest,
+  configuration: Configuration | undefined,
+  now: number,
+): RenewResponse {
+  const machine = driver.machine;
+  const newest = machine.getConfiguration();
+  const isCurrent = request.knownConfiguration === newest?.version;
+  const changed =
+    request.knownAssignment === 0 ? undefined : machine.getReplicasChangedSince(request.knownAssignment);
+  return create(RenewResponseSchema, {
+    leaseMs: configuration?.timing.lease ?? 0,
+    term: leadership.term,
+    configurationVersion: newest?.version ?? 0,
+    configurationText: isCurrent ? "" : (newest?.text ?? ""),
+    assignmentIndex: machine.assignmentIndex,
+    full: changed === undefined,
+    replicas: changed ?? machine.getReplicas(),
+    entries: getEntryAddresses(leadership, now),
+    absentInstances: getAbsences(leadership, configuration, now),
+    concurrencyShare: leadership.entries.getConcurrencyShare(now, leadership.leases, request.entryId),
+    serviceEndpoints: getServiceEndpoints(leadership),
+  });
+}
+
+function getEntryAddresses(leadership: Leadership, now: number): RenewResponse["entries"] {
+  return leadership.entries
+    .getLive(now, leadership.leases)
+    .filter((renewal) => !renewal.stopping)
+    .map((renewal) => ({
+      $typeName: "ploverstage.v1.EntryAddress" as const,
+      address: renewal.callerAddress,
+      failureDomain: renewal.failureDomain,
+    }));
+}
+
+/** A new leader's silence about an instance means nothing until it had time to ask. */
+function getAbsences(
+  leadership: Leadership,
+  configuration: Configuration | undefined,
+  now: number,
+): string[] {
+  if (configuration === undefined || !leadership.isWarm(now, configuration)) return [];
+  const facts = leadership.getFacts(now, configuration);
+  return facts.replicas.flatMap((replica) => getAbsentInstances(now, replica, facts, configuration));
+}
+
+function getServiceEndpoints(leadership: Leadership): RenewResponse["serviceEndpoints"] {
+  return leadership.monitor
+    .getInstances()
+    .filter((instance) => instance.kind === "service")
+    .map((instance) => ({
+      $typeName: "ploverstage.v1.ServiceEndpoint" as const,
+      service: instance.service,
+      instanceId: instance.id,
+      address: instance.address,
+      failureDomain: instance.failureDomain,
+      leaving: instance.isLeaving,
+    }));
+}
--- /dev/null
+++ b/src/control/routes/index.ts
@@ -0,0 +1,4 @@
+/** The interfaces that a control process serves. */
+export { addConsensusRoutes } from "./consensusRoutes";
+export { addEntryRoutes } from "./entryRoutes";
+export { addOperatorRoutes } from "./operatorRoutes";
--- /dev/null
+++ b/src/engine/FrameReader.ts
@@ -0,0 +1,127 @@
+/**
+ * Reads an engine's answer: one JSON frame a line.
+ *
+ * Each frame names its request, epoch and offset. A doubled frame is dropped; a frame
+ * of another request or epoch, or after a gap, ends the reading with a typed error and
+ * the connection is given up.
+ */
+import type { IncomingMessage } from "node:http";
+import { ForeignAnswer, LostAnswer, MalformedAnswer } from "../errors";
+import type { Frame, Generation } from "./Engine";
+
+/** Longest line accepted, characters. */
+const MAX_LINE = 1_000_000;
+
+interface WireFrame {
+  readonly request_id: string;
+  readonly epoch: number;
+  readonly offset: number;
+  readonly tokens: number;
+  readonly text: string;
+  readonly finish_reason?: string;
+}
+
+/** Frames of one generation. */
+export class FrameReader implements AsyncIterable<Frame> {
+  private readonly _answer: IncomingMessage;
+  private readonly _address: string;
+  private readonly _generation: Generation;
+  private _offset: number;
+  private _rest = "";
+
+  /**
+   * @param offset - Index of the first token expected.
+   */
+  constructor(answer: IncomingMessage, address: string, generation: Generation, offset: number) {
+    this._answer = answer;
+    this._address = address;
+    this._generation = generation;
+    this._offset = offset;
+  }
+
+  /**
+   * Gives the frames in order.
+   * @throws LostAnswer - When the answer ended without its last frame.
+   * @throws ForeignAnswer, MalformedAnswer
+   */
+  async *[Symbol.asyncIterator](): AsyncGenerator<Frame> {
+    try {
+      this._answer.setEncoding("utf8");
+      for await (const chunk of this._answer as AsyncIterable<string>) {
+        for (const frame of this._takeFrames(chunk)) {
+          yield frame;
+          if (frame.finishReason !== undefined) return;
+        }
+      }
+    } catch (cause) {
+      if (cause instanceof ForeignAnswer || cause instanceof MalformedAnswer) throw cause;
+      throw this._createLost(String(cause));
+    } finally {
+      // A whole answer leaves the connection reusable; anything else gives it up.
+      if (!this._answer.readableEnded) this._finish();
+    }
+    throw this._createLost(`it ended at token ${this._offset} without a last frame`);
+  }
+
+  private _finish(): void {
+    if (this._answer.complete) this._answer.resume();
+    else this._answer.destroy();
+  }
+
+  private _takeFrames(chunk: string): Frame[] {
+    const lines = (this._rest + chunk).split("\n");
+    this._rest = lines.pop()!;
+    if (this._rest.length > MAX_LINE) throw this._createMalformed("a line is too long");
+    return lines.filter((line) => line !== "").flatMap((line) => this._takeFrame(line));
+  }
+
+  private _takeFrame(line: string): Frame[] {
+    const wire = this._parse(line);
+    if (wire.request_id !== this._generation.requestId || wire.epoch !== this._generation.epoch) {
+      throw this._createForeign(`request ${wire.request_id} epoch ${wire.epoch}`);
+    }
+    if (wire.offset < this._offset) return [];
+    if (wire.offset > this._offset) throw this._createForeign(`offset ${wire.offset}`);
+    this._offset += wire.tokens;
+    return [{ offset: wire.offset, tokens: wire.tokens, text: wire.text, finishReason: wire.finish_reason }];
+  }
+
+  private _parse(line: string): WireFrame {
+    let value: unknown;
+    try {
+      value = JSON.parse(line);
+    } catch {
+      throw this._createMalformed("a frame is no JSON");
+    }
+    if (!isWireFrame(value)) throw this._createMalformed("a frame lacks a field");
+    return value;
+  }
+
+  private _createForeign(found: string): ForeignAnswer {
+    const expected = `request ${this._generation.requestId} epoch ${this._generation.epoch} offset ${this._offset}`;
+    return new ForeignAnswer({ address: this._address, expected, found });
+  }
+
+  private _createMalformed(reason: string): MalformedAnswer {
+    return new MalformedAnswer({ address: this._address, reason });
+  }
+
+  private _createLost(reason: string): LostAnswer {
+    return new LostAnswer({ address: this._address, reason });
+  }
+}
+
+/** A hand-written check: this runs for every token. */
+function isWireFrame(value: unknown): value is WireFrame {
+  if (typeof value !== "object" || value === null) return false;
+  const frame = value as Partial<Record<keyof WireFrame, unknown>>;
+  return (
+    typeof frame.request_id === "string" &&
+    typeof frame.epoch === "number" &&
+    Number.isSafeInteger(frame.offset) &&
+    Number.isSafeInteger(frame.tokens) &&
+    (frame.tokens as number) >= 0 &&
+    typeof frame.text === "string" &&
+    (frame.finish_reason === undefined || typeof frame.finish_reason === "string")
+  );
+}
--- /dev/null
+++ b/src/engine/index.ts
@@ -0,0 +1,13 @@
+/** Model engines. */
+export type {
+  CacheEvent,
+  Engine,
+  EngineLoad,
+  EngineOrder,
+  EngineState,
+  Frame,
+  Generation,
+  SendOptions,
+} from "./Engine";
+export { FrameReader } from "./FrameReader";
+export { HttpEngine, type HttpEngineOptions } from "./HttpEngine";
--- /dev/null
+++ b/src/entry/AnswerWriter.ts
@@ -0,0 +1,212 @@
+/**
+ * Writes answers to callers in the published OpenAI-compatible form.
+ *
+ * A stream is written as it comes, never held whole; a caller that reads slowly slows
+ * the engine down. An answer that breaks off says so and lacks its end marker.
+ */
+import { once } from "node:events";
+import type { ServerResponse } from "node:http";
+import type { Frame } from "../engine";
+import type { Refusal } from "./Refusal";
+import type { ModelCall } from "./requests";
+
+/** Headers of answers. */
+export const ANSWER_HEADER = {
+  requestId: "ploverstage-request-id",
+  outcome: "ploverstage-outcome",
+  code: "ploverstage-code",
+  replica: "ploverstage-replica",
+} as const;
+
+/** Token counts of an answer. */
+export interface Usage {
+  readonly promptTokens: number;
+  readonly completionTokens: number;
+}
+
+/** Writes one model answer. */
+export interface AnswerWriter {
+  /** Whether the caller has seen anything of the answer. */
+  readonly hasStarted: boolean;
+  /** Takes a piece; resolves once the caller can take more. */
+  write(frame: Frame, replicaId: string): Promise<void>;
+  /** Ends a whole answer. */
+  finish(usage: Usage): void;
+  /** Forgets what was taken, when nothing of it was shown. */
+  reset(): void;
+}
+
+/** Makes the writer that a call asks for. */
+export function createAnswerWriter(
+  response: ServerResponse,
+  requestId: string,
+  call: ModelCall,
+  createdS: number,
+): AnswerWriter {
+  if (call.isStream) return new StreamWriter(response, requestId, call, createdS);
+  return new WholeWriter(response, requestId, call, createdS);
+}
+
+/** Writes server-sent events. */
+class StreamWriter implements AnswerWriter {
+  private readonly _response: ServerResponse;
+  private readonly _requestId: string;
+  private readonly _call: ModelCall;
+  private readonly _head: string;
+  private _hasStarted = false;
+
+  constructor(response: ServerResponse, requestId: string, call: ModelCall, createdS: number) {
+    this._response = response;
+    this._requestId = requestId;
+    this._call = call;
+    const object = call.form === "chat" ? "chat.completion.chunk" : "text_completion";
+    const id = JSON.stringify(requestId);
+    const model = JSON.stringify(call.model);
+    this._head = `data: {"id":${id},"object":"${object}","created":${createdS},"model":${model},"choices":`;
+  }
+
+  get hasStarted(): boolean {
+    return this._hasStarted;
+  }
+
+  async write(frame: Frame, replicaId: string): Promise<void> {
+    if (!this._hasStarted) this._start(replicaId);
+    const reason = frame.finishReason === undefined ? "null" : JSON.stringify(frame.finishReason);
+    const text = JSON.stringify(frame.text);
+    const content = this._call.form === "chat" ? `"delta":{"content":${text}}` : `"text":${text}`;
+    const hasRoom = this._response.write(
+      `${this._head}[{"index":0,${content},"finish_reason":${reason}}]}\n\n`,
+    );
+    if (!hasRoom && !this._response.destroyed) await waitForRoom(this._response);
+  }
+
+  finish(usage: Usage): void {
+    if (this._call.includesUsage) this._response.write(`${this._head}[],"usage":${toUsageJson(usage)}}\n\n`);
+    this._response.end("data: [DONE]\n\n");
+  }
+
+  reset(): void {}
+
+  private _start(replicaId: string): void {
+    this._hasStarted = true;
+    this._response.writeHead(200, {
+      "content-type": "text/event-stream",
+      "cache-control": "no-cache",
+      [ANSWER_HEADER.requestId]: this._requestId,
+      [ANSWER_HEADER.replica]: replicaId,
+    });
+  }
+}
+
+/** Writes one JSON body; its size is bounded by the tokens that may be asked for. */
+class WholeWriter implements AnswerWriter {
+  readonly hasStarted = false;
+  private readonly _response: ServerResponse;
+  private readonly _requestId: string;
+  private readonly _call: ModelCall;
+  private readonly _createdS: number;
+  private _text: string[] = [];
+  private _finishReason = "stop";
+  private _replicaId = "";
+
+  constructor(response: ServerResponse, requestId: string, call: ModelCall, createdS: number) {
+    this._response = response;
+    this._requestId = requestId;
+    this._call = call;
+    this._createdS = createdS;
+  }
+
+  async write(frame: Frame, replicaId: string): Promise<void> {
+    this._text.push(frame.text);
+    this._replicaId = replicaId;
+    this._finishReason = frame.finishReason ?? this._finishReason;
+  }
+
+  finish(usage: Usage): void {
+    const isChat = this._call.form === "chat";
+    const text = this._text.join("");
+    const content = isChat ? { message: { role: "assistant", content: text } } : { text };
+    const body = {
+      id: this._requestId,
+      object: isChat ? "chat.completion" : "text_completion",
+      created: this._createdS,
+      model: this._call.model,
+      choices: [{ index: 0, ...content, finish_reason: this._finishReason }],
+      usage: JSON.parse(toUsageJson(usage)),
+    };
+    this._response.writeHead(200, {
+      "content-type": "application/json",
+      [ANSWER_HEADER.requestId]: this._requestId,
+      [ANSWER_HEADER.replica]: this._replicaId,
+      [ANSWER_HEADER.outcome]: "done",
+    });
+    this._response.end(JSON.stringify(body));
+  }
+
+  reset(): void {
+    this._text = [];
+  }
+}
+
+/**
+ * Answers a request that was given up on, at once.
+ *
+ * After the first byte of a stream only its body can tell: an error event, and no end
+ * marker; the connection is closed so that it can't be taken for whole.
+ */
+export function writeRefusal(
+  response: ServerResponse,
+  requestId: string,
+  refusal: Refusal,
+  addresses: readonly string[],
+): void {
+  if (response.writableEnded || response.destroyed) return;
+  const body = JSON.stringify({
+    error: {
+      message: refusal.reason,
+      type: refusal.status < 500 ? "invalid_request_error" : "server_error",
+      code: refusal.code,
+      outcome: refusal.outcome,
+      request_id: requestId,
+      retry_after_ms: refusal.retryAfterMs,
+      addresses: addresses.length === 0 ? undefined : addresses,
+    },
+  });
+  if (response.headersSent) {
+    response.write(`data: ${body}\n\n`, () => response.destroy());
+    return;
+  }
+  const headers: Record<string, string> = {
+    "content-type": "application/json",
+    [ANSWER_HEADER.requestId]: requestId,
+    [ANSWER_HEADER.outcome]: refusal.outcome,
+    [ANSWER_HEADER.code]: refusal.code,
+  };
+  if (refusal.retryAfterMs !== undefined)
+    headers["retry-after"] = String(Math.ceil(refusal.retryAfterMs / 1_000));
+  if (refusal.code === "body_too_large") headers.connection = "close";
+  response.writeHead(refusal.status, headers);
+  response.end(body);
+}
+
+/** Waits until a response takes more, or is gone. */
+export async function waitForRoom(response: ServerResponse): Promise<void> {
+  const closed = new AbortController();
+  const onClose = () => closed.abort();
+  response.once("close", onClose);
+  try {
+    await once(response, "drain", { signal: closed.signal });
+  } catch {
+    // The caller left: the request's own signal ends the work.
+  } finally {
+    response.off("close", onClose);
+  }
+}
+
+function toUsageJson({ promptTokens, completionTokens }: Usage): string {
+  return JSON.stringify({
+    prompt_tokens: promptTokens,
+    completion_tokens: completionTokens,
+    total_tokens: promptTokens + completionTokens,
+  });
+}
--- /dev/null
+++ b/src/entry/Claims.ts
@@ -0,0 +1,155 @@
+/** Claims of non-repeatable requests in the agreed state. */
+import { create } from "@bufbuild/protobuf";
+import type { Clock } from "../clock";
+import type { ClaimResponse, EntryService } from "../gen/ploverstage/v1/control_pb";
+import {
+  ClaimRequestSchema,
+  ClaimState,
+  type RequestClaim,
+  SettleRequestSchema,
+} from "../gen/ploverstage/v1/state_pb";
+import type { EntryId, RequestId } from "../ids";
+import type { Logger } from "../metrics";
+import type { LeaderClient } from "../rpc";
+import { type Outcome, Refusal, type RefusalCode } from "./Refusal";
+import type { ClassifiedRequest } from "./requests";
+
+const CLAIM_MS = 3_000;
+/** An outcome is reported for so long before it is left unknown to others. */
+const SETTLE_MS = 60_000;
+
+const STATE_BY_OUTCOME: Readonly<Record<Outcome, ClaimState>> = {
+  done: ClaimState.DONE,
+  failed: ClaimState.FAILED,
+  unknown: ClaimState.UNKNOWN,
+  "not-run": ClaimState.UNSPECIFIED,
+};
+
+interface Duplicate {
+  readonly code: RefusalCode;
+  readonly outcome: Outcome;
+  readonly reason: string;
+}
+
+const DUPLICATES: Readonly<Record<ClaimState, Duplicate>> = {
+  [ClaimState.UNSPECIFIED]: {
+    code: "claim_unknown",
+    outcome: "unknown",
+    reason: "the first request's state is lost",
+  },
+  [ClaimState.RUNNING]: {
+    code: "claim_running",
+    outcome: "unknown",
+    reason: "the first request with this key runs",
+  },
+  [ClaimState.DONE]: {
+    code: "claim_done",
+    outcome: "done",
+    reason: "the first request with this key was answered",
+  },
+  [ClaimState.FAILED]: {
+    code: "claim_failed",
+    outcome: "failed",
+    reason: "the first request with this key failed",
+  },
+  [ClaimState.UNKNOWN]: {
+    code: "claim_unknown",
+    outcome: "unknown",
+    reason: "whether the first request with this key ran is unknown",
+  },
+};
+
+const RUNNING_RETRY_MS = 2_000;
+
+/** The claims of one entry. */
+export class Claims {
+  private readonly _client: LeaderClient<typeof EntryService>;
+  private readonly _entryId: EntryId;
+  private readonly _clock: Clock;
+  private readonly _logger: Logger;
+  private readonly _held = new Set<RequestId>();
+
+  /**
+   * @param entryId - Whose claims they are.
+   */
+  constructor(client: LeaderClient<typeof EntryService>, entryId: EntryId, clock: Clock, logger: Logger) {
+    this._client = client;
+    this._entryId = entryId;
+    this._clock = clock;
+    this._logger = logger;
+  }
+
+  /**
+   * Claims the right to run a request, unless it needs no claim or holds one.
+   * @throws Refusal - When its key was claimed before, or control can't be reached.
+   */
+  async claimOnce(request: ClassifiedRequest): Promise<void> {
+    if (request.isRepeatable || request.key === "" || this._held.has(request.id)) return;
+    await this._claim(request);
+    this._held.add(request.id);
+  }
+
+  private async _claim(request: ClassifiedRequest): Promise<void> {
+    const leftMs = request.deadlineAt - this._clock.getMonotonicMs();
+    const message = create(ClaimRequestSchema, {
+      key: getClaimKey(request),
+      requestId: request.id,
+      entryId: this._entryId,
+      fingerprint: request.fingerprint,
+    });
+    const response = await this._client
+      .call((leader, timeoutMs) => leader.claim(message, { timeoutMs }), Math.min(CLAIM_MS, leftMs))
+      .catch((cause: unknown) => this._giveUp(request, cause));
+    if (!response.granted) throw createDuplicateRefusal(response.existing, request);
+  }
+
+  /** Records what became of a request, in the background, if it holds a claim. */
+  settle(request: ClassifiedRequest, outcome: Outcome, status: number): void {
+    if (this._held.delete(request.id)) this._settle(request, outcome, status);
+  }
+
+  private _settle(request: ClassifiedRequest, outcome: Outcome, status: number): void {
+    const message = create(SettleRequestSchema, {
+      key: getClaimKey(request),
+      requestId: request.id,
+      state: STATE_BY_OUTCOME[outcome],
+      status,
+    });
+    this._client
+      .call((leader, timeoutMs) => leader.settle(message, { timeoutMs }), SETTLE_MS)
+      .catch((cause: unknown) =>
+        this._logger.warn({ event: "settle_failed", request: request.id, outcome, reason: String(cause) }),
+      );
+  }
+
+  /** The claim may have been made all the same, so it is given back. */
+  private _giveUp(request: ClassifiedRequest, cause: unknown): ClaimResponse {
+    this._settle(request, "not-run", 0);
+    throw new Refusal({
+      code: "control_unreachable",
+      outcome: "not-run",
+      reason: `the request could not be claimed: ${String(cause)}`,
+      retryAfterMs: RUNNING_RETRY_MS,
+    });
+  }
+}
+
+function getClaimKey(request: ClassifiedRequest): string {
+  return `${request.organisation.name}/${request.key}`;
+}
+
+function createDuplicateRefusal(existing: RequestClaim | undefined, request: ClassifiedRequest): Refusal {
+  if (existing !== undefined && existing.fingerprint !== request.fingerprint) {
+    const reason = "the key was used for another request";
+    return new Refusal({ code: "key_reused", outcome: "not-run", reason });
+  }
+  const state = existing?.state ?? ClaimState.UNSPECIFIED;
+  const duplicate = DUPLICATES[state];
+  const status = existing?.status ? ` with status ${existing.status}` : "";
+  return new Refusal({
+    code: duplicate.code,
+    outcome: duplicate.outcome,
+    reason: duplicate.reason + status,
+    retryAfterMs: state === ClaimState.RUNNING ? RUNNING_RETRY_MS : undefined,
+  });
+}
--- /dev/null
+++ b/src/entry/ClusterView.ts
@@ -0,0 +1,116 @@
+/**
+ * What an entry has in force: configuration, replicas, addresses, as its last renewal
+ * said. Everything changes at once, with one renewal.
+ */
+import { type Configuration, parseConfiguration } from "../configuration";
+import type { EntryAddress, RenewResponse, ServiceEndpoint } from "../gen/ploverstage/v1/control_pb";
+import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
+import { PolicyProgram } from "../policy";
+
+/** A configuration with its compiled policy. */
+export interface ActiveConfiguration {
+  readonly version: number;
+  readonly declared: Configuration;
+  readonly policy: PolicyProgram;
+}
+
+/** The view of one entry. */
+export class ClusterView {
+  private _configuration: ActiveConfiguration | undefined;
+  private _replicas = new Map<string, Replica>();
+  private _assignmentIndex = 0;
+  private _entries: readonly EntryAddress[] = [];
+  private _absent: ReadonlySet<string> = new Set();
+  private _concurrencyShare = 0;
+  private _endpoints: readonly ServiceEndpoint[] = [];
+  private _term = 0;
+
+  /** Gets the configuration in force. */
+  get configuration(): ActiveConfiguration | undefined {
+    return this._configuration;
+  }
+
+  /** Gets the assignment index in force. */
+  get assignmentIndex(): number {
+    return this._assignmentIndex;
+  }
+
+  /** Gets this entry's part of every endpoint's limit. */
+  get concurrencyShare(): number {
+    return this._concurrencyShare;
+  }
+
+  /** Gets addresses of the live entries. */
+  get entries(): readonly EntryAddress[] {
+    return this._entries;
+  }
+
+  /** Gets the term of the leader that was heard last. */
+  get term(): number {
+    return this._term;
+  }
+
+  /** Gets all replicas that are not released. */
+  getReplicas(): Replica[] {
+    return [...this._replicas.values()];
+  }
+
+  /** Gets a replica. */
+  getReplica(id: string): Replica | undefined {
+    return this._replicas.get(id);
+  }
+
+  /** Gets replicas of a model that may take new work, as far as control knows. */
+  getServingReplicas(model: string): Replica[] {
+    return this.getReplicas().filter(
+      (replica) =>
+        replica.model === model && replica.phase === ReplicaPhase.SERVING && !this.isAbsentAtControl(replica),
+    );
+  }
+
+  /** Checks whether control misses an instance of a replica. */
+  isAbsentAtControl(replica: Replica): boolean {
+    return replica.members.some((member) => this._absent.has(member.instanceId));
+  }
+
+  /** Gets endpoints of a service that are not leaving. */
+  getServiceEndpoints(service: string): ServiceEndpoint[] {
+    return this._endpoints.filter((endpoint) => endpoint.service === service && !endpoint.leaving);
+  }
+
+  /**
+   * Takes what a renewal said.
+   * @returns Whether it was taken; an answer overtaken by a newer one takes nothing back.
+   */
+  apply(response: RenewResponse): boolean {
+    if (response.term < this._term || response.assignmentIndex < this._assignmentIndex) return false;
+    if (response.configurationVersion < (this._configuration?.version ?? 0)) return false;
+    this._term = response.term;
+    this._applyConfiguration(response);
+    this._applyReplicas(response);
+    this._entries = response.entries;
+    this._absent = new Set(response.absentInstances);
+    this._concurrencyShare = response.concurrencyShare;
+    this._endpoints = response.serviceEndpoints;
+    return true;
+  }
+
+  private _applyConfiguration(response: RenewResponse): void {
+    if (response.configurationText === "") return;
+    const declared = parseConfiguration(
+      `version-${response.configurationVersion}`,
+      response.configurationText,
+    );
+    const policy = new PolicyProgram(declared.policy);
+    this._configuration = { version: response.configurationVersion, declared, policy };
+  }
+
+  private _applyReplicas(response: RenewResponse): void {
+    if (response.full) this._replicas = new Map();
+    for (const replica of response.replicas) {
+      if (replica.phase === ReplicaPhase.RELEASED) this._replicas.delete(replica.id);
+      else this._replicas.set(replica.id, replica);
+    }
+    this._assignmentIndex = response.assignmentIndex;
+  }
+}
--- /dev/null
+++ b/src/entry/filters/ServiceDispatch.ts
@@ -0,0 +1,261 @@
+/**
+ * Fifth filter, for plain services: sends a call to one endpoint and relays the answer.
+ *
+ * The same rules as for models: tried again only if repeatable or provably not run, and
+ * never after the first byte of an answer. What an endpoint answers is the answer,
+ * whatever its status.
+ */
+import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from "node:http";
+import { pipeline } from "node:stream/promises";
+import type { Clock } from "../../clock";
+import type { RandomSource } from "../../consensus";
+import { LostAnswer } from "../../errors";
+import type { ServiceEndpoint } from "../../gen/ploverstage/v1/control_pb";
+import type { HttpClient } from "../../http";
+import type { EntryLease } from "../../leases";
+import { type Candidate, EndpointPool, RetryBudget, WeighedPlacement, type Work } from "../../routing";
+import { ANSWER_HEADER } from "../AnswerWriter";
+import type { Claims } from "../Claims";
+import type { ActiveConfiguration, ClusterView } from "../ClusterView";
+import { AttemptHistory, classifyFailure } from "../failures";
+import { Refusal } from "../Refusal";
+import type { ClassifiedRequest, ServiceCall } from "../requests";
+import type { Admission, Placer } from "./Admission";
+
+/** A classified service call. */
+export type ServiceRequest = ClassifiedRequest & { readonly call: ServiceCall };
+
+/** How a service call went. */
+export interface ServiceResult {
+  readonly instanceId: string;
+  readonly status: number;
+  readonly retries: number;
+}
+
+/** What service dispatch works with. */
+export interface ServiceDispatchOptions {
+  readonly clock: Clock;
+  readonly view: ClusterView;
+  readonly admission: Admission;
+  readonly claims: Claims;
+  readonly lease: EntryLease;
+  readonly client: HttpClient;
+  readonly random: RandomSource;
+}
+
+interface ServiceRoute {
+  readonly endpoint: ServiceEndpoint;
+  readonly work: Work;
+}
+
+/** Headers of one connection, which are not passed on (RFC 9110, section 7.6.1). */
+const HOP_HEADERS: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "expect",
+  "host",
+  "content-length",
+]);
+const NOT_RUN_RETRY_MS = 500;
+
+/** Runs service calls. */
+export class ServiceDispatch {
+  private readonly _options: ServiceDispatchOptions;
+  private readonly _budget = new RetryBudget();
+  private readonly _pool = new EndpointPool();
+  private readonly _placement = new WeighedPlacement();
+
+  /**
+   * @param options - Clock, view, client and the other parts of the entry.
+   */
+  constructor(options: ServiceDispatchOptions) {
+    this._options = options;
+  }
+
+  /** Gets how many calls are in flight. */
+  getRequestCount(): number {
+    return this._pool.getRequestCount();
+  }
+
+  /**
+   * Runs a call to its end.
+   * @param signal - Aborted when the caller leaves.
+   * @throws Refusal - When there is no whole answer.
+   */
+  async run(
+    request: ServiceRequest,
+    active: ActiveConfiguration,
+    response: ServerResponse,
+    signal: AbortSignal,
+  ): Promise<ServiceResult> {
+    const { limits } = active.declared;
+    this._budget.addRequest(limits.retryRatio);
+    const excluded = new Set<string>();
+    const placer = this._createPlacer(active, excluded);
+    const history = new AttemptHistory();
+    for (let retries = 0; ; retries++) {
+      const route = await history.guard(() =>
+        this._options.admission.admit(request, placer, limits.queueLength, signal),
+      );
+      try {
+        await this._options.claims.claimOnce(request);
+        const status = await this._attempt(request, route, active, response, signal);
+        return { instanceId: route.endpoint.instanceId, status, retries };
+      } catch (cause) {
+        const failure = classifyFailure(signal.aborted ? signal.reason : cause);
+        route.work.end(
+          this._options.clock.getMonotonicMs(),
+          failure.isEndpointFault ? "failed" : "cancelled",
+        );
+        history.addFailure(failure);
+        const mayRepeat = failure.wasNotRun || request.isRepeatable;
+        const mayRetry = mayRepeat && failure.isEndpointFault && !response.headersSent;
+        if (!mayRetry || !this._budget.takeRetry()) throw history.createRefusal(failure.refusal);
+        excluded.add(route.endpoint.instanceId);
+      }
+    }
+  }
+
+  private async _attempt(
+    request: ServiceRequest,
+    route: ServiceRoute,
+    active: ActiveConfiguration,
+    response: ServerResponse,
+    signal: AbortSignal,
+  ): Promise<number> {
+    const { call } = request;
+    const { connect, idle } = active.declared.limits;
+    const answer = await this._options.client.send({
+      method: call.method,
+      address: route.endpoint.address,
+      path: call.path,
+      headers: createRequestHeaders(request),
+      body: call.body.length === 0 ? undefined : call.body,
+      connectMs: connect,
+      idleMs: idle,
+      signal,
+      isFresh: !request.isRepeatable,
+      beforeSend: () => this._throwIfNotAllowed(request, route),
+    });
+    route.work.addProgress(this._options.clock.getMonotonicMs(), 0);
+    await relayAnswer(answer, response, request, route.endpoint);
+    this._finish(request, route.work);
+    return answer.statusCode ?? 0;
+  }
+
+  private _finish(request: ServiceRequest, work: Work): void {
+    const now = this._options.clock.getMonotonicMs();
+    work.end(now, "answered");
+    this._options.admission.addCompletion(request, request.cost, now - work.startedAt);
+  }
+
+  private _throwIfNotAllowed(request: ServiceRequest, route: ServiceRoute): void {
+    const now = this._options.clock.getMonotonicMs();
+    if (!this._options.lease.isHeld(now)) throw createNotRun("lease_lapsed", "this entry's lease has lapsed");
+    if (now >= request.deadlineAt) throw createNotRun("deadline_expired", "its deadline has passed");
+    const current = this._options.view.getServiceEndpoints(request.target);
+    if (current.some((endpoint) => endpoint.instanceId === route.endpoint.instanceId)) return;
+    throw createNotRun("no_endpoint", `${route.endpoint.instanceId} left meanwhile`);
+  }
+
+  private _createPlacer(active: ActiveConfiguration, excluded: ReadonlySet<string>): Placer<ServiceRoute> {
+    return {
+      absenceCode: "no_endpoint",
+      tryPlace: (now, request) => this._tryPlace(now, request, active, excluded),
+      getSlots: (now, target) => {
+        const endpoints = this._getOpenEndpoints(now, target, excluded);
+        return endpoints.reduce((sum, endpoint) => sum + this._getLimit(now, endpoint, active), 0);
+      },
+      hasEndpoint: (now, target) => this._getOpenEndpoints(now, target, excluded).length > 0,
+    };
+  }
+
+  private _tryPlace(
+    now: number,
+    request: ClassifiedRequest,
+    active: ActiveConfiguration,
+    excluded: ReadonlySet<string>,
+  ): ServiceRoute | undefined {
+    const endpoints = this._getOpenEndpoints(now, request.target, excluded);
+    const candidates = endpoints.map((endpoint) => this._createCandidate(now, endpoint, active));
+    const chosen = this._placement.choose(candidates, 0, this._options.random);
+    const endpoint = endpoints.find((candidate) => candidate.instanceId === chosen?.replicaId);
+    if (endpoint === undefined) return undefined;
+    return { endpoint, work: this._pool.startWork(now, endpoint.instanceId, request.cost) };
+  }
+
+  private _getOpenEndpoints(now: number, service: string, excluded: ReadonlySet<string>): ServiceEndpoint[] {
+    return this._options.view
+      .getServiceEndpoints(service)
+      .filter(
+        (endpoint) => !excluded.has(endpoint.instanceId) && this._pool.isAvailable(now, endpoint.instanceId),
+      );
+  }
+
+  private _getLimit(now: number, endpoint: ServiceEndpoint, active: ActiveConfiguration): number {
+    const { slowStartShare } = this._pool.getFacts(now, endpoint.instanceId);
+    const share = this._options.view.concurrencyShare * slowStartShare;
+    return Math.max(1, Math.floor(active.declared.limits.serviceConcurrency * share));
+  }
+
+  private _createCandidate(now: number, endpoint: ServiceEndpoint, active: ActiveConfiguration): Candidate {
+    const facts = this._pool.getFacts(now, endpoint.instanceId);
+    return {
+      replicaId: endpoint.instanceId,
+      ownRequests: facts.requests,
+      ownLimit: this._getLimit(now, endpoint, active),
+      ownTokens: facts.tokens,
+      reportedTokens: 0,
+      ownTokensAtReport: 0,
+      heldTokens: 0,
+      slowness: 1,
+    };
+  }
+}
+
+function createNotRun(code: "lease_lapsed" | "deadline_expired" | "no_endpoint", reason: string): Refusal {
+  return new Refusal({ code, outcome: "not-run", reason, retryAfterMs: NOT_RUN_RETRY_MS });
+}
+
+function createRequestHeaders(request: ServiceRequest): IncomingHttpHeaders {
+  const headers = dropHopHeaders(request.call.headers);
+  headers[ANSWER_HEADER.requestId] = request.id;
+  if (request.call.body.length > 0) headers["content-length"] = String(request.call.body.length);
+  return headers;
+}
+
+function dropHopHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
+  const named = (headers.connection ?? "").split(",").map((name) => name.trim().toLowerCase());
+  const dropped = new Set([...HOP_HEADERS, ...named]);
+  return Object.fromEntries(Object.entries(headers).filter(([name]) => !dropped.has(name)));
+}
+
+/** Passes an answer on as it comes; one that breaks off is cut, never ended as if whole. */
+async function relayAnswer(
+  answer: IncomingMessage,
+  response: ServerResponse,
+  request: ServiceRequest,
+  endpoint: ServiceEndpoint,
+): Promise<void> {
+  const headers = dropHopHeaders(answer.headers);
+  const length = answer.headers["content-length"];
+  if (length !== undefined) headers["content-length"] = length;
+  response.writeHead(answer.statusCode ?? 502, {
+    ...headers,
+    [ANSWER_HEADER.requestId]: request.id,
+    [ANSWER_HEADER.replica]: endpoint.instanceId,
+    [ANSWER_HEADER.outcome]: "done",
+  });
+  try {
+    await pipeline(answer, response);
+  } catch (cause) {
+    throw new LostAnswer({ address: endpoint.address, reason: String(cause) });
+  }
+}
--- /dev/null
+++ b/src/entry/filters/accept.ts
@@ -0,0 +1,235 @@
+/**
+ * First filter: reads a request whole, within limits, and checks its form.
+ *
+ * Model requests come in the published OpenAI-compatible form; unknown fields of it
+ * are ignored, as that form's servers do.
+ */
+import { createHash, randomBytes } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import { Result, Schema } from "effect";
+import { RequestId } from "../../ids";
+import { Refusal, throwIfMalformed } from "../Refusal";
+import type { AcceptedRequest, ModelCall, ServiceCall } from "../requests";
+
+/** Headers by which callers say what the published form has no field for. */
+export const HEADER = {
+  organisation: "ploverstage-organisation",
+  purpose: "ploverstage-kind",
+  deadline: "ploverstage-deadline-ms",
+  repeatable: "ploverstage-repeatable",
+  key: "idempotency-key",
+} as const;
+
+/** Bounds on what is read. */
+export interface AcceptLimits {
+  readonly bodyBytes: number;
+  readonly maxTokens: number;
+}
+
+const CHAT_PATH = "/v1/chat/completions";
+const COMPLETION_PATH = "/v1/completions";
+const SERVICE_PATH = /^\/v1\/services\/([a-z0-9][a-z0-9.-]{0,62})(\/[^#]*)?$/;
+const REPEATABLE_METHODS: ReadonlySet<string> = new Set(["GET", "HEAD", "OPTIONS"]);
+const MAX_KEY_LENGTH = 200;
+const MAX_STOPS = 16;
+const MAX_DEADLINE_MS = 86_400_000;
+
+const Content = Schema.Union([
+  Schema.String,
+  Schema.Null,
+  Schema.Array(Schema.Struct({ type: Schema.Literal("text"), text: Schema.String })),
+]);
+const Sampling = {
+  model: Schema.String,
+  max_tokens: Schema.optionalKey(Schema.NullOr(Schema.Int)),
+  max_completion_tokens: Schema.optionalKey(Schema.NullOr(Schema.Int)),
+  stream: Schema.optionalKey(Schema.NullOr(Schema.Boolean)),
+  stream_options: Schema.optionalKey(
+    Schema.NullOr(Schema.Struct({ include_usage: Schema.optionalKey(Schema.Boolean) })),
+  ),
+  temperature: Schema.optionalKey(Schema.NullOr(Schema.Number)),
+  stop: Schema.optionalKey(Schema.NullOr(Schema.Union([Schema.String, Schema.Array(Schema.String)]))),
+  n: Schema.optionalKey(Schema.NullOr(Schema.Int)),
+};
+const ChatBody = Schema.Struct({
+  ...Sampling,
+  messages: Schema.Array(Schema.Struct({ role: Schema.String, content: Content })).check(
+    Schema.isMinLength(1),
+  ),
+});
+const CompletionBody = Schema.Struct({ ...Sampling, prompt: Schema.String });
+
+const decodeChat = Schema.decodeUnknownResult(ChatBody);
+const decodeCompletion = Schema.decodeUnknownResult(CompletionBody);
+
+/**
+ * Accepts a request.
+ * @param now - Monotonic milliseconds.
+ * @throws Refusal - With the outcome not-run.
+ */
+export async function acceptRequest(
+  now: number,
+  incoming: IncomingMessage,
+  limits: AcceptLimits,
+): Promise<AcceptedRequest> {
+  const id = RequestId(randomBytes(12).toString("hex"));
+  const url = incoming.url ?? "/";
+  throwIfUnroutable(incoming.method ?? "", url);
+  const body = await readBody(incoming, limits.bodyBytes);
+  const call = parseCall(incoming, url, body, limits);
+  const key = getHeader(incoming, HEADER.key);
+  throwIfMalformed(key.length > MAX_KEY_LENGTH, `${HEADER.key} is longer than ${MAX_KEY_LENGTH} characters`);
+  return {
+    id,
+    receivedAt: now,
+    call,
+    organisationName: getHeader(incoming, HEADER.organisation),
+    purpose: getHeader(incoming, HEADER.purpose),
+    deadlineMs: getDeadline(incoming),
+    isRepeatable: isRepeatable(incoming, call),
+    key,
+    fingerprint: key === "" ? "" : getFingerprint(incoming, body),
+  };
+}
+
+function throwIfUnroutable(method: string, url: string): void {
+  const path = getPath(url);
+  if (SERVICE_PATH.test(url)) return;
+  const isModelPath = path === CHAT_PATH || path === COMPLETION_PATH;
+  if (!isModelPath)
+    throw new Refusal({ code: "not_found", outcome: "not-run", reason: `there is no ${path}` });
+  if (method === "POST") return;
+  throw new Refusal({
+    code: "method_not_allowed",
+    outcome: "not-run",
+    reason: `${path} takes POST, not ${method}`,
+  });
+}
+
+function getPath(url: string): string {
+  const at = url.indexOf("?");
+  return at < 0 ? url : url.slice(0, at);
+}
+
+async function readBody(incoming: IncomingMessage, maxBytes: number): Promise<Buffer> {
+  if (Number(incoming.headers["content-length"] ?? 0) > maxBytes) throw createTooLarge(maxBytes);
+  const chunks: Buffer[] = [];
+  let length = 0;
+  for await (const chunk of incoming as AsyncIterable<Buffer>) {
+    length += chunk.length;
+    if (length > maxBytes) throw createTooLarge(maxBytes);
+    chunks.push(chunk);
+  }
+  return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+}
+
+function createTooLarge(maxBytes: number): Refusal {
+  return new Refusal({
+    code: "body_too_large",
+    outcome: "not-run",
+    reason: `a body has ${maxBytes} bytes at most`,
+  });
+}
+
+function parseCall(
+  incoming: IncomingMessage,
+  url: string,
+  body: Buffer,
+  limits: AcceptLimits,
+): ModelCall | ServiceCall {
+  const service = SERVICE_PATH.exec(url);
+  if (service !== null) {
+    return {
+      kind: "service",
+      service: service[1]!,
+      method: incoming.method ?? "GET",
+      path: service[2] ?? "/",
+      headers: incoming.headers,
+      body,
+    };
+  }
+  const json = parseJson(body);
+  return getPath(url) === CHAT_PATH ? parseChat(json, limits) : parseCompletion(json, limits);
+}
+
+function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString("utf8"));
+  } catch {
+    throw new Refusal({ code: "malformed_request", outcome: "not-run", reason: "the body is no JSON" });
+  }
+}
+
+function parseChat(json: unknown, limits: AcceptLimits): ModelCall {
+  const decoded = decodeChat(json);
+  if (Result.isFailure(decoded)) throw createMalformed(decoded.failure);
+  const { messages, ...sampling } = decoded.success;
+  const prompt = messages.map((message) => `${message.role}: ${getText(message.content)}\n`).join("");
+  return { ...parseSampling(sampling, limits), form: "chat", prompt };
+}
+
+function parseCompletion(json: unknown, limits: AcceptLimits): ModelCall {
+  const decoded = decodeCompletion(json);
+  if (Result.isFailure(decoded)) throw createMalformed(decoded.failure);
+  const { prompt, ...sampling } = decoded.success;
+  return { ...parseSampling(sampling, limits), form: "completion", prompt };
+}
+
+function createMalformed(cause: unknown): Refusal {
+  return new Refusal({ code: "malformed_request", outcome: "not-run", reason: String(cause) });
+}
+
+type SamplingBody = Omit<typeof CompletionBody.Type, "prompt">;
+
+function parseSampling(body: SamplingBody, limits: AcceptLimits): Omit<ModelCall, "form" | "prompt"> {
+  const maxTokens = body.max_completion_tokens ?? body.max_tokens ?? limits.maxTokens;
+  throwIfMalformed(maxTokens < 1 || maxTokens > limits.maxTokens, `max_tokens is 1 to ${limits.maxTokens}`);
+  throwIfMalformed((body.n ?? 1) !== 1, "n is 1: one answer a request");
+  const stop = typeof body.stop === "string" ? [body.stop] : (body.stop ?? []);
+  throwIfMalformed(stop.length > MAX_STOPS, `stop has ${MAX_STOPS} entries at most`);
+  const slash = body.model.indexOf("/");
+  return {
+    kind: "model",
+    model: slash < 0 ? body.model : body.model.slice(0, slash),
+    adapter: slash < 0 ? "" : body.model.slice(slash + 1),
+    maxTokens,
+    isStream: body.stream ?? false,
+    includesUsage: body.stream_options?.include_usage ?? false,
+    temperature: body.temperature ?? undefined,
+    stop,
+  };
+}
+
+function getText(content: typeof Content.Type): string {
+  if (typeof content === "string") return content;
+  return (content ?? []).map((part) => part.text).join("");
+}
+
+function getHeader(incoming: IncomingMessage, name: string): string {
+  const value = incoming.headers[name];
+  return Array.isArray(value) ? value.join(",") : (value ?? "");
+}
+
+function getDeadline(incoming: IncomingMessage): number | undefined {
+  const text = getHeader(incoming, HEADER.deadline);
+  if (text === "") return undefined;
+  const deadline = Number(text);
+  const isValid = Number.isInteger(deadline) && deadline > 0 && deadline <= MAX_DEADLINE_MS;
+  throwIfMalformed(!isValid, `${HEADER.deadline} is 1 to ${MAX_DEADLINE_MS} milliseconds, not ${text}`);
+  return deadline;
+}
+
+function isRepeatable(incoming: IncomingMessage, call: ModelCall | ServiceCall): boolean {
+  const said = getHeader(incoming, HEADER.repeatable);
+  throwIfMalformed(
+    said !== "" && said !== "yes" && said !== "no",
+    `${HEADER.repeatable} is yes or no, not ${said}`,
+  );
+  if (said !== "") return said === "yes";
+  // A generation changes nothing; of a service only reads are taken to be so.
+  return call.kind === "model" || REPEATABLE_METHODS.has(call.method);
+}
+
+function getFingerprint(incoming: IncomingMessage, body: Buffer): string {
+  return createHash("sha256").update(`${incoming.method} ${incoming.url}\n`).update(body).digest("base64");
+}
--- /dev/null
+++ b/src/entry/filters/classify.ts
@@ -0,0 +1,88 @@
+/** Third filter: class, deadline and estimated cost. */
+import type { Facts, LoadFacts } from "../../policy";
+import { getPrefixDigests } from "../../routing";
+import type { ActiveConfiguration } from "../ClusterView";
+import { Refusal } from "../Refusal";
+import type { ClassifiedRequest, IdentifiedRequest } from "../requests";
+import { estimateTokens, PROMPT_TOKEN_COST } from "../tokens";
+
+/** What a class depends on besides the request. */
+export interface ClassifyFacts {
+  /** Wall clock, for the hour. */
+  readonly wallMs: number;
+  readonly load: LoadFacts;
+  /** Requests of the organisation that wait at this entry. */
+  readonly organisationQueued: number;
+  /** Tokens that answers of a class have had on the average, if known. */
+  readonly getMeanTokens: (className: string) => number | undefined;
+}
+
+const MS_PER_HOUR = 3_600_000;
+const HOURS_PER_DAY = 24;
+/** Work of a service call against generated tokens. */
+const SERVICE_CALL_COST = 1;
+
+/**
+ * Classifies a request.
+ * @param now - Monotonic milliseconds.
+ * @throws Refusal - shed_by_policy.
+ */
+export function classifyRequest(
+  now: number,
+  request: IdentifiedRequest,
+  active: ActiveConfiguration,
+  facts: ClassifyFacts,
+): ClassifiedRequest {
+  const promptTokens = request.call.kind === "model" ? estimateTokens(request.call.prompt) : 0;
+  const policyFacts = createFacts(request, promptTokens, facts);
+  const requestClass = active.policy.getClass(policyFacts);
+  if (active.policy.isShed(requestClass.name, policyFacts)) {
+    const reason = `the policy sheds class "${requestClass.name}" now`;
+    throw new Refusal({
+      code: "shed_by_policy",
+      outcome: "not-run",
+      reason,
+      retryAfterMs: facts.load.queue_ms,
+    });
+  }
+  const deadlineMs = Math.min(request.deadlineMs ?? requestClass.deadline, active.declared.limits.total);
+  return {
+    ...request,
+    requestClass,
+    deadlineAt: now + deadlineMs,
+    promptTokens,
+    cost: getCost(request, promptTokens, facts.getMeanTokens(requestClass.name)),
+    prefixDigests: getDigests(request),
+  };
+}
+
+function createFacts(request: IdentifiedRequest, promptTokens: number, facts: ClassifyFacts): Facts {
+  const { call, organisation } = request;
+  return {
+    request: {
+      kind: request.purpose,
+      model: call.kind === "model" ? call.model : "",
+      service: call.kind === "service" ? call.service : "",
+      prompt_tokens: promptTokens,
+      max_tokens: call.kind === "model" ? call.maxTokens : 0,
+      deadline_ms: request.deadlineMs ?? 0,
+      not_repeatable: !request.isRepeatable,
+    },
+    organisation: { name: organisation.name, share: organisation.share, queued: facts.organisationQueued },
+    load: facts.load,
+    hour: (facts.wallMs / MS_PER_HOUR) % HOURS_PER_DAY,
+  };
+}
+
+function getCost(request: IdentifiedRequest, promptTokens: number, meanTokens: number | undefined): number {
+  if (request.call.kind === "service") return SERVICE_CALL_COST;
+  const answerTokens = Math.min(request.call.maxTokens, meanTokens ?? request.call.maxTokens);
+  return answerTokens + promptTokens * PROMPT_TOKEN_COST;
+}
+
+/** The scope keeps organisations apart: none can learn of another's prompts from a cache. */
+function getDigests(request: IdentifiedRequest) {
+  if (request.call.kind !== "model") return [];
+  const { model, adapter, prompt } = request.call;
+  return getPrefixDigests(`${request.organisation.name}\0${model}\0${adapter}`, prompt);
+}
--- /dev/null
+++ b/src/entry/filters/index.ts
@@ -0,0 +1,9 @@
+/** The filters that a request passes, in order. */
+
+export { Account, type Ending } from "./Account";
+export { Admission, type Placer } from "./Admission";
+export { type AcceptLimits, acceptRequest, HEADER } from "./accept";
+export { type ClassifyFacts, classifyRequest } from "./classify";
+export { identifyRequest } from "./identify";
+export { ModelDispatch, type ModelRequest, type ModelResult } from "./ModelDispatch";
+export { ServiceDispatch, type ServiceRequest, type ServiceResult } from "./ServiceDispatch";
--- /dev/null
+++ b/src/log/index.ts
@@ -0,0 +1,6 @@
+/** Durable files of a control process. */
+
+export { FileStorage } from "./FileStorage";
+export { encodeFrame, type Frame, getFrame, hasFrameAfter } from "./Frame";
+export { syncFolder, writeFileDurably } from "./files";
+export type { Storage, StorageBatch, StoredState } from "./Storage";
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,4 @@
+/** Starts the program. */
+import { main } from "./cli/main";
+
+void main(process.argv);
--- /dev/null
+++ b/src/planner/FreePool.ts
@@ -0,0 +1,97 @@
+/** Healthy instances that belong to no replica, by fabric domain. */
+import type { Group, Model } from "../configuration";
+import type { InstanceFacts } from "./facts";
+
+/** A fabric domain's free instances, best candidates first. */
+interface Candidate {
+  readonly fabricDomain: string;
+  readonly members: readonly InstanceFacts[];
+  readonly loads: number;
+  readonly sameGroup: number;
+  readonly leftOver: number;
+}
+
+/** Instances that may be taken, one at a time of planning. */
+export class FreePool {
+  private readonly _domains = new Map<string, InstanceFacts[]>();
+  private readonly _groupCounts = new Map<string, number>();
+
+  /**
+   * @param instances - Present, staying, trusted instances that belong to no replica.
+   */
+  constructor(instances: readonly InstanceFacts[]) {
+    for (const instance of instances) {
+      const domain = this._domains.get(instance.fabricDomain);
+      if (domain === undefined) this._domains.set(instance.fabricDomain, [instance]);
+      else domain.push(instance);
+    }
+  }
+
+  /** Gets how many instances are free in a fabric domain. */
+  getCount(fabricDomain: string): number {
+    return this._domains.get(fabricDomain)?.length ?? 0;
+  }
+
+  /** Notes a replica of a group in a fabric domain, so that the next one goes elsewhere. */
+  addReplica(group: string, fabricDomain: string): void {
+    const key = getKey(group, fabricDomain);
+    this._groupCounts.set(key, (this._groupCounts.get(key) ?? 0) + 1);
+  }
+
+  /**
+   * Takes instances for one replica out of one fabric domain.
+   *
+   * Fewest loads first, since a replica is down until the last one ended; then the
+   * domain with the fewest replicas of the group; then the tightest fit.
+   * @param reserve - Instances to leave free in the domain.
+   */
+  takeMembers(group: Group, model: Model, reserve: number): readonly InstanceFacts[] | undefined {
+    const candidates = [...this._domains.keys()].flatMap((name) =>
+      this._getCandidate(name, group, model, reserve),
+    );
+    const best = candidates.sort(compareCandidates)[0];
+    if (best === undefined) return undefined;
+    const taken = new Set(best.members);
+    const rest = this._domains.get(best.fabricDomain)!.filter((instance) => !taken.has(instance));
+    this._domains.set(best.fabricDomain, rest);
+    this.addReplica(group.name, best.fabricDomain);
+    return best.members;
+  }
+
+  private _getCandidate(fabricDomain: string, group: Group, model: Model, reserve: number): Candidate[] {
+    const free = this._domains.get(fabricDomain)!;
+    const size = group.instancesPerReplica;
+    if (free.length < size + reserve) return [];
+    const ranked = [...free].sort(
+      (a, b) => getLoads(a, model) - getLoads(b, model) || (a.id < b.id ? -1 : 1),
+    );
+    const members = ranked.slice(0, size);
+    return [
+      {
+        fabricDomain,
+        members,
+        loads: members.reduce((sum, instance) => sum + getLoads(instance, model), 0),
+        sameGroup: this._groupCounts.get(getKey(group.name, fabricDomain)) ?? 0,
+        leftOver: free.length - size,
+      },
+    ];
+  }
+}
+
+/** Gets 0 when an instance holds a model's version already, else 1. */
+export function getLoads(instance: InstanceFacts, model: Model): number {
+  return instance.model === model.name && instance.modelVersion === model.version ? 0 : 1;
+}
+
+function compareCandidates(a: Candidate, b: Candidate): number {
+  return (
+    a.loads - b.loads ||
+    a.sameGroup - b.sameGroup ||
+    a.leftOver - b.leftOver ||
+    (a.fabricDomain < b.fabricDomain ? -1 : 1)
+  );
+}
+
+function getKey(group: string, fabricDomain: string): string {
+  return `${group}/${fabricDomain}`;
+}
--- /dev/null
+++ b/src/planner/facts.ts
@@ -0,0 +1,93 @@
+/** What the group planner knows, and what it may decide. Plain data. */
+import type { Replica } from "../gen/ploverstage/v1/state_pb";
+import type { InstanceId } from "../ids";
+
+/** One engine instance as the planner sees it. Times are monotonic milliseconds. */
+export interface InstanceFacts {
+  readonly id: InstanceId;
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly fabricDomain: string;
+  readonly isLeaving: boolean;
+  /** Whether it refuses orders and requests of an older epoch. */
+  readonly checksOrders: boolean;
+  /** When it last answered; -Infinity when it never did. */
+  readonly answeredAt: number;
+  /** Epoch it says it is in. */
+  readonly epoch: number;
+  /** Whether it says that its model is loaded and its place in the replica taken. */
+  readonly isReady: boolean;
+  readonly model: string;
+  readonly modelVersion: string;
+  /** Whether an order to load is on its way or being carried out. */
+  readonly isLoading: boolean;
+  /** When it was lost lately, ascending. */
+  readonly losses: readonly number[];
+}
+
+/** Everything the planner looks at. */
+export interface PlanningFacts {
+  readonly instances: readonly InstanceFacts[];
+  /** Replicas of the agreed state that are not released. */
+  readonly replicas: readonly Replica[];
+  /** Whether leases of earlier leaders have run out, so that instances may be moved. */
+  readonly isClear: boolean;
+  /** Retiring replicas that no lease allows any more. */
+  readonly retiredInForce: ReadonlySet<string>;
+  /** Retiring replicas whose time to drain is over. */
+  readonly drained: ReadonlySet<string>;
+  /** Requests in flight by replica, as live entries report them. */
+  readonly inFlight: ReadonlyMap<string, number>;
+  /** How long instances were away lately before they came back, or gave up on; milliseconds. */
+  readonly absences: readonly Absence[];
+}
+
+/** One past absence of an instance. */
+export interface Absence {
+  readonly durationMs: number;
+  /** Whether it came back; else it was away at least so long. */
+  readonly cameBack: boolean;
+}
+
+/** Takes free instances as a new replica. */
+export interface FormReplicaAction {
+  readonly kind: "formReplica";
+  readonly group: string;
+  readonly members: readonly InstanceFacts[];
+  readonly reason: string;
+}
+
+/** Orders an instance of a forming replica to load and join. */
+export interface LoadInstanceAction {
+  readonly kind: "loadInstance";
+  readonly replica: Replica;
+  readonly instance: InstanceFacts;
+  readonly rank: number;
+}
+
+/** Lets a whole replica serve. */
+export interface ServeReplicaAction {
+  readonly kind: "serveReplica";
+  readonly replica: Replica;
+}
+
+/** Ends new work on a replica. */
+export interface RetireReplicaAction {
+  readonly kind: "retireReplica";
+  readonly replica: Replica;
+  readonly reason: string;
+}
+
+/** Frees the instances of a retired replica. */
+export interface ReleaseReplicaAction {
+  readonly kind: "releaseReplica";
+  readonly replica: Replica;
+}
+
+/** Any decision of the planner. */
+export type Action =
+  | FormReplicaAction
+  | LoadInstanceAction
+  | ServeReplicaAction
+  | RetireReplicaAction
+  | ReleaseReplicaAction;
--- /dev/null
+++ b/src/planner/index.ts
@@ -0,0 +1,11 @@
+/** The group planner. */
+export { FreePool } from "./FreePool";
+export type * from "./facts";
+export { Planner, REASON } from "./Planner";
+export {
+  ExpectedRepair,
+  ImmediateRepair,
+  type RepairFacts,
+  type RepairPolicy,
+  WaitingRepair,
+} from "./RepairPolicy";
--- /dev/null
+++ b/src/policy/PolicyProgram.ts
@@ -0,0 +1,39 @@
+/** The compiled policy: which class a request is in, and whether it is shed at once. */
+import type { Configuration, RequestClass } from "../configuration";
+import { Expression } from "./Expression";
+import type { Facts } from "./Facts";
+
+interface CompiledClass {
+  readonly declaration: RequestClass;
+  readonly when: Expression;
+  readonly shedWhen: Expression | undefined;
+}
+
+/** A policy of one configuration version. */
+export class PolicyProgram {
+  private readonly _classes: readonly CompiledClass[];
+
+  /**
+   * @param policy - Declared classes; checked configurations end in one that always holds.
+   * @throws InvalidExpression
+   */
+  constructor(policy: Configuration["policy"]) {
+    this._classes = policy.classes.map((declaration) => ({
+      declaration,
+      when: new Expression(declaration.when),
+      shedWhen: declaration.shedWhen === undefined ? undefined : new Expression(declaration.shedWhen),
+    }));
+  }
+
+  /** Gets the first class that takes the request. */
+  getClass(facts: Facts): RequestClass {
+    const found = this._classes.find((candidate) => candidate.when.holds(facts));
+    return (found ?? this._classes.at(-1)!).declaration;
+  }
+
+  /** Checks whether the policy sheds a request of a class at once. */
+  isShed(className: string, facts: Facts): boolean {
+    const found = this._classes.find((candidate) => candidate.declaration.name === className);
+    return found?.shedWhen?.holds(facts) ?? false;
+  }
+}
--- /dev/null
+++ b/src/presence/index.ts
@@ -0,0 +1,3 @@
+/** Presence of instances. */
+export { type EngineFactory, PresenceProber, type ProbeTarget } from "./PresenceProber";
+export { type Presence, PresenceTable } from "./PresenceTable";
--- /dev/null
+++ b/src/process/index.ts
@@ -0,0 +1,4 @@
+/** What all processes share. */
+export { answerHealth, type ReadinessCheck, startHealthServer } from "./HealthServer";
+export { reportResources } from "./reportResources";
+export { awaitStopSignal } from "./signals";
--- /dev/null
+++ b/src/rpc/LeaderClient.ts
@@ -0,0 +1,109 @@
+/**
+ * Calls the control leader: finds it, follows hints, and goes round the others.
+ *
+ * Only calls that may safely be made again go through here: each is a read, or
+ * carries an id by which the agreed state knows it again.
+ */
+
+import type { DescService } from "@bufbuild/protobuf";
+import { type Client, Code, ConnectError, createClient } from "@connectrpc/connect";
+import type { Clock } from "../clock";
+import { UnreachableControl } from "../errors";
+import { createRpcTransport } from "./createRpcTransport";
+
+/** Header in which a process that doesn't lead names the one that does. */
+export const LEADER_HEADER = "leader-address";
+
+/** How a leader is called. */
+export interface LeaderClientOptions {
+  /** host:port of all control processes. */
+  readonly addresses: readonly string[];
+  readonly secret: string;
+  readonly clock: Clock;
+}
+
+/** A call to whichever process is taken for the leader. */
+export type LeaderCall<S extends DescService, R> = (client: Client<S>, timeoutMs: number) => Promise<R>;
+
+const ATTEMPT_MS = 700;
+const PAUSE_MS = 50;
+
+/** A client of one service of the control leader. */
+export class LeaderClient<S extends DescService> {
+  private readonly _options: LeaderClientOptions;
+  private readonly _service: S;
+  private readonly _clients = new Map<string, Client<S>>();
+  private _current: string;
+
+  /**
+   * @param service - The generated description of the service.
+   */
+  constructor(service: S, options: LeaderClientOptions) {
+    this._service = service;
+    this._options = options;
+    this._current = options.addresses[0]!;
+  }
+
+  /** Gets the address that is taken for the leader's. */
+  get currentAddress(): string {
+    return this._current;
+  }
+
+  /**
+   * Calls the leader until one answers or the time is up.
+   * @throws UnreachableControl - When none answered in time.
+   * @throws ConnectError - When the leader refused the call for good.
+   */
+  async call<R>(call: LeaderCall<S, R>, totalMs: number): Promise<R> {
+    const endAt = this._options.clock.getMonotonicMs() + totalMs;
+    let reason = "none was asked";
+    for (;;) {
+      const leftMs = endAt - this._options.clock.getMonotonicMs();
+      if (leftMs <= 0) throw new UnreachableControl({ tried: this._options.addresses, reason });
+      try {
+        return await call(this._getClient(this._current), Math.min(ATTEMPT_MS, leftMs));
+      } catch (cause) {
+        reason = this._goOn(cause);
+      }
+      await new Promise((resolve) => setTimeout(resolve, Math.min(PAUSE_MS, leftMs)));
+    }
+  }
+
+  /** Turns to another process; gives the reason in words. */
+  private _goOn(cause: unknown): string {
+    const error = ConnectError.from(cause);
+    if (isFinal(error.code)) throw error;
+    const hint = error.metadata.get(LEADER_HEADER) ?? "";
+    const isKnown = this._options.addresses.includes(hint);
+    this._current = isKnown && hint !== this._current ? hint : this._getNext();
+    return error.rawMessage;
+  }
+
+  private _getNext(): string {
+    const { addresses } = this._options;
+    return addresses[(addresses.indexOf(this._current) + 1) % addresses.length]!;
+  }
+
+  private _getClient(address: string): Client<S> {
+    const known = this._clients.get(address);
+    if (known !== undefined) return known;
+    const client = createClient(this._service, createRpcTransport(address, this._options.secret));
+    this._clients.set(address, client);
+    return client;
+  }
+}
+
+function isFinal(code: Code): boolean {
+  return (
+    code === Code.Unauthenticated ||
+    code === Code.PermissionDenied ||
+    code === Code.InvalidArgument ||
+    code === Code.NotFound ||
+    code === Code.Unimplemented
+  );
+}
+
+/** Makes the refusal of a process that doesn't lead. */
+export function createLeaderRefusal(leaderAddress: string): ConnectError {
+  return new ConnectError("not the leader", Code.FailedPrecondition, { [LEADER_HEADER]: leaderAddress });
+}
--- /dev/null
+++ b/src/settings/Settings.ts
@@ -0,0 +1,127 @@
+/**
+ * Settings of one process: addresses, failure domain, data folder, secrets.
+ *
+ * They differ from process to process and need a restart; what all share and what
+ * changes while running is the agreed configuration.
+ */
+import { readFile } from "node:fs/promises";
+import { Effect, Schema } from "effect";
+import { InvalidFile } from "../errors";
+import { TomlDocument } from "../toml";
+
+const Address = Schema.String.check(Schema.isPattern(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/));
+const Name = Schema.String.check(Schema.isPattern(/^[a-z0-9][a-z0-9-]{0,62}$/));
+const Port = Schema.Int.check(Schema.isBetween({ minimum: 1, maximum: 65_535 }));
+const LogLevel = Schema.Literals(["debug", "info", "warn", "error", "silent"]);
+
+const Process = Schema.Struct({
+  name: Name,
+  failureDomain: Name,
+});
+
+const Secrets = Schema.Struct({
+  /** File with the secret between the system's own processes. */
+  clusterFile: Schema.String,
+  /** File with the secret of the operators' interface; control only. */
+  operatorFile: Schema.optionalKey(Schema.String),
+  /** File with the secret shown to engines with orders. */
+  orderFile: Schema.String,
+});
+
+const Log = Schema.Struct({ level: LogLevel });
+
+const StatsdServer = Schema.Struct({ host: Schema.String, port: Port });
+
+const Platform = Schema.Struct({ address: Address });
+
+const Peer = Schema.Struct({ name: Name, address: Address, failureDomain: Name });
+
+const Control = Schema.Struct({
+  /** Where the system's own processes reach this one. */
+  listen: Address,
+  /** Where operators reach it. */
+  operatorListen: Address,
+  /** Where liveness and readiness are asked for. */
+  healthListen: Schema.optionalKey(Address),
+  dataFolder: Schema.String,
+  /** All control processes, this one too. */
+  peers: Schema.Array(Peer).check(Schema.isMinLength(1)),
+});
+
+const Entry = Schema.Struct({
+  /** Where callers connect; given out by `/v1/addresses`. */
+  listen: Address,
+  healthListen: Schema.optionalKey(Address),
+  /** Control processes, in any order. */
+  controls: Schema.Array(Address).check(Schema.isMinLength(1)),
+});
+
+function withDefault<S extends Schema.Top & Schema.WithoutConstructorDefault>(
+  schema: S,
+  value: S["Encoded"],
+) {
+  return schema.pipe(Schema.withDecodingDefaultKey(Effect.succeed(value)));
+}
+
+const shared = {
+  process: Process,
+  secrets: Secrets,
+  log: withDefault(Log, { level: "info" }),
+  metrics: Schema.optionalKey(StatsdServer),
+};
+
+/** Settings of a control process. */
+export const ControlSettingsSchema = Schema.Struct({ ...shared, platform: Platform, control: Control });
+/** Settings of an entry process. */
+export const EntrySettingsSchema = Schema.Struct({ ...shared, entry: Entry });
+
+/** Settings of a control process. */
+export type ControlSettings = typeof ControlSettingsSchema.Type;
+/** Settings of an entry process. */
+export type EntrySettings = typeof EntrySettingsSchema.Type;
+
+/**
+ * Reads and checks a control process's settings.
+ * @throws InvalidFile
+ */
+export async function readControlSettings(file: string): Promise<ControlSettings> {
+  return (await readDocument(file)).decode(ControlSettingsSchema);
+}
+
+/**
+ * Reads and checks an entry process's settings.
+ * @throws InvalidFile
+ */
+export async function readEntrySettings(file: string): Promise<EntrySettings> {
+  return (await readDocument(file)).decode(EntrySettingsSchema);
+}
+
+/**
+ * Reads a secret.
+ * @throws InvalidFile - When the file is missing, or the secret too short to be one.
+ */
+export async function readSecret(file: string): Promise<string> {
+  const secret = (await readText(file)).trim();
+  if (secret.length >= MIN_SECRET_LENGTH) return secret;
+  const message = `a secret has at least ${MIN_SECRET_LENGTH} characters`;
+  throw new InvalidFile({ file, faults: [{ line: 1, path: "", message }] });
+}
+
+const MIN_SECRET_LENGTH = 16;
+
+async function readDocument(file: string): Promise<TomlDocument> {
+  return TomlDocument.parse(file, await readText(file));
+}
+
+/**
+ * Reads a text file.
+ * @throws InvalidFile - When it can't be read.
+ */
+export async function readText(file: string): Promise<string> {
+  try {
+    return await readFile(file, "utf8");
+  } catch (cause) {
+    const message = cause instanceof Error ? cause.message : String(cause);
+    throw new InvalidFile({ file, faults: [{ line: 0, path: "", message }] });
+  }
+}
--- /dev/null
+++ b/src/state/Result.ts
@@ -0,0 +1,52 @@
+/** What a command came to, told to whoever proposed it. */
+import type { ConfigurationVersion, Replica, RequestClaim } from "../gen/ploverstage/v1/state_pb";
+
+/** The newest configuration changed, or the change was a resend of one that did. */
+export interface AcceptedConfiguration {
+  readonly kind: "acceptedConfiguration";
+  readonly version: number;
+}
+
+/** Another change was accepted on the same base version first. */
+export interface ConflictingConfiguration {
+  readonly kind: "conflictingConfiguration";
+  readonly newest: ConfigurationVersion | undefined;
+}
+
+/** A replica was formed or moved to its next phase. */
+export interface ChangedReplica {
+  readonly kind: "changedReplica";
+  readonly replica: Replica;
+}
+
+/** A replica's change no longer fits the state: instances taken, or epoch or phase passed. */
+export interface RefusedReplica {
+  readonly kind: "refusedReplica";
+  readonly reason: string;
+}
+
+/** The claim was granted: this request may run, once. */
+export interface GrantedClaim {
+  readonly kind: "grantedClaim";
+}
+
+/** The key was claimed before. */
+export interface ExistingClaim {
+  readonly kind: "existingClaim";
+  readonly claim: RequestClaim;
+}
+
+/** A claim's outcome is recorded, or there was nothing to record. */
+export interface SettledClaim {
+  readonly kind: "settledClaim";
+}
+
+/** Any result of a command. */
+export type Result =
+  | AcceptedConfiguration
+  | ConflictingConfiguration
+  | ChangedReplica
+  | RefusedReplica
+  | GrantedClaim
+  | ExistingClaim
+  | SettledClaim;
--- /dev/null
+++ b/src/state/index.ts
@@ -0,0 +1,3 @@
+/** The agreed state and its commands. */
+export type * from "./Result";
+export { StateMachine } from "./StateMachine";
--- /dev/null
+++ b/src/toml/index.ts
@@ -0,0 +1,3 @@
+/** Reading of TOML files. */
+export { KeyLocator } from "./KeyLocator";
+export { sortFaults, TomlDocument } from "./TomlDocument";
--- /dev/null
+++ b/standin/EngineStandin.ts
@@ -0,0 +1,222 @@
+/** A small engine: speaks the engines' protocol and makes up its tokens. */
+import type { Server, ServerResponse } from "node:http";
+import { sendJson, startServer, stopServer } from "./http";
+
+/** How a stand-in behaves. */
+export interface EngineStandinOptions {
+  readonly id: string;
+  readonly port?: number;
+  /** Time to load a model. */
+  readonly loadMs?: number;
+  /** Time between tokens. */
+  readonly tokenMs?: number;
+  /** Whether it refuses an older epoch. */
+  readonly checksOrders?: boolean;
+  /** Requests that it takes at once. */
+  readonly capacity?: number;
+}
+
+interface GenerateBody {
+  readonly request_id: string;
+  readonly epoch: number;
+  readonly prompt: string;
+  readonly max_tokens: number;
+  readonly offset: number;
+}
+
+interface OrderBody {
+  readonly replica_id: string;
+  readonly epoch: number;
+  readonly model: string;
+  readonly model_version: string;
+  readonly adapters: readonly string[];
+}
+
+/** One generation; it goes on for a while without its reader, so that it can be resumed. */
+interface Run {
+  readonly body: GenerateBody;
+  made: number;
+  isCancelled: boolean;
+}
+
+/** What it does wrong, for tests. */
+export interface Faults {
+  /** Breaks the connection after so many tokens of a stream, once. */
+  cutAfter?: number;
+  /** Accepts a generation, runs it, and closes without an answer. */
+  losesAnswers?: boolean;
+  /** Refuses generations with this status. */
+  refusesWith?: number;
+  /** Sends a frame of another request at this token. */
+  foreignAt?: number;
+  /** Sends each frame twice. */
+  doubles?: boolean;
+  /** Forgets runs, so that nothing can be resumed. */
+  forgets?: boolean;
+  /** Answers no state question. */
+  isSilent?: boolean;
+}
+
+/** A running stand-in. */
+export class EngineStandin {
+  /** What it does wrong. */
+  readonly faults: Faults = {};
+  /** Requests that it ran, in order, doubles included. */
+  readonly ran: string[] = [];
+  /** Requests that were cancelled. */
+  readonly cancelled: string[] = [];
+  readonly id: string;
+  address = "";
+  epoch = 0;
+  private readonly _options: EngineStandinOptions;
+  private readonly _runs = new Map<string, Run>();
+  private _server: Server | undefined;
+  private _order: OrderBody | undefined;
+  private _loaded = "";
+  private _readyAt = 0;
+  private _running = 0;
+
+  private constructor(options: EngineStandinOptions) {
+    this._options = options;
+    this.id = options.id;
+  }
+
+  /** Starts a stand-in. */
+  static async start(options: EngineStandinOptions): Promise<EngineStandin> {
+    const standin = new EngineStandin(options);
+    const { server, address } = await startServer(
+      (request, response, body) => standin._route(request.url ?? "", response, body),
+      options.port,
+    );
+    standin._server = server;
+    standin.address = address;
+    return standin;
+  }
+
+  /** Stops, cutting all connections. */
+  async stop(): Promise<void> {
+    if (this._server !== undefined) await stopServer(this._server);
+    this._server = undefined;
+  }
+
+  /** Gets the text that a whole answer to a prompt has. */
+  static getAnswer(prompt: string, tokens: number): string {
+    return Array.from({ length: tokens }, (_, i) => getToken(prompt, i)).join("");
+  }
+
+  private _route(url: string, response: ServerResponse, body: string): void | Promise<void> {
+    const path = url.split("?")[0];
+    if (path === "/v1/state") return this._sendState(response);
+    if (path === "/v1/orders") return this._takeOrder(response, JSON.parse(body));
+    if (path === "/v1/generate") return this._generate(response, JSON.parse(body));
+    if (path === "/v1/resume") return this._resume(response, JSON.parse(body));
+    if (path === "/v1/cancel") return this._cancel(response, JSON.parse(body));
+    if (path === "/v1/cache/events") return sendJson(response, 200, { events: [] });
+    if (path === "/v1/stats") return sendJson(response, 200, { ran: this.ran, cancelled: this.cancelled });
+    sendJson(response, 404, { error: "no such path" });
+  }
+
+  private _isReady(): boolean {
+    return this._order !== undefined && performance.now() >= this._readyAt;
+  }
+
+  private _sendState(response: ServerResponse): void {
+    if (this.faults.isSilent) {
+      response.destroy();
+      return;
+    }
+    sendJson(response, 200, {
+      instance_id: this.id,
+      replica_id: this._order?.replica_id ?? "",
+      epoch: this.epoch,
+      model: this._order?.model ?? "",
+      model_version: this._order?.model_version ?? "",
+      adapters: this._order?.adapters ?? [],
+      ready: this._isReady(),
+      load: { running: this._running, waiting: 0, pending_tokens: this._running * 10, kv_used: 0 },
+    });
+  }
+
+  private _takeOrder(response: ServerResponse, order: OrderBody): void {
+    if ((this._options.checksOrders ?? true) && order.epoch < this.epoch) {
+      sendJson(response, 409, { error: `epoch ${order.epoch} is older than ${this.epoch}` });
+      return;
+    }
+    const model = `${order.model}@${order.model_version}`;
+    const loadMs = model === this._loaded ? 0 : (this._options.loadMs ?? 0);
+    this._loaded = model;
+    this._order = order;
+    this.epoch = order.epoch;
+    this._readyAt = performance.now() + loadMs;
+    sendJson(response, 200, {});
+  }
+
+  private async _generate(response: ServerResponse, body: GenerateBody): Promise<void> {
+    if (this.faults.refusesWith !== undefined) {
+      return sendJson(response, this.faults.refusesWith, { error: "refused" });
+    }
+    const isStale = (this._options.checksOrders ?? true) && body.epoch !== this.epoch;
+    if (!this._isReady() || isStale) return sendJson(response, 409, { error: "not in this epoch" });
+    if (this._running >= (this._options.capacity ?? 1_000)) return sendJson(response, 503, { error: "full" });
+    this.ran.push(body.request_id);
+    if (this.faults.losesAnswers) {
+      response.destroy();
+      return;
+    }
+    const run: Run = { body, made: 0, isCancelled: false };
+    if (!this.faults.forgets) this._runs.set(body.request_id, run);
+    await this._stream(response, run, 0);
+  }
+
+  private async _resume(response: ServerResponse, body: GenerateBody): Promise<void> {
+    const run = this._runs.get(body.request_id);
+    if (run === undefined || run.isCancelled) return sendJson(response, 404, { error: "unknown request" });
+    await this._stream(response, run, body.offset);
+  }
+
+  private _cancel(response: ServerResponse, body: { request_id: string }): void {
+    const run = this._runs.get(body.request_id);
+    if (run !== undefined) run.isCancelled = true;
+    this.cancelled.push(body.request_id);
+    sendJson(response, 200, {});
+  }
+
+  private async _stream(response: ServerResponse, run: Run, offset: number): Promise<void> {
+    this._running += 1;
+    response.writeHead(200, { "content-type": "application/x-ndjson" });
+    response.flushHeaders();
+    const total = Math.min(run.body.max_tokens, 1_000);
+    for (let i = offset; i < total && !response.destroyed && !run.isCancelled; i++) {
+      if (this._options.tokenMs) await new Promise((resolve) => setTimeout(resolve, this._options.tokenMs));
+      if (this.faults.cutAfter === i) {
+        delete this.faults.cutAfter;
+        response.destroy();
+        break;
+      }
+      this._writeFrame(response, run, i, total);
+      run.made = i + 1;
+    }
+    response.end();
+    this._running -= 1;
+    if (run.made === total) this._runs.delete(run.body.request_id);
+  }
+
+  private _writeFrame(response: ServerResponse, run: Run, i: number, total: number): void {
+    const isForeign = this.faults.foreignAt === i;
+    const frame = {
+      request_id: isForeign ? "another" : run.body.request_id,
+      epoch: run.body.epoch,
+      offset: i,
+      tokens: 1,
+      text: getToken(run.body.prompt, i),
+      ...(i === total - 1 ? { finish_reason: "stop" } : {}),
+    };
+    const line = `${JSON.stringify(frame)}\n`;
+    response.write(this.faults.doubles ? line + line : line);
+  }
+}
+
+/** Tokens tell whose prompt they answer, so that a mix-up shows. */
+function getToken(prompt: string, i: number): string {
+  return `${prompt.trim().slice(-12)}#${i} `;
+}
