--- a/src/consensus/ConsensusDriver.ts
+++ b/src/consensus/ConsensusDriver.ts
@@ -36,6 +36,8 @@
   readonly snapshot: Snapshot | undefined;
   readonly storage: Storage;
   readonly transport: Transport;
+  /** Gives the address at which this process reaches a member. */
+  readonly getAddress: (member: Member) => string;
   readonly clock: Clock;
   /** Called once when storage or an invariant fails: the process must stop. */
   readonly onFatal: (cause: unknown) => void;
@@ -67,6 +69,7 @@
   readonly node: RaftNode;
   private readonly _storage: Storage;
   private readonly _transport: Transport;
+  private readonly _getAddress: (member: Member) => string;
   private readonly _clock: Clock;
   private readonly _onFatal: (cause: unknown) => void;
   private readonly _appliedListeners: ((entry: LogEntry) => void)[] = [];
@@ -87,6 +90,7 @@
     this.node = options.node;
     this._storage = options.storage;
     this._transport = options.transport;
+    this._getAddress = options.getAddress;
     this._clock = options.clock;
     this._onFatal = options.onFatal;
     this._hardState = options.hardState;
@@ -271,10 +275,15 @@
   private _sendAll(messages: readonly ConsensusMessage[]): void {
     for (const message of messages) {
       if (message.to === this.node.id) this.node.receive(this._clock.getMonotonicMs(), message);
-      else this._transport.send(message, getMember(this.node.membership, message.to)?.address ?? "");
+      else this._send(message);
     }
   }
 
+  private _send(message: ConsensusMessage): void {
+    const member = getMember(this.node.membership, message.to);
+    if (member !== undefined) this._transport.send(message, this._getAddress(member));
+  }
+
   private _apply(entry: LogEntry): void {
     const result = this._machine.apply(entry);
     const proposal = this._proposals.get(entry.index);
--- a/src/control/ControlProcess.ts
+++ b/src/control/ControlProcess.ts
@@ -141,7 +141,7 @@
 }
 
 function createDriver(
-  { secrets, onFatal }: ControlProcessOptions,
+  { settings, secrets, onFatal }: ControlProcessOptions,
   storage: FileStorage,
   stored: StoredState,
   clock: SystemClock,
@@ -162,11 +162,17 @@
     snapshot: stored.snapshot,
     storage,
     transport: new PeerTransport(secrets.cluster),
+    getAddress: (member) => getOwnAddress(settings, member),
     clock,
     onFatal,
   });
 }
 
+/** What this process's settings say of a peer's address wins over what the members agreed on. */
+function getOwnAddress(settings: ControlSettings, member: Member): string {
+  return settings.control.peers.find((peer) => peer.name === member.name)?.address ?? member.address;
+}
+
 /** Begins a leadership with each term in which this process leads, and ends it after. */
 function startLeadershipWatch(
   { settings, secrets, logger, metrics }: ControlProcessOptions,
--- /dev/null
+++ b/test/support/ProcessHandle.ts
@@ -0,0 +1,63 @@
+/** One process of the system under test, started and ended by this test alone. */
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { createWriteStream } from "node:fs";
+
+/** A process that can be killed, frozen and started again with the same arguments. */
+export class ProcessHandle {
+  readonly name: string;
+  private readonly _args: readonly string[];
+  private readonly _logFile: string;
+  private _child: ChildProcess | undefined;
+
+  constructor(name: string, args: readonly string[], logFile: string) {
+    this.name = name;
+    this._args = args;
+    this._logFile = logFile;
+  }
+
+  /** Gets the process id. */
+  get pid(): number {
+    return this._child?.pid ?? 0;
+  }
+
+  /** Starts it. */
+  start(): void {
+    const child = spawn(process.execPath, [...this._args], { stdio: ["ignore", "pipe", "pipe"] });
+    const log = createWriteStream(this._logFile, { flags: "a" });
+    child.stdout.pipe(log, { end: false });
+    child.stderr.pipe(log, { end: false });
+    this._child = child;
+  }
+
+  /** Kills it without a chance to clean up. */
+  async kill(): Promise<void> {
+    await this._end("SIGKILL");
+  }
+
+  /** Asks it to stop as planned; resolves with its exit code. */
+  async stop(): Promise<number | null> {
+    return this._end("SIGTERM");
+  }
+
+  /** Stops it in its tracks. */
+  freeze(): void {
+    this._child?.kill("SIGSTOP");
+  }
+
+  /** Lets it go on. */
+  thaw(): void {
+    this._child?.kill("SIGCONT");
+  }
+
+  private async _end(signal: NodeJS.Signals): Promise<number | null> {
+    const child = this._child;
+    this._child = undefined;
+    if (child === undefined || child.exitCode !== null || child.signalCode !== null)
+      return child?.exitCode ?? null;
+    const exited = once(child, "exit");
+    child.kill(signal);
+    const [code] = await exited;
+    return code as number | null;
+  }
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,5 +2,12 @@
 import { defineConfig } from "vitest/config";
 
 export default defineConfig({
-  test: { include: ["test/**/*.test.ts"], testTimeout: 60_000, hookTimeout: 60_000 },
+  test: {
+    include: ["test/**/*.test.ts"],
+    globalSetup: ["test/support/buildBinary.ts"],
+    testTimeout: 90_000,
+    hookTimeout: 90_000,
+    // Tests over real processes start a dozen of them each.
+    maxWorkers: 4,
+  },
 });
