--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,23 @@
+/** Runs benches by name, or all: one JSON line a figure, exit 1 on a broken bound. */
+import { capacityBench } from "./capacity";
+import type { Bench } from "./Figure";
+import { printFigures } from "./Figure";
+import { pathBench } from "./path";
+
+const BENCHES: readonly Bench[] = [pathBench, capacityBench];
+
+async function main(names: readonly string[]): Promise<void> {
+  const unknown = names.find((name) => !BENCHES.some((bench) => bench.name === name));
+  if (unknown !== undefined) {
+    console.error(
+      `there is no bench "${unknown}"; there are ${BENCHES.map((bench) => bench.name).join(", ")}`,
+    );
+    process.exit(2);
+  }
+  const chosen = names.length === 0 ? BENCHES : BENCHES.filter((bench) => names.includes(bench.name));
+  let ok = true;
+  for (const bench of chosen) ok = printFigures(bench.name, await bench.run()) && ok;
+  process.exit(ok ? 0 : 1);
+}
+
+await main(process.argv.slice(2));
--- a/test/support/Cluster.ts
+++ b/test/support/Cluster.ts
@@ -134,6 +134,11 @@
     return Number(leader.name.split("-")[1]);
   }
 
+  /** Gets the address at which a control process listens. */
+  getControlAddress(i: number): string {
+    return this._controlAddresses[i]!;
+  }
+
   /** Gets the data folder of a control process. */
   getDataFolder(i: number): string {
     return join(this.folder, `data-${i}`);
--- a/test/support/Relay.ts
+++ b/test/support/Relay.ts
@@ -11,6 +11,7 @@
   private readonly _sockets = new Set<Socket>();
   private _server: Server | undefined;
   private _isCut = false;
+  private _bytes = 0;
 
   private constructor(target: string) {
     this._target = target;
@@ -26,6 +27,11 @@
     return relay;
   }
 
+  /** Gets how many bytes passed, both ways. */
+  get bytes(): number {
+    return this._bytes;
+  }
+
   /** Lets nothing through any more, without closing anything. */
   cut(): void {
     this._isCut = true;
@@ -53,7 +59,10 @@
       [upstream, socket],
     ] as const) {
       this._sockets.add(from);
-      from.on("data", (chunk) => to.write(chunk));
+      from.on("data", (chunk) => {
+        this._bytes += chunk.length;
+        to.write(chunk);
+      });
       from.on("error", () => to.destroy());
       from.on("close", () => {
         this._sockets.delete(from);
