Let a member with an emptied disk back in for good

Cause, found by the new system test: a joiner answered the leader, but its driver looked the leader's address up in a membership that it had not learned yet, so no answer left it; and the leader took a joiner that never answered for caught up, because a short log lies within the allowance. The set then counted a deaf voter, and a second loss stopped it. Ruled out: the protocol itself (the schedule model delivers by id and passes). Change: addresses come from a process's own settings by member name; a joiner must have acknowledged entries before it votes. Members now send over one long call a peer instead of a call a batch.

--- a/src/consensus/ConsensusDriver.ts
+++ b/src/consensus/ConsensusDriver.ts
@@ -17,9 +17,11 @@
   SnapshotSchema,
 } from "../gen/ploverstage/v1/consensus_pb";
 import { type Command, CommandSchema } from "../gen/ploverstage/v1/state_pb";
+import { MemberId } from "../ids";
 import type { Storage } from "../log";
 import { type Result, StateMachine } from "../state";
 import { getMember, getNextMembership } from "./membership";
+import type { Progress } from "./Progress";
 import type { RaftNode } from "./RaftNode";
 import type { ConfirmedBarrier, Ready } from "./Ready";
 
@@ -36,8 +38,11 @@
   readonly snapshot: Snapshot | undefined;
   readonly storage: Storage;
   readonly transport: Transport;
-  /** Gives the address at which this process reaches a member. */
-  readonly getAddress: (member: Member) => string;
+  /**
+   * Gives the address at which this process reaches a member that its log may not know yet:
+   * a joiner answers the leader before it has learned who the members are.
+   */
+  readonly getAddress: (memberId: MemberId) => string | undefined;
   readonly clock: Clock;
   /** Called once when storage or an invariant fails: the process must stop. */
   readonly onFatal: (cause: unknown) => void;
@@ -62,6 +67,8 @@
 const SNAPSHOT_ENTRIES = 2_000;
 /** Entries kept in memory behind a snapshot for members that lag a little. */
 const KEPT_ENTRIES = 500;
+/** A joiner that lacks no more entries than this may vote. */
+const CAUGHT_UP_ENTRIES = 50;
 
 /** A member of the agreed state at work. */
 export class ConsensusDriver {
@@ -69,7 +76,7 @@
   readonly node: RaftNode;
   private readonly _storage: Storage;
   private readonly _transport: Transport;
-  private readonly _getAddress: (member: Member) => string;
+  private readonly _getAddress: (memberId: MemberId) => string | undefined;
   private readonly _clock: Clock;
   private readonly _onFatal: (cause: unknown) => void;
   private readonly _appliedListeners: ((entry: LogEntry) => void)[] = [];
@@ -181,8 +188,7 @@
   addJoiner(joiner: Member): boolean {
     if (!this.isLeader()) throw this._createAbsentLeader();
     const progress = this.node.getProgress(joiner.id);
-    const isCaughtUp =
-      progress !== undefined && progress.matchIndex >= this.node.commitIndex - KEPT_ENTRIES / 10;
+    const isCaughtUp = progress !== undefined && this._isCaughtUp(progress);
     const next = getNextMembership(this.node.membership, joiner, isCaughtUp);
     if (next !== undefined) this.node.addMembership(this._clock.getMonotonicMs(), next);
     this._pump();
@@ -190,6 +196,11 @@
     return present !== undefined && !present.learner;
   }
 
+  /** A joiner that never answered would only weaken the set as a voter. */
+  private _isCaughtUp({ matchIndex }: Progress): boolean {
+    return matchIndex > 0 && matchIndex >= this.node.commitIndex - CAUGHT_UP_ENTRIES;
+  }
+
   private _createAbsentLeader(): AbsentLeader {
     return new AbsentLeader({ leaderAddress: this.getLeaderAddress() });
   }
@@ -280,8 +291,9 @@
   }
 
   private _send(message: ConsensusMessage): void {
-    const member = getMember(this.node.membership, message.to);
-    if (member !== undefined) this._transport.send(message, this._getAddress(member));
+    const known = getMember(this.node.membership, message.to)?.address;
+    const address = this._getAddress(MemberId(message.to)) ?? known;
+    if (address !== undefined) this._transport.send(message, address);
   }
 
   private _apply(entry: LogEntry): void {
--- a/src/control/ControlProcess.ts
+++ b/src/control/ControlProcess.ts
@@ -162,15 +162,16 @@
     snapshot: stored.snapshot,
     storage,
     transport: new PeerTransport(secrets.cluster),
-    getAddress: (member) => getOwnAddress(settings, member),
+    getAddress: (memberId) => getPeerAddress(settings, memberId),
     clock,
     onFatal,
   });
 }
 
-/** What this process's settings say of a peer's address wins over what the members agreed on. */
-function getOwnAddress(settings: ControlSettings, member: Member): string {
-  return settings.control.peers.find((peer) => peer.name === member.name)?.address ?? member.address;
+/** What this process's settings say of a peer wins over what the members agreed on. */
+function getPeerAddress(settings: ControlSettings, memberId: MemberId): string | undefined {
+  const name = memberId.slice(0, memberId.lastIndexOf("."));
+  return settings.control.peers.find((peer) => peer.name === name)?.address;
 }
 
 /** Begins a leadership with each term in which this process leads, and ends it after. */
--- a/src/control/PeerTransport.ts
+++ b/src/control/PeerTransport.ts
@@ -1,17 +1,23 @@
-/** Messages of the agreement protocol to the other members, in order, one call at a time each. */
+/** Messages of the agreement protocol to the other members, in order, over one long call each. */
+import type { MessageInitShape } from "@bufbuild/protobuf";
 import { type Client, createClient } from "@connectrpc/connect";
 import type { Transport } from "../consensus";
-import { type ConsensusMessage, ConsensusService } from "../gen/ploverstage/v1/consensus_pb";
+import {
+  type ConsensusMessage,
+  ConsensusService,
+  type DeliverRequestSchema,
+} from "../gen/ploverstage/v1/consensus_pb";
 import { createRpcTransport } from "../rpc";
 
 const MAX_QUEUED = 2_000;
-const CALL_MS = 600;
+const REOPEN_MS = 50;
 
-/** A queue to one address. */
+/** A queue to one address, sent as one long call that is opened again when it breaks. */
 class PeerQueue {
   private readonly _client: Client<typeof ConsensusService>;
   private _messages: ConsensusMessage[] = [];
-  private _isSending = false;
+  private _wake: () => void = () => {};
+  private _isOpen = false;
 
   constructor(address: string, secret: string) {
     this._client = createClient(ConsensusService, createRpcTransport(address, secret));
@@ -21,17 +27,37 @@
     // Losing messages is allowed; holding them without bound is not.
     if (this._messages.length >= MAX_QUEUED) this._messages = [];
     this._messages.push(message);
-    if (!this._isSending) void this._sendAll();
+    this._wake();
+    if (!this._isOpen) void this._open();
   }
 
-  private async _sendAll(): Promise<void> {
-    this._isSending = true;
-    while (this._messages.length > 0) {
+  private async _open(): Promise<void> {
+    this._isOpen = true;
+    const controller = new AbortController();
+    await this._client.deliver(this._takeBatches(controller.signal)).catch(() => {});
+    controller.abort();
+    this._wake();
+    // What was queued for a peer that is away is stale by the time it answers.
+    this._messages = [];
+    await new Promise((resolve) => setTimeout(resolve, REOPEN_MS));
+    this._isOpen = false;
+  }
+
+  /** A broken call's batches end, so that they take nothing from the next one's. */
+  private async *_takeBatches(
+    broken: AbortSignal,
+  ): AsyncGenerator<MessageInitShape<typeof DeliverRequestSchema>> {
+    while (!broken.aborted) {
+      if (this._messages.length === 0) {
+        await new Promise<void>((resolve) => {
+          this._wake = resolve;
+        });
+        continue;
+      }
       const messages = this._messages;
       this._messages = [];
-      await this._client.deliver({ messages }, { timeoutMs: CALL_MS }).catch(() => {});
+      yield { messages };
     }
-    this._isSending = false;
   }
 }
 
--- a/src/control/routes/consensusRoutes.ts
+++ b/src/control/routes/consensusRoutes.ts
@@ -10,8 +10,8 @@
 export function addConsensusRoutes(router: ConnectRouter, driver: ConsensusDriver): void {
   const delivered = create(DeliverResponseSchema);
   router.service(ConsensusService, {
-    deliver(request) {
-      driver.deliver(request.messages);
+    async deliver(requests) {
+      for await (const request of requests) driver.deliver(request.messages);
       return delivered;
     },
     join(request) {
--- a/src/control/routes/entryRoutes.ts
+++ b/src/control/routes/entryRoutes.ts
@@ -10,6 +10,7 @@
   type RenewResponse,
   RenewResponseSchema,
 } from "../../gen/ploverstage/v1/control_pb";
+import { ClaimState, type RequestClaim } from "../../gen/ploverstage/v1/state_pb";
 import { EntryId } from "../../ids";
 import type { ConfigurationCache } from "../ConfigurationCache";
 import type { LeaderGuard } from "../LeaderGuard";
@@ -32,11 +33,14 @@
       return guard.run((leadership) => renewLease(options, leadership, request));
     },
     claim(request) {
-      return guard.run(async () => {
+      return guard.run(async (leadership) => {
         const value = { ...request, atMs: clock.getWallMs(), retentionMs: getRetentionMs(options) };
         const result = await driver.propose({ case: "claim", value });
-        if (result?.kind === "existingClaim") return { granted: false, existing: result.claim };
-        return { granted: result?.kind === "grantedClaim" };
+        if (result?.kind !== "existingClaim") return { granted: result?.kind === "grantedClaim" };
+        return {
+          granted: false,
+          existing: describeExisting(leadership, result.claim, clock.getMonotonicMs()),
+        };
       });
     },
     settle(request) {
@@ -48,6 +52,13 @@
   });
 }
 
+/** A request whose entry is gone will never be told of: whether it ran is unknown for good. */
+function describeExisting(leadership: Leadership, claim: RequestClaim, now: number): RequestClaim {
+  if (claim.state !== ClaimState.RUNNING || !leadership.leases.isClear(now)) return claim;
+  const isLive = leadership.leases.getLiveHolders(now).some((holder) => holder.entryId === claim.entryId);
+  return isLive ? claim : { ...claim, state: ClaimState.UNKNOWN };
+}
+
 function getRetentionMs({ configurations }: EntryRouteOptions): number {
   return configurations.getNewest()?.timing.claimRetention ?? DEFAULT_RETENTION_MS;
 }
--- a/src/entry/filters/Admission.ts
+++ b/src/entry/filters/Admission.ts
@@ -83,14 +83,16 @@
   ): Promise<R> {
     const now = this._clock.getMonotonicMs();
     const target = getTargetKey(request);
+    const ticket = createTicket(request, target);
     this._queue.setSlots(target, placer.getSlots(now, request.target));
+    const infeasible = this._queue.getInfeasibility(now, ticket);
+    if (infeasible !== undefined) return Promise.reject(this.createRefusal(infeasible));
     if (!this._waitingTargets.has(target)) {
       const placed = placer.tryPlace(now, request);
       if (placed !== undefined) return Promise.resolve(placed);
     }
     if (!placer.hasEndpoint(now, request.target)) return Promise.reject(this._createAbsence(request, placer));
-    const ticket = createTicket(request, target);
-    const refused = this._queue.add(now, ticket, maxLength);
+    const refused = this._queue.add(ticket, maxLength);
     if (refused !== undefined) return Promise.reject(this.createRefusal(refused));
     return this._wait(request, ticket, placer, signal);
   }
--- a/src/entry/filters/ModelDispatch.ts
+++ b/src/entry/filters/ModelDispatch.ts
@@ -19,6 +19,7 @@
 import { Refusal } from "../Refusal";
 import type { ReplicaRouter, Route } from "../ReplicaRouter";
 import type { ClassifiedRequest, ModelCall } from "../requests";
+import { PROMPT_TOKEN_COST } from "../tokens";
 import type { Admission, Placer } from "./Admission";
 
 /** A classified model request. */
@@ -253,7 +254,7 @@
     const { request, route } = attempt;
     const now = this._options.clock.getMonotonicMs();
     route.work.end(now, "answered");
-    const cost = attempt.tokens + (request.cost - Math.min(request.cost, request.call.maxTokens));
+    const cost = attempt.tokens + request.promptTokens * PROMPT_TOKEN_COST;
     this._options.admission.addCompletion(request, cost, now - route.work.startedAt);
     attempt.writer.finish({ promptTokens: request.promptTokens, completionTokens: attempt.tokens });
     return {
--- a/src/planner/FreePool.ts
+++ b/src/planner/FreePool.ts
@@ -15,6 +15,8 @@
 export class FreePool {
   private readonly _domains = new Map<string, InstanceFacts[]>();
   private readonly _groupCounts = new Map<string, number>();
+  /** Candidates by group and fabric domain; a domain's are made anew once it changed. */
+  private readonly _candidates = new Map<string, Map<string, Candidate>>();
 
   /**
    * @param instances - Present, staying, trusted instances that belong to no replica.
@@ -36,6 +38,7 @@
   addReplica(group: string, fabricDomain: string): void {
     const key = getKey(group, fabricDomain);
     this._groupCounts.set(key, (this._groupCounts.get(key) ?? 0) + 1);
+    this._candidates.get(group)?.delete(fabricDomain);
   }
 
   /**
@@ -46,35 +49,58 @@
    * @param reserve - Instances to leave free in the domain.
    */
   takeMembers(group: Group, model: Model, reserve: number): readonly InstanceFacts[] | undefined {
-    const candidates = [...this._domains.keys()].flatMap((name) =>
-      this._getCandidate(name, group, model, reserve),
-    );
-    const best = candidates.sort(compareCandidates)[0];
+    let best: Candidate | undefined;
+    for (const fabricDomain of this._domains.keys()) {
+      const candidate = this._getCandidate(fabricDomain, group, model);
+      if (candidate === undefined || candidate.leftOver < reserve) continue;
+      if (best === undefined || compareCandidates(candidate, best) < 0) best = candidate;
+    }
     if (best === undefined) return undefined;
-    const taken = new Set(best.members);
-    const rest = this._domains.get(best.fabricDomain)!.filter((instance) => !taken.has(instance));
-    this._domains.set(best.fabricDomain, rest);
+    this._removeInstances(best);
     this.addReplica(group.name, best.fabricDomain);
     return best.members;
   }
 
-  private _getCandidate(fabricDomain: string, group: Group, model: Model, reserve: number): Candidate[] {
+  private _removeInstances({ fabricDomain, members }: Candidate): void {
+    const taken = new Set(members);
+    const rest = this._domains.get(fabricDomain)!.filter((instance) => !taken.has(instance));
+    this._domains.set(fabricDomain, rest);
+    for (const candidates of this._candidates.values()) candidates.delete(fabricDomain);
+  }
+
+  private _getCandidate(fabricDomain: string, group: Group, model: Model): Candidate | undefined {
     const free = this._domains.get(fabricDomain)!;
-    const size = group.instancesPerReplica;
-    if (free.length < size + reserve) return [];
+    if (free.length < group.instancesPerReplica) return undefined;
+    let candidates = this._candidates.get(group.name);
+    if (candidates === undefined) {
+      candidates = new Map();
+      this._candidates.set(group.name, candidates);
+    }
+    let candidate = candidates.get(fabricDomain);
+    if (candidate === undefined) {
+      candidate = this._createCandidate(fabricDomain, free, group, model);
+      candidates.set(fabricDomain, candidate);
+    }
+    return candidate;
+  }
+
+  private _createCandidate(
+    fabricDomain: string,
+    free: readonly InstanceFacts[],
+    group: Group,
+    model: Model,
+  ): Candidate {
     const ranked = [...free].sort(
       (a, b) => getLoads(a, model) - getLoads(b, model) || (a.id < b.id ? -1 : 1),
     );
-    const members = ranked.slice(0, size);
-    return [
-      {
-        fabricDomain,
-        members,
-        loads: members.reduce((sum, instance) => sum + getLoads(instance, model), 0),
-        sameGroup: this._groupCounts.get(getKey(group.name, fabricDomain)) ?? 0,
-        leftOver: free.length - size,
-      },
-    ];
+    const members = ranked.slice(0, group.instancesPerReplica);
+    return {
+      fabricDomain,
+      members,
+      loads: members.reduce((sum, instance) => sum + getLoads(instance, model), 0),
+      sameGroup: this._groupCounts.get(getKey(group.name, fabricDomain)) ?? 0,
+      leftOver: free.length - members.length,
+    };
   }
 }
 
--- a/src/routing/AdmissionQueue.ts
+++ b/src/routing/AdmissionQueue.ts
@@ -75,15 +75,20 @@
     return count;
   }
 
+  /** Gets why a ticket can't be answered before its deadline, if it can't. */
+  getInfeasibility(now: number, ticket: Ticket): Refused | undefined {
+    const serviceMs = this._getTarget(ticket.target).rate.getServiceMs(ticket.cost);
+    const lateMs = now + this.getWaitMs(ticket) + serviceMs - ticket.deadlineAt;
+    return lateMs > 0 ? this._refuse("infeasible", lateMs) : undefined;
+  }
+
   /**
    * Adds a ticket.
    * @param maxLength - Tickets that may wait.
    * @returns Why it was refused; `undefined` when it waits now.
    */
-  add(now: number, ticket: Ticket, maxLength: number): Refused | undefined {
+  add(ticket: Ticket, maxLength: number): Refused | undefined {
     if (this._length >= maxLength) return this._refuse("queueFull", this.getWaitMs(ticket));
-    const lateMs = this._getLateMs(now, ticket);
-    if (lateMs > 0) return this._refuse("infeasible", lateMs);
     const level = this._getLevel(ticket);
     const queue = getOrganisationQueue(level, ticket);
     insertByDeadline(queue.tickets, ticket);
@@ -180,11 +185,6 @@
     return { reason, retryAfterMs: Math.max(MIN_RETRY_MS, ms > 0 ? ms : DEFAULT_RETRY_MS) };
   }
 
-  private _getLateMs(now: number, ticket: Ticket): number {
-    const serviceMs = this._getTarget(ticket.target).rate.getServiceMs(ticket.cost);
-    return now + this.getWaitMs(ticket) + serviceMs - ticket.deadlineAt;
-  }
-
   private _isExpired(now: number, target: string, ticket: Ticket): boolean {
     return now + this._getTarget(target).rate.getServiceMs(ticket.cost) > ticket.deadlineAt;
   }
--- a/src/rpc/LeaderClient.ts
+++ b/src/rpc/LeaderClient.ts
@@ -61,7 +61,8 @@
       const leftMs = endAt - this._options.clock.getMonotonicMs();
       if (leftMs <= 0) throw new UnreachableControl({ tried: this._options.addresses, reason });
       try {
-        return await call(this._getClient(this._current), Math.min(ATTEMPT_MS, leftMs));
+        // The protocol's timeouts are whole milliseconds.
+        return await call(this._getClient(this._current), Math.ceil(Math.min(ATTEMPT_MS, leftMs)));
       } catch (cause) {
         reason = this._goOn(cause);
       }
