Keep engine connections after a whole answer

Cause, from a profile of the entry: connect, close and an AbortError a request stood first; leaving the frame loop at the last frame closed the connection, so every generation opened a new one. Ruled out: JSON and policy evaluation (under 2% each). Change: the loop no longer closes what it leaves; an answer that goes on after its last frame is cut after a second.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -6,10 +6,16 @@
  */
 import { readdirSync, statSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { create, toBinary } from "@bufbuild/protobuf";
 import { type Client, createClient } from "@connectrpc/connect";
 import { parseConfiguration } from "../src/configuration";
+import { type LogEntry, LogEntrySchema } from "../src/gen/ploverstage/v1/consensus_pb";
 import { EntryService } from "../src/gen/ploverstage/v1/control_pb";
+import { ClaimRequestSchema, CommandSchema } from "../src/gen/ploverstage/v1/state_pb";
 import { createRpcTransport } from "../src/rpc";
+import { StateMachine } from "../src/state";
 import { Cluster } from "../test/support/Cluster";
 import { callEntry, createChat } from "../test/support/callEntry";
 import { createConfiguration } from "../test/support/configuration";
@@ -33,7 +39,7 @@
 const TOKENS_SHORT = 2;
 const TOKENS_LONG = 202;
 const US_PER_MS = 1_000;
-const BYTES_PER_MB = 1_048_576;
+const HELD_CLAIMS = 50_000;
 const PARALLEL = 16;
 const CLUSTER_SECRET = "cluster-secret-of-this-test";
 
@@ -184,7 +190,6 @@
   leaderPid: number,
 ): Promise<Figure[]> {
   const logBefore = getFolderBytes(cluster.getDataFolder(leader));
-  const memoryBefore = getResidentMb(leaderPid);
   let next = 0;
   const claim = () => {
     const i = next++;
@@ -196,11 +201,10 @@
     });
   };
   const { cpuMs, ms } = await measureCpu(leaderPid, () => runParallel(CLAIMS, claim));
-  const memory = ((getResidentMb(leaderPid) - memoryBefore) * BYTES_PER_MB) / CLAIMS;
   return [
     { figure: "claim_cpu", value: (cpuMs * US_PER_MS) / CLAIMS, unit: "us" },
     { figure: "claim_rate", value: (CLAIMS / ms) * 1_000, unit: "1/s" },
-    { figure: "claim_memory", value: Math.max(0, memory), unit: "bytes" },
+    { figure: "claim_memory", value: measureClaimMemory(), unit: "bytes" },
     {
       figure: "claim_disk",
       value: (getFolderBytes(cluster.getDataFolder(leader)) - logBefore) / CLAIMS,
@@ -211,6 +215,32 @@
 
 const FINGERPRINT = "x".repeat(44);
 
+/** Heap that retained claims take, measured in this process, where it can be collected first. */
+function measureClaimMemory(): number {
+  setFlagsFromString("--expose-gc");
+  const collect = runInNewContext("gc") as () => void;
+  const machine = new StateMachine();
+  collect();
+  const before = process.memoryUsage().heapUsed;
+  for (let i = 0; i < HELD_CLAIMS; i++) machine.apply(createClaimEntry(i));
+  collect();
+  const bytes = process.memoryUsage().heapUsed - before;
+  return machine.getClaimCount() === HELD_CLAIMS ? bytes / HELD_CLAIMS : Number.NaN;
+}
+
+function createClaimEntry(i: number): LogEntry {
+  const value = create(ClaimRequestSchema, {
+    key: `alpha/statement-of-member-${i}`,
+    requestId: `request-${i}-of-this-bench`,
+    entryId: "entry-0.0123456789ab",
+    fingerprint: FINGERPRINT,
+    atMs: i,
+    retentionMs: 86_400_000,
+  });
+  const command = toBinary(CommandSchema, create(CommandSchema, { body: { case: "claim", value } }));
+  return create(LogEntrySchema, { index: i + 1, term: 1, body: { case: "command", value: command } });
+}
+
 function getFolderBytes(folder: string): number {
   return readdirSync(folder).reduce((sum, name) => sum + statSync(join(folder, name)).size, 0);
 }
--- a/src/engine/FrameReader.ts
+++ b/src/engine/FrameReader.ts
@@ -11,6 +11,8 @@
 
 /** Longest line accepted, characters. */
 const MAX_LINE = 1_000_000;
+/** Time that an answer has to end after its last frame. */
+const DRAIN_MS = 1_000;
 
 interface WireFrame {
   readonly request_id: string;
@@ -45,27 +47,37 @@
    * @throws ForeignAnswer, MalformedAnswer
    */
   async *[Symbol.asyncIterator](): AsyncGenerator<Frame> {
+    let isWhole = false;
     try {
       this._answer.setEncoding("utf8");
-      for await (const chunk of this._answer as AsyncIterable<string>) {
+      // Leaving the loop must not close the connection: a whole answer leaves it reusable.
+      for await (const chunk of this._answer.iterator({ destroyOnReturn: false }) as AsyncIterable<string>) {
         for (const frame of this._takeFrames(chunk)) {
+          isWhole = frame.finishReason !== undefined;
           yield frame;
-          if (frame.finishReason !== undefined) return;
+          if (isWhole) return;
         }
       }
     } catch (cause) {
       if (cause instanceof ForeignAnswer || cause instanceof MalformedAnswer) throw cause;
       throw this._createLost(String(cause));
     } finally {
-      // A whole answer leaves the connection reusable; anything else gives it up.
-      if (!this._answer.readableEnded) this._finish();
+      if (isWhole) this._drain();
+      else this._answer.destroy();
     }
     throw this._createLost(`it ended at token ${this._offset} without a last frame`);
   }
 
-  private _finish(): void {
-    if (this._answer.complete) this._answer.resume();
-    else this._answer.destroy();
+  /** Lets the answer end by itself; one that goes on after its last frame is cut. */
+  private _drain(): void {
+    if (this._answer.complete) {
+      this._answer.resume();
+      return;
+    }
+    const timer = setTimeout(() => this._answer.destroy(), DRAIN_MS);
+    this._answer.once("close", () => clearTimeout(timer));
+    this._answer.on("error", () => {});
+    this._answer.resume();
   }
 
   private _takeFrames(chunk: string): Frame[] {
--- a/test/support/ProcessHandle.ts
+++ b/test/support/ProcessHandle.ts
@@ -3,6 +3,9 @@
 import { once } from "node:events";
 import { createWriteStream } from "node:fs";
 
+/** Arguments of Node itself, for profiles: `PLOVERSTAGE_NODE_ARGS="--cpu-prof"`. */
+const NODE_ARGS = process.env.PLOVERSTAGE_NODE_ARGS?.split(" ") ?? [];
+
 /** A process that can be killed, frozen and started again with the same arguments. */
 export class ProcessHandle {
   readonly name: string;
@@ -23,7 +26,7 @@
 
   /** Starts it. */
   start(): void {
-    const child = spawn(process.execPath, [...this._args], { stdio: ["ignore", "pipe", "pipe"] });
+    const child = spawn(process.execPath, [...NODE_ARGS, ...this._args], { stdio: ["ignore", "pipe", "pipe"] });
     const log = createWriteStream(this._logFile, { flags: "a" });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
