Warm spares, and judge absences by whether the place came back

Cause, from the planner bench: rebuilding cost a whole load of the missing instance, and a restarted instance counted as one that came back although its place was lost. The bench itself hid the difference at first: its fabric domains of ten could never hold 12 replicas, so two were always down. Change: free instances load what their fabric domain would need, within the weight store's limit and not where a rebuilding is under way; a wait is weighed against a warm or a cold rebuilding as the spares are; the bench's domains hold 12 replicas and two spares.

--- a/bench/planner.ts
+++ b/bench/planner.ts
@@ -10,8 +10,9 @@
 import { type Configuration, parseConfiguration } from "../src/configuration";
 import { SeededRandom } from "../src/consensus";
 import { LossLedger } from "../src/control/LossLedger";
+import type { EngineState } from "../src/engine";
 import { type Replica, ReplicaPhase, ReplicaSchema } from "../src/gen/ploverstage/v1/state_pb";
-import { InstanceId } from "../src/ids";
+import { InstanceId, ReplicaId } from "../src/ids";
 import {
   type Action,
   ExpectedRepair,
@@ -29,7 +30,9 @@
 export const plannerBench: Bench = { name: "planner", run };
 
 const INSTANCES = 50;
-const PER_FABRIC = 10;
+/** Instances of each fabric domain: room for 12 replicas and two spares. */
+const FABRIC_SIZES = [16, 17, 17] as const;
+const RACK = 4;
 const STEP_MS = 1_000;
 const HOURS = 1;
 const END_MS = HOURS * 3_600_000;
@@ -182,7 +185,7 @@
       if (now < machine.awayUntil) continue;
       if (machine.forgets)
         Object.assign(machine, { epoch: 0, model: "", modelVersion: "", readyAt: 0, forgets: false });
-      this._presence.addAnswer(now, machine.id, undefined);
+      this._presence.addAnswer(now, machine.id, describeState(now, machine));
     }
   }
 
@@ -210,10 +213,10 @@
       checksOrders: true,
       answeredAt,
       epoch: machine.epoch,
-      isReady: machine.epoch > 0 && now >= machine.readyAt,
+      isReady: machine.model !== "" && now >= machine.readyAt,
       model: machine.model,
       modelVersion: machine.modelVersion,
-      isLoading: machine.epoch > 0 && now < machine.readyAt,
+      isLoading: now < machine.readyAt,
       losses,
     };
   }
@@ -223,9 +226,14 @@
       this._form(action.group, action.members, action.reason);
       return;
     }
+    if (action.kind === "warmInstance") {
+      this._load(now, action.instance.id, action.model, action.modelVersion, action.instance.epoch);
+      return;
+    }
     const { replica } = action;
-    if (action.kind === "loadInstance") this._load(now, action.instance.id, replica);
-    else if (action.kind === "serveReplica") this._move(replica, ReplicaPhase.SERVING, "whole");
+    if (action.kind === "loadInstance") {
+      this._load(now, action.instance.id, replica.model, replica.modelVersion, replica.epoch);
+    } else if (action.kind === "serveReplica") this._move(replica, ReplicaPhase.SERVING, "whole");
     else if (action.kind === "retireReplica") {
       this._move(replica, ReplicaPhase.RETIRING, action.reason);
       this._retiredAt.set(replica.id, now);
@@ -258,14 +266,12 @@
     );
   }
 
-  private _load(now: number, id: string, replica: Replica): void {
+  private _load(now: number, id: string, modelName: string, modelVersion: string, epoch: number): void {
     const machine = this._machines.find((candidate) => candidate.id === id)!;
     if (now < machine.awayUntil) return;
-    const isLoaded = machine.model === replica.model && machine.modelVersion === replica.modelVersion;
-    const model = this._configuration.models.find((candidate) => candidate.name === replica.model)!;
-    machine.epoch = replica.epoch;
-    machine.model = replica.model;
-    machine.modelVersion = replica.modelVersion;
+    const isLoaded = machine.model === modelName && machine.modelVersion === modelVersion;
+    const model = this._configuration.models.find((candidate) => candidate.name === modelName)!;
+    Object.assign(machine, { epoch, model: modelName, modelVersion });
     machine.readyAt = now + JOIN_MS + (isLoaded ? 0 : model.load);
   }
 
@@ -276,7 +282,7 @@
 }
 
 function createMachine(i: number): Machine {
-  const fabric = Math.floor(i / PER_FABRIC);
+  const fabric = getFabric(i);
   return {
     id: InstanceId(`instance-${String(i).padStart(2, "0")}`),
     fabricDomain: `fabric-${fabric}`,
@@ -290,6 +296,29 @@
   };
 }
 
+function getFabric(i: number): number {
+  let first = 0;
+  for (const [fabric, size] of FABRIC_SIZES.entries()) {
+    first += size;
+    if (i < first) return fabric;
+  }
+  return FABRIC_SIZES.length;
+}
+
+/** What a machine would say of itself, as far as presence looks at it. */
+function describeState(now: number, machine: Machine): EngineState {
+  return {
+    instanceId: machine.id,
+    replicaId: ReplicaId(""),
+    epoch: machine.epoch,
+    model: machine.model,
+    modelVersion: machine.modelVersion,
+    adapters: [],
+    isReady: now >= machine.readyAt,
+    load: { running: 0, waiting: 0, pendingTokens: 0, kvUsed: 0 },
+  };
+}
+
 /** Draws when what fails; the same seed gives the same failures to every way of planning. */
 function createEvents(trace: Trace, seed: number): TraceRun["_events"] {
   const random = new SeededRandom(seed);
@@ -315,11 +344,11 @@
     return (run) => run.lose([machine], at, ms, true);
   });
   draw(trace.racksPerHour, (at) => {
-    const first = Math.floor((random.next() * INSTANCES) / PER_FABRIC) * PER_FABRIC;
+    const first = Math.floor((random.next() * INSTANCES) / RACK) * RACK;
     const ms = drawMs(trace.failureMs / 2);
     return (run) =>
       run.lose(
-        Array.from({ length: PER_FABRIC }, (_, i) => first + i),
+        Array.from({ length: Math.min(RACK, INSTANCES - first) }, (_, i) => first + i),
         at,
         ms,
         true,
--- a/src/control/Leadership.ts
+++ b/src/control/Leadership.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "../clock";
 import type { Configuration } from "../configuration";
 import type { ConsensusDriver } from "../consensus";
+import type { EngineOrder } from "../engine";
 import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
 import type { InstanceId } from "../ids";
 import { ReplicaId } from "../ids";
@@ -20,6 +21,7 @@
   Planner,
   type PlanningFacts,
   REASON,
+  type WarmInstanceAction,
 } from "../planner";
 import type { Platform } from "../platform";
 import type { EngineFactory } from "../presence";
@@ -162,7 +164,7 @@
       .filter((instance) => instance.kind === "engine")
       .map((instance) => {
         const { answeredAt, state, losses } = this.monitor.presence.getPresence(instance.id);
-        const isJoining = state !== undefined && state.epoch > 0 && !state.isReady;
+        const isJoining = state !== undefined && state.model !== "" && !state.isReady;
         return {
           id: instance.id,
           address: instance.address,
@@ -230,6 +232,8 @@
         return this._formReplica(action.group, action.members, action.reason, configuration);
       case "loadInstance":
         return this._loadInstance(action);
+      case "warmInstance":
+        return this._warmInstance(action);
       case "serveReplica":
         return this._moveReplica(action.replica, ReplicaPhase.SERVING, REASON.whole);
       case "retireReplica":
@@ -290,12 +294,8 @@
     this._options.logger.info({ ...event, reason, result: result?.kind });
   }
 
-  private async _loadInstance(action: LoadInstanceAction): Promise<void> {
-    const { instance, replica, rank } = action;
-    const engine = this.monitor.getEngine(instance.id);
-    if (engine === undefined) return;
-    this._ordering.add(instance.id);
-    const order = {
+  private _loadInstance({ instance, replica, rank }: LoadInstanceAction): void {
+    this._sendOrder(instance, {
       replicaId: ReplicaId(replica.id),
       epoch: replica.epoch,
       model: replica.model,
@@ -303,9 +303,21 @@
       adapters: replica.adapters,
       members: replica.members.map((member) => member.address),
       rank,
-    };
-    // Not awaited: a silent instance must not hold up the others' orders.
-    void engine
+    });
+  }
+
+  /** Stays in the instance's own epoch: it belongs to no replica, and any forming is newer. */
+  private _warmInstance({ instance, model, modelVersion, adapters }: WarmInstanceAction): void {
+    const standby = { replicaId: ReplicaId(""), epoch: instance.epoch, members: [], rank: 0 };
+    this._sendOrder(instance, { ...standby, model, modelVersion, adapters });
+  }
+
+  /** Not awaited: a silent instance must not hold up the others' orders. */
+  private _sendOrder(instance: InstanceFacts, order: EngineOrder): void {
+    const engine = this.monitor.getEngine(instance.id);
+    if (engine === undefined) return;
+    this._ordering.add(instance.id);
+    engine
       .sendOrder(order, ORDER_TIMEOUT_MS)
       .catch((cause: unknown) =>
         this._options.logger.warn({ event: "order_failed", instance: instance.id, reason: String(cause) }),
--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -10,7 +10,6 @@
   | "request_ms"
   | "tokens"
   | "queue_length"
-  | "queue_wait_ms"
   | "retries"
   | "shed"
   | "lease_left_ms"
--- a/src/planner/FreePool.ts
+++ b/src/planner/FreePool.ts
@@ -34,6 +34,17 @@
     return this._domains.get(fabricDomain)?.length ?? 0;
   }
 
+  /** Gets how many instances are free in a fabric domain and hold a model's version already. */
+  getLoadedCount(fabricDomain: string, model: Model): number {
+    const free = this._domains.get(fabricDomain) ?? [];
+    return free.filter((instance) => getLoads(instance, model) === 0).length;
+  }
+
+  /** Gets all instances that are still free. */
+  getInstances(): InstanceFacts[] {
+    return [...this._domains.values()].flat();
+  }
+
   /** Notes a replica of a group in a fabric domain, so that the next one goes elsewhere. */
   addReplica(group: string, fabricDomain: string): void {
     const key = getKey(group, fabricDomain);
--- a/src/planner/Planner.ts
+++ b/src/planner/Planner.ts
@@ -27,6 +27,9 @@
 /** A forming replica whose instance has been absent so many presence windows is given up. */
 const FORMING_PATIENCE_WINDOWS = 4;
 
+/** Time in which instances that hold their model take their places in a new replica. */
+const REJOIN_MS = 1_000;
+
 /** A group with its model, and its replicas by what they do. */
 interface GroupView {
   readonly group: Group;
@@ -86,7 +89,7 @@
     for (const view of this._views) this._repairLost(view);
     for (const view of this._views) this._formMissing(view);
     for (const view of this._views) this._rollOut(view);
-    this._loadForming();
+    this._warmSpares(this._loadForming());
     return this._actions;
   }
 
@@ -229,8 +232,9 @@
   /** A restarted instance has lost its place: only an absent one is worth a wait. */
   private _mayComeBack(view: GroupView, replica: Replica): boolean {
     if (this._countAbsent(replica) === 0) return false;
+    const isWarm = this._pool.getLoadedCount(replica.fabricDomain, view.model) >= this._countAbsent(replica);
     const waitMs = this._repair.getWaitMs({
-      rebuildMs: view.model.load,
+      rebuildMs: isWarm ? this._configuration.timing.lease + REJOIN_MS : view.model.load,
       absences: this._facts.absences,
       maxWaitMs: this._configuration.planning.maxWait,
     });
@@ -325,8 +329,11 @@
     return this._actions.some((action) => action.kind === kind && action.group === group);
   }
 
-  /** Orders loads within the weight store's limit, nearly whole replicas first. */
-  private _loadForming(): void {
+  /**
+   * Orders loads within the weight store's limit, nearly whole replicas first.
+   * @returns What is left of the limit.
+   */
+  private _loadForming(): number {
     let budget = this._configuration.weightStore.concurrentLoads - this._countLoading();
     const forming = this._views
       .flatMap((view) => view.forming.map((replica) => ({ replica, view })))
@@ -342,6 +349,38 @@
         this._actions.push({ kind: "loadInstance", replica, instance, rank });
       }
     }
+    return budget;
+  }
+
+  /** Loads onto spares what their fabric domain would need most, once no replica waits for it. */
+  private _warmSpares(budget: number): void {
+    const busy = this._getRetiringDomains();
+    const spares = this._pool
+      .getInstances()
+      .filter((instance) => !this._holdsWanted(instance) && !busy.has(instance.fabricDomain));
+    for (const instance of spares.slice(0, Math.max(0, budget))) {
+      const view = this._getNeediest(instance.fabricDomain);
+      if (view === undefined) continue;
+      const { name: model, version: modelVersion, adapters } = view.model;
+      this._actions.push({ kind: "warmInstance", instance, model, modelVersion, adapters });
+    }
+  }
+
+  /** Where a replica is being rebuilt, its spares are about to be taken and must not be busy loading. */
+  private _getRetiringDomains(): Set<string> {
+    const retiring = this._facts.replicas.filter(
+      (replica) => this._retiring.has(replica.id) || replica.phase === ReplicaPhase.RETIRING,
+    );
+    return new Set(retiring.map((replica) => replica.fabricDomain));
+  }
+
+  private _holdsWanted(instance: InstanceFacts): boolean {
+    return this._views.some((view) => getLoads(instance, view.model) === 0);
+  }
+
+  /** Views stand in the order of their groups' worth. */
+  private _getNeediest(fabricDomain: string): GroupView | undefined {
+    return this._views.find((view) => view.serving.some((replica) => replica.fabricDomain === fabricDomain));
   }
 
   private _countLoading(): number {
--- a/src/planner/facts.ts
+++ b/src/planner/facts.ts
@@ -45,7 +45,7 @@
 /** One past absence of an instance. */
 export interface Absence {
   readonly durationMs: number;
-  /** Whether it came back; else it was away at least so long. */
+  /** Whether it came back with its place; else it was away at least so long, or had restarted. */
   readonly cameBack: boolean;
 }
 
@@ -65,6 +65,15 @@
   readonly rank: number;
 }
 
+/** Orders a free instance to load a model ahead of need, so that a repair needs no load. */
+export interface WarmInstanceAction {
+  readonly kind: "warmInstance";
+  readonly instance: InstanceFacts;
+  readonly model: string;
+  readonly modelVersion: string;
+  readonly adapters: readonly string[];
+}
+
 /** Lets a whole replica serve. */
 export interface ServeReplicaAction {
   readonly kind: "serveReplica";
@@ -88,6 +97,7 @@
 export type Action =
   | FormReplicaAction
   | LoadInstanceAction
+  | WarmInstanceAction
   | ServeReplicaAction
   | RetireReplicaAction
   | ReleaseReplicaAction;
--- a/src/presence/PresenceTable.ts
+++ b/src/presence/PresenceTable.ts
@@ -62,7 +62,9 @@
       return;
     }
     if (now < presence.answeredAt) return;
-    if (presence.isLost && !presence.isGivenUp) this._addAbsence(now - presence.answeredAt, true);
+    if (presence.isLost && !presence.isGivenUp) {
+      this._addAbsence(now - presence.answeredAt, !hasRestarted(presence.state, state));
+    }
     presence.answeredAt = now;
     presence.state = state;
     presence.isLost = false;
@@ -100,3 +102,8 @@
     if (this._absences.length > MAX_ABSENCES) this._absences.shift();
   }
 }
+
+/** An instance that restarted is back, but waiting for it was in vain: its place is lost. */
+function hasRestarted(before: EngineState | undefined, after: EngineState | undefined): boolean {
+  return before !== undefined && after !== undefined && after.epoch < before.epoch;
+}
--- /dev/null
+++ b/test/engine/FrameReader.test.ts
@@ -0,0 +1,86 @@
+import type { IncomingMessage } from "node:http";
+import { PassThrough } from "node:stream";
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { FrameReader, type Generation } from "../../src/engine";
+import { ForeignAnswer, LostAnswer, MalformedAnswer } from "../../src/errors";
+import { ReplicaId, RequestId } from "../../src/ids";
+
+const GENERATION: Generation = {
+  requestId: RequestId("r"),
+  replicaId: ReplicaId("g-1"),
+  epoch: 3,
+  model: "m",
+  adapter: "",
+  prompt: "p",
+  prefixDigests: [],
+  maxTokens: 10,
+  priority: 0,
+  temperature: undefined,
+  stop: [],
+};
+
+function createLine(offset: number, change: object = {}): string {
+  const frame = { request_id: "r", epoch: 3, offset, tokens: 1, text: `t${offset} `, ...change };
+  return `${JSON.stringify(frame)}\n`;
+}
+
+const LAST = { finish_reason: "stop" };
+
+async function read(chunks: readonly string[], offset = 0) {
+  const stream = new PassThrough();
+  for (const chunk of chunks) stream.write(chunk);
+  stream.end();
+  let text = "";
+  let failure: unknown;
+  try {
+    const reader = new FrameReader(stream as unknown as IncomingMessage, "a:1", GENERATION, offset);
+    for await (const frames of reader) text += frames.map((frame) => frame.text).join("");
+  } catch (cause) {
+    failure = cause;
+  }
+  return { text, failure };
+}
+
+describe("FrameReader", () => {
+  async function doTest(
+    chunks: readonly string[],
+    text: string,
+    failure?: new (...args: never[]) => unknown,
+    offset = 0,
+  ) {
+    const result = await read(chunks, offset);
+    expect(result.text).toBe(text);
+    if (failure === undefined) expect(result.failure).toBeUndefined();
+    else expect(result.failure).toBeInstanceOf(failure);
+  }
+
+  it("reads a whole answer", () => doTest([createLine(0), createLine(1, LAST)], "t0 t1 "));
+  it("reads on from an offset", () => doTest([createLine(4), createLine(5, LAST)], "t4 t5 ", undefined, 4));
+  it("drops doubled frames", () => doTest([createLine(0), createLine(0), createLine(1, LAST)], "t0 t1 "));
+  it("drops frames from before its offset", () =>
+    doTest([createLine(0), createLine(1, LAST)], "t1 ", undefined, 1));
+  it("refuses a gap", () => doTest([createLine(0), createLine(2, LAST)], "t0 ", ForeignAnswer));
+  it("refuses another request's frame", () =>
+    doTest([createLine(0), createLine(1, { request_id: "other", ...LAST })], "t0 ", ForeignAnswer));
+  it("refuses another epoch's frame", () => doTest([createLine(0, { epoch: 2 })], "", ForeignAnswer));
+  it("is never whole without a last frame", () =>
+    doTest([createLine(0), createLine(1)], "t0 t1 ", LostAnswer));
+  it("is never whole with half of a last frame", () =>
+    doTest([createLine(0), createLine(1, LAST).slice(0, -5)], "t0 ", LostAnswer));
+  it("refuses what is no JSON", () => doTest([createLine(0), "nonsense\n"], "t0 ", MalformedAnswer));
+  it("refuses a frame without its text", () =>
+    doTest([createLine(0, { text: undefined })], "", MalformedAnswer));
+  it("takes nothing after the last frame", () => doTest([createLine(0, LAST), createLine(1, LAST)], "t0 "));
+
+  it("gives the same however the bytes are cut", async () => {
+    const whole = createLine(0) + createLine(1) + createLine(1) + createLine(2, LAST);
+    const cuts = fc.uniqueArray(fc.integer({ min: 1, max: whole.length - 1 }), { maxLength: 6 });
+    const property = fc.asyncProperty(cuts, async (points) => {
+      const sorted = [0, ...points.sort((a, b) => a - b), whole.length];
+      const chunks = sorted.slice(1).map((end, i) => whole.slice(sorted[i], end));
+      expect(await read(chunks)).toEqual({ text: "t0 t1 t2 ", failure: undefined });
+    });
+    await fc.assert(property, { seed: 1, numRuns: 100 });
+  });
+});
--- a/test/planner/Planner.test.ts
+++ b/test/planner/Planner.test.ts
@@ -22,6 +22,8 @@
       return `retire ${action.replica.id}: ${action.reason}`;
     case "serveReplica":
       return `serve ${action.replica.id}`;
+    case "warmInstance":
+      return `warm ${action.instance.id} with ${action.model}@${action.modelVersion}`;
     case "releaseReplica":
       return `release ${action.replica.id}`;
   }
@@ -159,7 +161,9 @@
       const text = createConfiguration(slow).replace("load = 200", "load = 60000");
       const configuration = parseConfiguration("test", text);
       const facts = createFacts({ ...createLost(2_000, 1), absences });
-      expect(new Planner().plan(NOW, facts, configuration)).toEqual([]);
+      expect(new Planner().plan(NOW, facts, configuration).map(describeAction)).toEqual([
+        "warm spare0 with m@1",
+      ]);
       const later = createFacts({ ...createLost(3_500, 1), absences });
       expect(new Planner().plan(NOW, later, configuration).map(describeAction)).toEqual([
         `retire g-1: ${REASON.lost}`,
@@ -197,6 +201,51 @@
     });
   });
 
+  describe("warming spares", () => {
+    const { replica, instances } = createReplica(1, createInstances(4));
+
+    it("loads onto a spare what its fabric domain would need", () =>
+      doTest({ replicas: [replica], instances: [...instances, createInstance("z")] }, {}, "warm z with m@1"));
+
+    it("leaves a spare alone that holds it already", () => {
+      const spare = createInstance("z", { model: "m", modelVersion: "1", isReady: true });
+      doTest({ replicas: [replica], instances: [...instances, spare] }, {});
+    });
+
+    it("leaves a spare alone where nothing serves", () => {
+      const spare = createInstance("z", { fabricDomain: "elsewhere" });
+      doTest({ replicas: [replica], instances: [...instances, spare] }, {});
+    });
+
+    it("keeps to the weight store's limit", () =>
+      doTest(
+        { replicas: [replica], instances: [...instances, createInstance("z")] },
+        { limits: "[weight_store]\nconcurrent_loads = 0" },
+      ));
+
+    it("makes a rebuilding from a warm spare cheap, so that it waits less", () => {
+      const absences = Array.from({ length: 20 }, () => ({ durationMs: 9_000, cameBack: true }));
+      const lost = instances.map((instance, i) =>
+        i === 1 ? { ...instance, answeredAt: NOW - 3_000 } : instance,
+      );
+      const text = createConfiguration({ timing: "" })
+        .replace("load = 200", "load = 60000")
+        .replace("max_wait = 4000", "max_wait = 60000");
+      const configuration = parseConfiguration("test", text);
+      const decide = (spare: InstanceFacts) =>
+        new Planner()
+          .plan(
+            NOW,
+            createFacts({ replicas: [replica], instances: [...lost, spare], absences }),
+            configuration,
+          )
+          .map(describeAction);
+      expect(decide(createInstance("z"))).toEqual(["warm z with m@1"]);
+      const warm = createInstance("z", { model: "m", modelVersion: "1", isReady: true });
+      expect(decide(warm)).toEqual([`retire g-1: ${REASON.lost}`]);
+    });
+  });
+
   describe("stopping as planned", () => {
     it("retires a replica of which an instance is leaving", () => {
       const { replica, instances } = createReplica(1, createInstances(4));
