Prove the loss of a whole failure domain; forget gone service endpoints

Cause: the loss of a domain at once was only tried by the planner; records of service instances that are gone were kept for ever; control could start without its operators' secret file being named, and failed with an empty file name. Change: a test that kills a control process, an entry and four engines at once; endpoints are forgotten once idle; the secret is required by the schema.

--- a/src/cli/processes.ts
+++ b/src/cli/processes.ts
@@ -37,7 +37,7 @@
   const settings = await readControlSettings(file);
   const secrets = {
     cluster: await readSecret(settings.secrets.clusterFile),
-    operator: await readSecret(settings.secrets.operatorFile ?? ""),
+    operator: await readSecret(settings.secrets.operatorFile),
     order: await readSecret(settings.secrets.orderFile),
   };
   const logger = createLogger(settings.log.level, { role: "control", name: settings.process.name });
--- a/src/entry/ClusterView.ts
+++ b/src/entry/ClusterView.ts
@@ -78,6 +78,11 @@
     return this._endpoints.filter((endpoint) => endpoint.service === service && !endpoint.leaving);
   }
 
+  /** Gets the instances of all services. */
+  getServiceInstanceIds(): Set<string> {
+    return new Set(this._endpoints.map((endpoint) => endpoint.instanceId));
+  }
+
   /**
    * Takes what a renewal said.
    * @returns Whether it was taken; an answer overtaken by a newer one takes nothing back.
--- a/src/entry/EntryProcess.ts
+++ b/src/entry/EntryProcess.ts
@@ -104,6 +104,7 @@
     }),
     onChange: () => {
       router.updateReplicas();
+      services.updateEndpoints();
       admission.update();
     },
   });
--- a/src/entry/filters/ServiceDispatch.ts
+++ b/src/entry/filters/ServiceDispatch.ts
@@ -79,9 +79,9 @@
     this._options = options;
   }
 
-  /** Gets how many calls are in flight. */
-  getRequestCount(): number {
-    return this._pool.getRequestCount();
+  /** Forgets endpoints that are gone. */
+  updateEndpoints(): void {
+    this._pool.retain(this._options.view.getServiceInstanceIds());
   }
 
   /**
--- a/src/settings/Settings.ts
+++ b/src/settings/Settings.ts
@@ -22,12 +22,14 @@
 const Secrets = Schema.Struct({
   /** File with the secret between the system's own processes. */
   clusterFile: Schema.String,
-  /** File with the secret of the operators' interface; control only. */
+  /** File with the secret of the operators' interface; an entry has no use for it. */
   operatorFile: Schema.optionalKey(Schema.String),
   /** File with the secret shown to engines with orders. */
   orderFile: Schema.String,
 });
 
+const ControlSecrets = Schema.Struct({ ...Secrets.fields, operatorFile: Schema.String });
+
 const Log = Schema.Struct({ level: LogLevel });
 
 const StatsdServer = Schema.Struct({ host: Schema.String, port: Port });
@@ -65,15 +67,19 @@
 
 const shared = {
   process: Process,
-  secrets: Secrets,
   log: withDefault(Log, { level: "info" }),
   metrics: Schema.optionalKey(StatsdServer),
 };
 
 /** Settings of a control process. */
-export const ControlSettingsSchema = Schema.Struct({ ...shared, platform: Platform, control: Control });
+export const ControlSettingsSchema = Schema.Struct({
+  ...shared,
+  secrets: ControlSecrets,
+  platform: Platform,
+  control: Control,
+});
 /** Settings of an entry process. */
-export const EntrySettingsSchema = Schema.Struct({ ...shared, entry: Entry });
+export const EntrySettingsSchema = Schema.Struct({ ...shared, secrets: Secrets, entry: Entry });
 
 /** Settings of a control process. */
 export type ControlSettings = typeof ControlSettingsSchema.Type;
--- a/test/system/endpoints.test.ts
+++ b/test/system/endpoints.test.ts
@@ -155,6 +155,27 @@
     await watching;
   });
 
+  it("go on in the other failure domains when a whole one is lost at once", async () => {
+    await start({ engines: 8, perFabric: 4 }, { replicas: 2 });
+    await cluster.waitForRouting(2);
+    await Promise.all([
+      cluster.controls[0]!.kill(),
+      cluster.entries[0]!.kill(),
+      ...cluster.engines.slice(0, 4).map((engine) => engine.stop()),
+    ]);
+    await cluster.waitForServing(1);
+    await waitUntil(
+      "the other domain's entry answers",
+      async () => (await call("going on", 5, 1)).status === 200,
+    );
+    const version = await cluster.apply(createConfiguration({ replicas: 2, extra: "# after the loss" }));
+    expect(version).toBe(2);
+    const answer = await callEntry(cluster.entryAddresses[1]!, { method: "GET", path: "/v1/addresses" });
+    expect(JSON.parse(answer.text).addresses).toEqual([
+      { address: cluster.entryAddresses[1], failure_domain: "domain-1" },
+    ]);
+  });
+
   it("are ruled by the next leader when the leader dies in the middle of a repair", async () => {
     await start({ engines: 5 });
     await cluster.waitForRouting(1);
