Send configurations as differences; forget claims in constant time

Cause, found by the capacity bench, which never ended with 50,000 claims held: each claim enumerated all retained ones to look for old ones. And a change cost every entry the whole text, at the target more than a node's 4 KB/s. Ruled out: encryption or RPC overhead (claims were slow with nothing else running, and the time grew with the number held).

--- a/scripts/capacityPage.mjs
+++ b/scripts/capacityPage.mjs
@@ -27,7 +27,6 @@
   probersPerInstance: 2,
   claimShare: 0.01,
   claimRetentionSeconds: 86_400,
-  configurationBytes: 40_000,
 };
 /** Probes a second that the bench's configuration makes of each engine. */
 const BENCH_PROBES_PER_SECOND = 10;
@@ -61,13 +60,13 @@
 );
 
 const entryCpu = (probesPerEntry * probeUs.entry + (renewalUs / DESIGN.renewSeconds) * 0.5) / 1e6;
-const entryBytes = probesPerEntry * at("probe_bytes") + at("renewal_bytes") / DESIGN.renewSeconds + changesPerSecond * DESIGN.configurationBytes;
+const entryBytes = probesPerEntry * at("probe_bytes") + at("renewal_bytes") / DESIGN.renewSeconds + changesPerSecond * at("configuration_patch");
 const entryMb = at("entry_resident") + at("entry_resident_engine") * watchedPerEntry;
 const entryTable = table(
   ["an entry, for control", "at the target", "budget", "", "carried by"],
   [
     ["processor, cores", format(entryCpu), TARGET.cpuCore, verdict(entryCpu, TARGET.cpuCore), `${format(probesPerEntry)} probes/s of a subset of ${format(watchedPerEntry)} instances, a renewal every ${DESIGN.renewSeconds} s`],
-    ["messages, bytes/s", format(entryBytes), TARGET.bytesPerSecond, verdict(entryBytes, TARGET.bytesPerSecond), "probes; whole configuration texts with each change"],
+    ["messages, bytes/s", format(entryBytes), TARGET.bytesPerSecond, verdict(entryBytes, TARGET.bytesPerSecond), "probes, above all; a configuration change travels as its difference"],
     ["memory, MB", format(entryMb), TARGET.memoryMb, verdict(entryMb, TARGET.memoryMb), "Node at rest with these libraries; the slope in instances"],
   ],
 );
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -10,5 +10,10 @@
   type Service,
   type Timing,
 } from "./Configuration";
+export {
+  applyConfigurationPatch,
+  createConfigurationPatch,
+  getConfigurationDigest,
+} from "./ConfigurationPatch";
 export { diffConfiguration } from "./diffConfiguration";
 export { parseConfiguration } from "./parseConfiguration";
--- a/src/control/ControlProcess.ts
+++ b/src/control/ControlProcess.ts
@@ -30,6 +30,7 @@
 import { createInitialSnapshot } from "./createInitialSnapshot";
 import { LeaderGuard } from "./LeaderGuard";
 import { Leadership } from "./Leadership";
+import { PatchCache } from "./PatchCache";
 import { PeerTransport } from "./PeerTransport";
 import { addConsensusRoutes, addEntryRoutes, addOperatorRoutes } from "./routes";
 
@@ -76,7 +77,8 @@
       (started) => Effect.sync(() => started.stop()),
     );
     const guard = new LeaderGuard(driver, watch.getLeadership);
-    const routes = { driver, guard, clock, configurations };
+    const patches = new PatchCache(() => driver.machine);
+    const routes = { driver, guard, clock, configurations, patches };
     yield* serveRpc(options.settings.control.listen, options.secrets.cluster, "the cluster", (router) => {
       addConsensusRoutes(router, driver);
       addEntryRoutes(router, routes);
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -10,3 +10,4 @@
 export { EntryRegistry } from "./EntryRegistry";
 export { InstanceMonitor } from "./InstanceMonitor";
 export { getAbsentInstances, getStrandedReason, type Loss, LossLedger } from "./LossLedger";
+export { PatchCache } from "./PatchCache";
--- a/src/control/routes/entryRoutes.ts
+++ b/src/control/routes/entryRoutes.ts
@@ -10,12 +10,13 @@
   type RenewResponse,
   RenewResponseSchema,
 } from "../../gen/ploverstage/v1/control_pb";
-import { ClaimState, type RequestClaim } from "../../gen/ploverstage/v1/state_pb";
+import { ClaimState, type ConfigurationVersion, type RequestClaim } from "../../gen/ploverstage/v1/state_pb";
 import { EntryId } from "../../ids";
 import type { ConfigurationCache } from "../ConfigurationCache";
 import type { LeaderGuard } from "../LeaderGuard";
 import type { Leadership } from "../Leadership";
 import { getAbsentInstances } from "../LossLedger";
+import type { PatchCache } from "../PatchCache";
 
 /** What entry routes work with. */
 export interface EntryRouteOptions {
@@ -23,6 +24,7 @@
   readonly guard: LeaderGuard;
   readonly clock: Clock;
   readonly configurations: ConfigurationCache;
+  readonly patches: PatchCache;
 }
 
 /** Adds the entry service to a router. */
@@ -84,7 +86,7 @@
 }
 
 function createView(
-  { driver }: EntryRouteOptions,
+  { driver, patches }: EntryRouteOptions,
   leadership: Leadership,
   request: RenewRequest,
   configuration: Configuration | undefined,
@@ -92,14 +94,13 @@
 ): RenewResponse {
   const machine = driver.machine;
   const newest = machine.getConfiguration();
-  const isCurrent = request.knownConfiguration === newest?.version;
   const changed =
     request.knownAssignment === 0 ? undefined : machine.getReplicasChangedSince(request.knownAssignment);
   return create(RenewResponseSchema, {
     leaseMs: configuration?.timing.lease ?? 0,
     term: leadership.term,
     configurationVersion: newest?.version ?? 0,
-    configurationText: isCurrent ? "" : (newest?.text ?? ""),
+    ...createConfigurationFields(request, newest, patches),
     assignmentIndex: machine.assignmentIndex,
     full: changed === undefined,
     replicas: changed ?? machine.getReplicas(),
@@ -110,6 +111,18 @@
   });
 }
 
+/** An entry that is behind gets the difference where that is shorter, else the whole text. */
+function createConfigurationFields(
+  request: RenewRequest,
+  newest: ConfigurationVersion | undefined,
+  patches: PatchCache,
+) {
+  if (newest === undefined || request.knownConfiguration === newest.version) return {};
+  const patch = request.needsText ? undefined : patches.getPatch(request.knownConfiguration, newest);
+  if (patch === undefined) return { configurationText: newest.text };
+  return { configurationPatch: patch, configurationDigest: newest.digest };
+}
+
 function getEntryAddresses(leadership: Leadership, now: number): RenewResponse["entries"] {
   return leadership.entries
     .getLive(now, leadership.leases)
--- a/src/entry/ClusterView.ts
+++ b/src/entry/ClusterView.ts
@@ -2,7 +2,7 @@
  * What an entry has in force: configuration, replicas, addresses, as its last renewal
  * said. Everything changes at once, with one renewal.
  */
-import { type Configuration, parseConfiguration } from "../configuration";
+import { applyConfigurationPatch, type Configuration, parseConfiguration } from "../configuration";
 import type { EntryAddress, RenewResponse, ServiceEndpoint } from "../gen/ploverstage/v1/control_pb";
 import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
 import { PolicyProgram } from "../policy";
@@ -10,6 +10,7 @@
 /** A configuration with its compiled policy. */
 export interface ActiveConfiguration {
   readonly version: number;
+  readonly text: string;
   readonly declared: Configuration;
   readonly policy: PolicyProgram;
 }
@@ -24,6 +25,7 @@
   private _concurrencyShare = 0;
   private _endpoints: readonly ServiceEndpoint[] = [];
   private _term = 0;
+  private _needsText = false;
 
   /** Gets the configuration in force. */
   get configuration(): ActiveConfiguration | undefined {
@@ -50,6 +52,11 @@
     return this._term;
   }
 
+  /** Gets whether a patch did not fit, so that the whole configuration must be asked for. */
+  get needsText(): boolean {
+    return this._needsText;
+  }
+
   /** Gets all replicas that are not released. */
   getReplicas(): Replica[] {
     return [...this._replicas.values()];
@@ -90,8 +97,8 @@
   apply(response: RenewResponse): boolean {
     if (response.term < this._term || response.assignmentIndex < this._assignmentIndex) return false;
     if (response.configurationVersion < (this._configuration?.version ?? 0)) return false;
+    if (!this._applyConfiguration(response)) return false;
     this._term = response.term;
-    this._applyConfiguration(response);
     this._applyReplicas(response);
     this._entries = response.entries;
     this._absent = new Set(response.absentInstances);
@@ -100,14 +107,25 @@
     return true;
   }
 
-  private _applyConfiguration(response: RenewResponse): void {
-    if (response.configurationText === "") return;
-    const declared = parseConfiguration(
-      `version-${response.configurationVersion}`,
-      response.configurationText,
-    );
+  /** Gives whether the newest configuration is in force now. */
+  private _applyConfiguration(response: RenewResponse): boolean {
+    if (response.configurationVersion === (this._configuration?.version ?? 0)) return true;
+    const text = this._getText(response);
+    this._needsText = text === undefined;
+    if (text === undefined) return false;
+    const declared = parseConfiguration(`version-${response.configurationVersion}`, text);
     const policy = new PolicyProgram(declared.policy);
-    this._configuration = { version: response.configurationVersion, declared, policy };
+    this._configuration = { version: response.configurationVersion, text, declared, policy };
+    return true;
+  }
+
+  private _getText({
+    configurationText,
+    configurationPatch,
+    configurationDigest,
+  }: RenewResponse): string | undefined {
+    if (configurationPatch === "") return configurationText;
+    return applyConfigurationPatch(this._configuration?.text ?? "", configurationPatch, configurationDigest);
   }
 
   private _applyReplicas(response: RenewResponse): void {
--- a/src/entry/LeaseKeeper.ts
+++ b/src/entry/LeaseKeeper.ts
@@ -99,7 +99,8 @@
         return leader.renew(this._createRequest(), { timeoutMs });
       }, RENEWAL_MS);
       const before = { configuration: view.configuration?.version, assignment: view.assignmentIndex };
-      if (!view.apply(response)) return false;
+      // What could not be taken over gives no lease; a missing text is asked for at once.
+      if (!view.apply(response)) return view.needsText;
       this._sentTerm = response.term;
       if (!this._isEnded) this.lease.renew(sentAt, response.leaseMs);
       onChange();
@@ -124,6 +125,7 @@
       knownAssignment: view.assignmentIndex,
       stopping: this._isStopping,
       released: this._isEnded,
+      needsText: view.needsText,
       burn: burn.takeChanged(clock.getWallMs(), isNewLeader),
       ...this._options.getReport(),
     });
--- a/src/state/StateMachine.ts
+++ b/src/state/StateMachine.ts
@@ -4,8 +4,8 @@
  * Applying is deterministic: no clock, no randomness, no I/O. Time comes with the
  * commands, from the leader that proposed them, and never goes back.
  */
-import { createHash } from "node:crypto";
 import { clone, create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { getConfigurationDigest } from "../configuration/ConfigurationPatch";
 import type { LogEntry } from "../gen/ploverstage/v1/consensus_pb";
 import {
   type ClaimRequest,
@@ -24,6 +24,7 @@
   type State,
   StateSchema,
 } from "../gen/ploverstage/v1/state_pb";
+import { ClaimOrder } from "./ClaimOrder";
 import type { Result } from "./Result";
 
 /** Configurations whose whole text is kept; older ones keep their digest. */
@@ -35,7 +36,8 @@
 
 /** The agreed state of one member. */
 export class StateMachine {
-  private _state: State;
+  private readonly _state: State;
+  private readonly _claimOrder: ClaimOrder;
 
   /**
    * @param snapshot - An encoded state to start from.
@@ -43,6 +45,7 @@
   constructor(snapshot?: Uint8Array) {
     this._state =
       snapshot === undefined ? create(StateSchema, { nextEpoch: 1 }) : fromBinary(StateSchema, snapshot);
+    this._claimOrder = new ClaimOrder(Object.values(this._state.claims));
   }
 
   /** Gets the index of the newest entry applied. */
@@ -136,7 +139,7 @@
         operator: change.operator,
         acceptedAtMs: this._advanceClock(change.atMs),
         text: change.text,
-        digest: createHash("sha256").update(change.text).digest("hex"),
+        digest: getConfigurationDigest(change.text),
         logIndex: index,
       }),
     );
@@ -232,6 +235,7 @@
       if (existing.requestId === request.requestId) return { kind: "grantedClaim" };
       return { kind: "existingClaim", claim: { ...existing } };
     }
+    this._claimOrder.add({ key: request.key, claimedAtMs: now });
     this._state.claims[request.key] = create(RequestClaimSchema, {
       key: request.key,
       requestId: request.requestId,
@@ -243,11 +247,10 @@
     return { kind: "grantedClaim" };
   }
 
-  /** Claims stand in the order of claiming, so the old ones are in front. */
   private _forgetOldClaims(before: number): void {
-    for (const key in this._state.claims) {
-      if (this._state.claims[key]!.claimedAtMs >= before) return;
-      delete this._state.claims[key];
+    for (const old of this._claimOrder.takeBefore(before)) {
+      // Its key may have been given back and claimed again since.
+      if (this._state.claims[old.key]?.claimedAtMs === old.claimedAtMs) delete this._state.claims[old.key];
     }
   }
 
--- /dev/null
+++ b/test/entry/ClusterView.test.ts
@@ -0,0 +1,81 @@
+import { create } from "@bufbuild/protobuf";
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import {
+  applyConfigurationPatch,
+  createConfigurationPatch,
+  getConfigurationDigest,
+} from "../../src/configuration";
+import { ClusterView } from "../../src/entry";
+import { RenewResponseSchema } from "../../src/gen/ploverstage/v1/control_pb";
+import { ReplicaPhase } from "../../src/gen/ploverstage/v1/state_pb";
+import { createConfiguration } from "../support/configuration";
+
+const TEXT = createConfiguration();
+const NEXT = createConfiguration({ replicas: 7 });
+
+function createView(): ClusterView {
+  const view = new ClusterView();
+  view.apply(create(RenewResponseSchema, { term: 1, configurationVersion: 1, configurationText: TEXT }));
+  return view;
+}
+
+function createPatched(patch: string, digest = getConfigurationDigest(NEXT)) {
+  const fields = { configurationPatch: patch, configurationDigest: digest };
+  return create(RenewResponseSchema, { term: 1, configurationVersion: 2, ...fields });
+}
+
+describe("ClusterView", () => {
+  describe("apply", () => {
+    it("takes a configuration as a difference", () => {
+      const view = createView();
+      expect(view.apply(createPatched(createConfigurationPatch(TEXT, NEXT)))).toBe(true);
+      expect(view.configuration).toMatchObject({ version: 2, text: NEXT });
+      expect(view.configuration?.declared.groups[0]?.replicas).toBe(7);
+    });
+
+    it.each([
+      ["is made from another text", createConfigurationPatch(createConfiguration({ replicas: 3 }), NEXT)],
+      ["gives another text", createConfigurationPatch(TEXT, createConfiguration({ replicas: 9 }))],
+      ["is no patch", "@@ nonsense"],
+    ])("keeps what it has, and asks for the text, when a patch %s", (_, patch) => {
+      const view = createView();
+      expect(view.apply(createPatched(patch))).toBe(false);
+      expect(view.needsText).toBe(true);
+      expect(view.configuration?.version).toBe(1);
+      view.apply(create(RenewResponseSchema, { term: 1, configurationVersion: 2, configurationText: NEXT }));
+      expect(view.needsText).toBe(false);
+      expect(view.configuration?.text).toBe(NEXT);
+    });
+
+    it("takes nothing back when an answer was overtaken", () => {
+      const view = createView();
+      view.apply(createPatched(createConfigurationPatch(TEXT, NEXT)));
+      expect(view.apply(create(RenewResponseSchema, { term: 1, configurationVersion: 1 }))).toBe(false);
+      expect(view.apply(create(RenewResponseSchema, { term: 0, configurationVersion: 2 }))).toBe(false);
+      expect(view.configuration?.version).toBe(2);
+    });
+
+    it("takes changes of replicas, and forgets released ones", () => {
+      const view = createView();
+      const base = { term: 1, configurationVersion: 1 };
+      const replicas = ["a", "b"].map((id) => ({ id, model: "m", phase: ReplicaPhase.SERVING }));
+      view.apply(create(RenewResponseSchema, { ...base, assignmentIndex: 1, full: true, replicas }));
+      const released = [{ id: "a", model: "m", phase: ReplicaPhase.RELEASED }];
+      view.apply(create(RenewResponseSchema, { ...base, assignmentIndex: 2, replicas: released }));
+      expect(view.getServingReplicas("m").map((replica) => replica.id)).toEqual(["b"]);
+    });
+  });
+});
+
+describe("applyConfigurationPatch", () => {
+  it("gives back any text out of any other", () => {
+    const lines = fc.array(fc.constantFrom("", "a = 1", "b = 2", "[t]", "# é"), { maxLength: 12 });
+    const text = lines.map((parts) => parts.join("\n"));
+    const property = fc.property(text, text, (before, after) => {
+      const patch = createConfigurationPatch(before, after);
+      expect(applyConfigurationPatch(before, patch, getConfigurationDigest(after))).toBe(after);
+    });
+    fc.assert(property, { seed: 1, numRuns: 500 });
+  });
+});
--- a/test/state/StateMachine.test.ts
+++ b/test/state/StateMachine.test.ts
@@ -207,6 +207,22 @@
       expect(machine.claim("k", "3")).toMatchObject({ kind: "existingClaim" });
     });
 
+    it("keep a key that was given back and claimed again for its own time", () => {
+      const machine = new Machine();
+      machine.claim("k", "1", 1_000);
+      machine.settle("k", "1", ClaimState.UNSPECIFIED);
+      machine.claim("k", "2", 1_900);
+      machine.claim("other", "3", 2_500);
+      expect(machine.claim("k", "4", 2_600)).toMatchObject({ kind: "existingClaim" });
+      expect(machine.claim("k", "5", 2_901)).toEqual({ kind: "grantedClaim" });
+    });
+
+    it("forget in order, however many there were", () => {
+      const machine = new Machine();
+      for (let i = 0; i < 5_000; i++) machine.claim(`k${i}`, "1", i, 1_000);
+      expect(machine.state.getClaimCount()).toBe(1_001);
+    });
+
     it("are forgotten after their retention, and time never goes back", () => {
       const machine = new Machine();
       machine.claim("k", "1", 5_000);
