Let one loop try a request again, for models and services alike

Cause: the retry loop stood twice, with its rules on outcomes and excluded endpoints; a handful of requests after a start raised a slow burn alert, seen on the new-user tour. Change: runAttempts; alerts need twenty requests.

--- a/src/burn/BurnReport.ts
+++ b/src/burn/BurnReport.ts
@@ -70,6 +70,7 @@
   { alert: "fast", longMinutes: 60, shortMinutes: 5, rate: 14.4 },
   { alert: "slow", longMinutes: 360, shortMinutes: 30, rate: 6 },
 ];
+const MIN_ALERT_REQUESTS = 20;
 const MS_PER_MINUTE = 60_000;
 /** Promised of a class that the configuration no longer declares. */
 const DEFAULT_OBJECTIVE = 0.95;
@@ -144,7 +145,9 @@
   return bad / total / (1 - objective);
 }
 
+/** A handful of requests can't burn an allowance that anyone should be woken for. */
 function getAlert(spans: readonly BurnSpan[]): "fast" | "slow" | undefined {
+  if ((spans.at(-1)?.total ?? 0) < MIN_ALERT_REQUESTS) return undefined;
   const getRate = (minutes: number) => spans.find((span) => span.minutes === minutes)?.burnRate ?? 0;
   return RULES.find(
     (rule) => getRate(rule.longMinutes) >= rule.rate && getRate(rule.shortMinutes) >= rule.rate,
--- a/src/entry/filters/ModelDispatch.ts
+++ b/src/entry/filters/ModelDispatch.ts
@@ -15,12 +15,13 @@
 import type { AnswerWriter } from "../AnswerWriter";
 import type { Claims } from "../Claims";
 import type { ActiveConfiguration, ClusterView } from "../ClusterView";
-import { AttemptHistory, classifyFailure, type Failure } from "../failures";
+import type { Failure } from "../failures";
 import { Refusal } from "../Refusal";
 import type { ReplicaRouter, Route } from "../ReplicaRouter";
 import type { ClassifiedRequest, ModelCall } from "../requests";
 import { PROMPT_TOKEN_COST } from "../tokens";
 import type { Admission, Placer } from "./Admission";
+import { runAttempts } from "./runAttempts";
 
 /** A classified model request. */
 export type ModelRequest = ClassifiedRequest & { readonly call: ModelCall };
@@ -90,23 +91,23 @@
     this._budget.addRequest(limits.retryRatio);
     const excluded = new Set<string>();
     const placer = this._createPlacer(excluded);
-    const history = new AttemptHistory();
-    for (let retries = 0; ; retries++) {
-      const route = await history.guard(() =>
-        this._options.admission.admit(request, placer, limits.queueLength, signal),
-      );
-      try {
+    const { result, retries } = await runAttempts<Route, Omit<ModelResult, "retries">>({
+      admit: () => this._options.admission.admit(request, placer, limits.queueLength, signal),
+      attempt: async (route) => {
         await this._options.claims.claimOnce(request);
-        return { ...(await this._attempt(request, route, writer, signal)), retries };
-      } catch (cause) {
-        const failure = classifyFailure(cause);
+        return this._attempt(request, route, writer, signal);
+      },
+      noteFailure: (route, failure) => {
         this._endWork(route.work, failure, signal);
-        history.addFailure(failure);
-        if (!this._mayRetry(request, failure, writer, signal)) throw history.createRefusal(failure.refusal);
-        writer.reset();
         excluded.add(route.replica.id);
-      }
-    }
+      },
+      mayRetry: (failure) => {
+        const mayRetry = this._mayRetry(request, failure, writer, signal);
+        if (mayRetry) writer.reset();
+        return mayRetry;
+      },
+    });
+    return { ...result, retries };
   }
 
   /** Aborts attempts whose replica was lost under them. */
--- a/src/entry/filters/ServiceDispatch.ts
+++ b/src/entry/filters/ServiceDispatch.ts
@@ -17,10 +17,11 @@
 import { ANSWER_HEADER } from "../AnswerWriter";
 import type { Claims } from "../Claims";
 import type { ActiveConfiguration, ClusterView } from "../ClusterView";
-import { AttemptHistory, classifyFailure } from "../failures";
+import type { Failure } from "../failures";
 import { Refusal } from "../Refusal";
 import type { ClassifiedRequest, ServiceCall } from "../requests";
 import type { Admission, Placer } from "./Admission";
+import { runAttempts } from "./runAttempts";
 
 /** A classified service call. */
 export type ServiceRequest = ClassifiedRequest & { readonly call: ServiceCall };
@@ -99,28 +100,31 @@
     this._budget.addRequest(limits.retryRatio);
     const excluded = new Set<string>();
     const placer = this._createPlacer(active, excluded);
-    const history = new AttemptHistory();
-    for (let retries = 0; ; retries++) {
-      const route = await history.guard(() =>
-        this._options.admission.admit(request, placer, limits.queueLength, signal),
-      );
-      try {
+    const { result, retries } = await runAttempts<ServiceRoute, Omit<ServiceResult, "retries">>({
+      admit: () => this._options.admission.admit(request, placer, limits.queueLength, signal),
+      attempt: async (route) => {
         await this._options.claims.claimOnce(request);
-        const status = await this._attempt(request, route, active, response, signal);
-        return { instanceId: route.endpoint.instanceId, status, retries };
-      } catch (cause) {
-        const failure = classifyFailure(signal.aborted ? signal.reason : cause);
-        route.work.end(
-          this._options.clock.getMonotonicMs(),
-          failure.isEndpointFault ? "failed" : "cancelled",
+        const status = await this._attempt(request, route, active, response, signal).catch(
+          (cause: unknown) => {
+            throw signal.aborted ? signal.reason : cause;
+          },
         );
-        history.addFailure(failure);
-        const mayRepeat = failure.wasNotRun || request.isRepeatable;
-        const mayRetry = mayRepeat && failure.isEndpointFault && !response.headersSent;
-        if (!mayRetry || !this._budget.takeRetry()) throw history.createRefusal(failure.refusal);
+        return { instanceId: route.endpoint.instanceId, status };
+      },
+      noteFailure: (route, failure) => {
+        const end = failure.isEndpointFault ? "failed" : "cancelled";
+        route.work.end(this._options.clock.getMonotonicMs(), end);
         excluded.add(route.endpoint.instanceId);
-      }
-    }
+      },
+      mayRetry: (failure) => this._mayRetry(request, failure, response),
+    });
+    return { ...result, retries };
+  }
+
+  private _mayRetry(request: ServiceRequest, failure: Failure, response: ServerResponse): boolean {
+    const mayRepeat = failure.wasNotRun || request.isRepeatable;
+    if (!mayRepeat || !failure.isEndpointFault || response.headersSent) return false;
+    return this._budget.takeRetry();
   }
 
   private async _attempt(
--- a/test/burn/burn.test.ts
+++ b/test/burn/burn.test.ts
@@ -45,6 +45,11 @@
   it("alerts fast while both the hour and the last minutes burn", () => doTest([0, 50], 20, 0.99, "fast"));
   it("does not alert for what is over", () => doTest([50, 55], 20, 0.99, undefined));
   it("alerts slowly for what smoulders", () => doTest([0, 10, 100, 200, 300], 8, 0.99, "slow"));
+  it("does not alert for a handful of requests", () => {
+    const recorder = new BurnRecorder();
+    record(recorder, 0, 2, 3);
+    expect(report(recorder).rows[0]!.alert).toBeUndefined();
+  });
   it("gives no rate for nothing", () => doTest([0], 0, 0.99, undefined));
   it("takes a class that is no longer declared", () => {
     const recorder = new BurnRecorder();
