Wait for the entry to hear that another is gone

The promise is that a dead entry leaves the answers within seconds. Ruled out: control's list (in force means that the dead entry's lease is over). Change: waits on the condition; the list must still come to exactly one entry.

--- a/test/system/endpoints.test.ts
+++ b/test/system/endpoints.test.ts
@@ -170,10 +170,12 @@
     );
     const version = await cluster.apply(createConfiguration({ replicas: 2, extra: "# after the loss" }));
     expect(version).toBe(2);
-    const answer = await callEntry(cluster.entryAddresses[1]!, { method: "GET", path: "/v1/addresses" });
-    expect(JSON.parse(answer.text).addresses).toEqual([
-      { address: cluster.entryAddresses[1], failure_domain: "domain-1" },
-    ]);
+    // The entry hears of it with its next renewal.
+    const alive = { address: cluster.entryAddresses[1], failure_domain: "domain-1" };
+    await waitUntil("the lost entry is no longer given out", async () => {
+      const answer = await callEntry(cluster.entryAddresses[1]!, { method: "GET", path: "/v1/addresses" });
+      return JSON.stringify(JSON.parse(answer.text).addresses) === JSON.stringify([alive]);
+    });
   });
 
   it("are ruled by the next leader when the leader dies in the middle of a repair", async () => {
