Count service-level minutes in one place

Cause: read as a newcomer, the length of a minute and the way to a window's minute stood four times, once as a bare number in the control process. Change: minutes.ts. No behaviour changes.

--- a/src/burn/BurnRecorder.ts
+++ b/src/burn/BurnRecorder.ts
@@ -3,6 +3,7 @@
 import { type BurnWindow, BurnWindowSchema } from "../gen/ploverstage/v1/control_pb";
 import { HELD_MINUTES } from "./BurnStore";
 import { addDuration, createHistogram, encodeHistogram, type Histogram } from "./Histogram";
+import { getMinute } from "./minutes";
 
 /** How one request ended, for the service level. */
 export type BurnOutcome = "good" | "late" | "shed" | "failed";
@@ -17,8 +18,6 @@
   sentCount: number;
 }
 
-const MS_PER_MINUTE = 60_000;
-
 /** Counts requests into windows. */
 export class BurnRecorder {
   private readonly _windows = new Map<string, Window>();
@@ -35,7 +34,7 @@
     outcome: BurnOutcome,
     firstTokenMs: number | undefined,
   ): void {
-    const minute = Math.floor(wallMs / MS_PER_MINUTE);
+    const minute = getMinute(wallMs);
     const window = this._getWindow(minute, organisation, requestClass);
     window.counts[outcome] += 1;
     if (firstTokenMs !== undefined) addDuration(window.firstToken, firstTokenMs);
@@ -46,7 +45,7 @@
    * @param isAll - Takes all: a new leader knows none.
    */
   takeChanged(wallMs: number, isAll: boolean): BurnWindow[] {
-    const oldest = Math.floor(wallMs / MS_PER_MINUTE) - HELD_MINUTES;
+    const oldest = getMinute(wallMs) - HELD_MINUTES;
     const taken: BurnWindow[] = [];
     for (const [key, window] of this._windows) {
       if (window.minute < oldest) {
--- a/src/burn/BurnReport.ts
+++ b/src/burn/BurnReport.ts
@@ -8,6 +8,7 @@
  */
 import type { BurnWindow, LossStatus } from "../gen/ploverstage/v1/control_pb";
 import { createHistogram, decodeHistogram } from "./Histogram";
+import { getMinute } from "./minutes";
 
 /** What a class promises. */
 export interface Objective {
@@ -71,7 +72,6 @@
   { alert: "slow", longMinutes: 360, shortMinutes: 30, rate: 6 },
 ];
 const MIN_ALERT_REQUESTS = 20;
-const MS_PER_MINUTE = 60_000;
 /** Promised of a class that the configuration no longer declares. */
 const DEFAULT_OBJECTIVE = 0.95;
 
@@ -82,7 +82,7 @@
   objectives: readonly Objective[],
   losses: readonly LossStatus[],
 ): BurnReport {
-  const nowMinute = Math.floor(nowMs / MS_PER_MINUTE);
+  const nowMinute = getMinute(nowMs);
   const rows = [...groupWindows(windows).values()].map((group) => createRow(nowMinute, group, objectives));
   return { atMs: nowMs, rows: rows.sort(compareRows), minutes: createMinutes(nowMinute, windows), losses };
 }
--- a/src/burn/index.ts
+++ b/src/burn/index.ts
@@ -11,4 +11,5 @@
 } from "./BurnReport";
 export { BurnStore, HELD_MINUTES, mergeWindows } from "./BurnStore";
 export { addDuration, createHistogram, decodeHistogram, encodeHistogram, type Histogram } from "./Histogram";
+export { getMinute, MS_PER_MINUTE } from "./minutes";
 export { renderBurnHtml } from "./renderBurnHtml";
--- a/src/burn/renderBurnHtml.ts
+++ b/src/burn/renderBurnHtml.ts
@@ -1,5 +1,6 @@
 /** The burn report as one self-contained HTML page with plots. */
 import type { BurnMinute, BurnReport, BurnRow } from "./BurnReport";
+import { MS_PER_MINUTE } from "./minutes";
 
 const PLOT = { width: 720, height: 160, margin: 32 } as const;
 const PERCENT = 100;
@@ -52,7 +53,7 @@
 }
 
 function formatMinute(minute: number): string {
-  return new Date(minute * 60_000).toISOString().slice(11, 16);
+  return new Date(minute * MS_PER_MINUTE).toISOString().slice(11, 16);
 }
 
 function renderRows(rows: readonly BurnRow[]): string {
--- a/src/control/Leadership.ts
+++ b/src/control/Leadership.ts
@@ -4,7 +4,7 @@
  * Each step confirms the leadership with a majority, then plans on the facts and
  * carries the plan out: changes of replicas through the log, loads by fenced orders.
  */
-import { BurnStore } from "../burn";
+import { BurnStore, getMinute } from "../burn";
 import type { Clock } from "../clock";
 import type { Configuration } from "../configuration";
 import type { ConsensusDriver } from "../consensus";
@@ -215,7 +215,7 @@
     this.monitor.presence.update(now, presenceWindow, configuration.planning.maxWait);
     this.leases.removeExpired(now, lease);
     this.entries.removeUnleased(now, this.leases);
-    this.burn.removeOld(Math.floor(this._options.clock.getWallMs() / 60_000));
+    this.burn.removeOld(getMinute(this._options.clock.getWallMs()));
   }
 
   private _reportLosses(): void {
