--- a/src/control/ControlProcess.ts
+++ b/src/control/ControlProcess.ts
@@ -15,6 +15,7 @@
   RaftNode,
   SeededRandom,
 } from "../consensus";
+import { HttpInstanceSource } from "../discovery";
 import { HttpEngine } from "../engine";
 import { ForeignData } from "../errors";
 import { ConsensusService, type Member } from "../gen/ploverstage/v1/consensus_pb";
@@ -22,7 +23,6 @@
 import { MemberId } from "../ids";
 import { FileStorage, type StoredState } from "../log";
 import type { Logger, Metrics } from "../metrics";
-import { HttpPlatform } from "../platform";
 import { startHealthServer } from "../process";
 import { createRpcTransport, createSecretGuard, LeaderClient, RpcServer } from "../rpc";
 import type { ControlSettings } from "../settings";
@@ -206,7 +206,7 @@
     current?.end();
     current = undefined;
     if (!driver.isLeader()) return;
-    const platform = new HttpPlatform(client, settings.platform.address);
+    const platform = new HttpInstanceSource(client, settings.platform.address);
     current = new Leadership({ driver, platform, createEngine, clock, logger, metrics, configurations });
     current.start();
     logger.info({ event: "leadership_began", term: current.term });
--- a/src/control/InstanceMonitor.ts
+++ b/src/control/InstanceMonitor.ts
@@ -1,13 +1,13 @@
 /** Asks the platform which instances there are, and each engine whether it is there. */
 import type { Clock } from "../clock";
+import type { Instance, InstanceSource } from "../discovery";
 import type { Engine } from "../engine";
 import type { InstanceId } from "../ids";
-import type { Instance, Platform } from "../platform";
 import { type EngineFactory, PresenceProber, type PresenceTable } from "../presence";
 
 /** What a monitor works with. */
 export interface InstanceMonitorOptions {
-  readonly platform: Platform;
+  readonly platform: InstanceSource;
   readonly createEngine: EngineFactory;
   readonly clock: Clock;
   /** Called when the platform did not answer; the last list stays in use. */
@@ -23,7 +23,7 @@
   private _hasList = false;
 
   /**
-   * @param options - Platform, engine factory and clock.
+   * @param options - InstanceSource, engine factory and clock.
    */
   constructor(options: InstanceMonitorOptions) {
     this._options = options;
--- a/src/control/Leadership.ts
+++ b/src/control/Leadership.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "../clock";
 import type { Configuration } from "../configuration";
 import type { ConsensusDriver } from "../consensus";
+import type { InstanceSource } from "../discovery";
 import type { EngineOrder } from "../engine";
 import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
 import type { InstanceId } from "../ids";
@@ -23,7 +24,6 @@
   REASON,
   type WarmInstanceAction,
 } from "../planner";
-import type { Platform } from "../platform";
 import type { EngineFactory } from "../presence";
 import type { ConfigurationCache } from "./ConfigurationCache";
 import { EntryRegistry } from "./EntryRegistry";
@@ -33,7 +33,7 @@
 /** What a leadership works with. */
 export interface LeadershipOptions {
   readonly driver: ConsensusDriver;
-  readonly platform: Platform;
+  readonly platform: InstanceSource;
   readonly createEngine: EngineFactory;
   readonly clock: Clock;
   readonly logger: Logger;
--- a/src/platform/HttpPlatform.ts
+++ b/src/discovery/HttpInstanceSource.ts
@@ -3,7 +3,7 @@
 import { MalformedAnswer, RefusedOrder } from "../errors";
 import type { HttpClient } from "../http";
 import { InstanceId } from "../ids";
-import type { Instance, Platform } from "./Platform";
+import type { Instance, InstanceSource } from "./InstanceSource";
 
 const InstancesSchema = Schema.Struct({
   instances: Schema.Array(
@@ -23,7 +23,7 @@
 const decodeInstances = Schema.decodeUnknownResult(InstancesSchema);
 
 /** The platform at one address. */
-export class HttpPlatform implements Platform {
+export class HttpInstanceSource implements InstanceSource {
   private readonly _client: HttpClient;
   private readonly _address: string;
 
--- a/src/platform/Platform.ts
+++ b/src/discovery/InstanceSource.ts
@@ -21,7 +21,7 @@
 }
 
 /** The platform's interface. */
-export interface Platform {
+export interface InstanceSource {
   /**
    * Gets the instances that the platform knows of.
    * @throws UnreachableEndpoint, LostAnswer, MalformedAnswer
--- a/src/state/Result.ts
+++ b/src/state/Result.ts
@@ -41,6 +41,17 @@
   readonly kind: "settledClaim";
 }
 
+/** A declaration holds: the one proposed, or a higher version that came before it. */
+export interface HeldDeclaration {
+  readonly kind: "heldDeclaration";
+  readonly version: number;
+}
+
+/** Departures are on record. */
+export interface RecordedDepartures {
+  readonly kind: "recordedDepartures";
+}
+
 /** Any result of a command. */
 export type Result =
   | AcceptedConfiguration
@@ -49,4 +60,6 @@
   | RefusedReplica
   | GrantedClaim
   | ExistingClaim
-  | SettledClaim;
+  | SettledClaim
+  | HeldDeclaration
+  | RecordedDepartures;
--- a/src/state/StateMachine.ts
+++ b/src/state/StateMachine.ts
@@ -13,8 +13,13 @@
   CommandSchema,
   type ConfigurationVersion,
   ConfigurationVersionSchema,
+  type Declaration,
+  DeclarationSchema,
+  DepartureSchema,
   type FormReplica,
   type MoveReplica,
+  type PutDeclaration,
+  type RecordDepartures,
   type Replica,
   ReplicaPhase,
   ReplicaSchema,
@@ -33,11 +38,14 @@
 const KEPT_VERSIONS = 1000;
 /** Released replicas kept, so that entries can be sent changes only. */
 const KEPT_TOMBSTONES = 500;
+/** Departures kept; an instance that left so long ago reports no more. */
+const KEPT_DEPARTURES = 4_096;
 
 /** The agreed state of one member. */
 export class StateMachine {
   private readonly _state: State;
   private readonly _claimOrder: ClaimOrder;
+  private readonly _departed: Set<string>;
 
   /**
    * @param snapshot - An encoded state to start from.
@@ -46,6 +54,7 @@
     this._state =
       snapshot === undefined ? create(StateSchema, { nextEpoch: 1 }) : fromBinary(StateSchema, snapshot);
     this._claimOrder = new ClaimOrder(Object.values(this._state.claims));
+    this._departed = new Set(this._state.departures.map((departure) => departure.instanceId));
   }
 
   /** Gets the index of the newest entry applied. */
@@ -97,6 +106,16 @@
     return Object.values(this._state.replicas).filter((replica) => replica.changedAtIndex > index);
   }
 
+  /** Gets the declaration with the highest version. */
+  getDeclaration(): Declaration | undefined {
+    return this._state.declaration;
+  }
+
+  /** Checks whether an instance said that it leaves. */
+  hasDeparted(instanceId: string): boolean {
+    return this._departed.has(instanceId);
+  }
+
   /** Encodes the state for a snapshot. */
   encode(): Uint8Array {
     return toBinary(StateSchema, this._state);
@@ -121,6 +140,10 @@
         return this._addClaim(command.value);
       case "settle":
         return this._settleClaim(command.value);
+      case "putDeclaration":
+        return this._putDeclaration(command.value);
+      case "recordDepartures":
+        return this._recordDepartures(entry.index, command.value);
       default:
         return undefined;
     }
@@ -267,6 +290,29 @@
     return { kind: "settledClaim" };
   }
 
+  private _putDeclaration(put: PutDeclaration): Result {
+    const held = this._state.declaration?.version ?? 0;
+    if (put.version <= held) return { kind: "heldDeclaration", version: held };
+    this._state.declaration = create(DeclarationSchema, {
+      version: put.version,
+      document: put.document,
+      acceptedAtMs: this._advanceClock(put.atMs),
+    });
+    return { kind: "heldDeclaration", version: put.version };
+  }
+
+  private _recordDepartures(index: number, record: RecordDepartures): Result {
+    for (const instanceId of record.instanceIds) {
+      if (this._departed.has(instanceId)) continue;
+      this._departed.add(instanceId);
+      this._state.departures.push(create(DepartureSchema, { instanceId, logIndex: index }));
+    }
+    while (this._state.departures.length > KEPT_DEPARTURES) {
+      this._departed.delete(this._state.departures.shift()!.instanceId);
+    }
+    return { kind: "recordedDepartures" };
+  }
+
   private _advanceClock(atMs: number): number {
     this._state.clockMs = Math.max(this._state.clockMs, atMs);
     return this._state.clockMs;
