--- a/src/cli/processes.ts
+++ b/src/cli/processes.ts
@@ -1,10 +1,10 @@
 /** The commands that run a process: `control`, `entry`, and `init` before the first one. */
 import type { Command } from "commander";
-import { Effect, Exit, Scope } from "effect";
+import { Effect, type Scope } from "effect";
 import { initializeDataFolder, startControlProcess } from "../control";
 import { startEntryProcess } from "../entry";
 import { createLogger, type Logger, type Metrics, SilentMetrics, StatsdMetrics } from "../metrics";
-import { awaitStopSignal, reportResources } from "../process";
+import { reportResources, runProcess } from "../process";
 import { readControlSettings, readEntrySettings, readSecret } from "../settings";
 import { EXIT, printLine } from "./output";
 
@@ -80,17 +80,13 @@
   metrics: Metrics,
   logger: Logger,
 ): Promise<void> {
-  const scope = await Effect.runPromise(Scope.make());
-  const run = Effect.gen(function* () {
+  const all = Effect.gen(function* () {
     yield* start;
     yield* reportResources(metrics);
-    return yield* awaitStopSignal;
   });
   try {
-    const signal = await Effect.runPromise(Scope.provide(run, scope));
-    logger.info({ event: "stopping", signal });
+    await runProcess(all, logger);
   } finally {
-    await Effect.runPromise(Scope.close(scope, Exit.void));
     metrics.close();
   }
 }
--- a/src/control/LeaderGuard.ts
+++ b/src/control/LeaderGuard.ts
@@ -3,17 +3,16 @@
 import type { ConsensusDriver } from "../consensus";
 import { AbsentLeader, FullProposalQueue, UnknownProposal } from "../errors";
 import { createLeaderRefusal } from "../rpc";
-import type { Leadership } from "./Leadership";
 
 /** Guards what only the leader answers. */
-export class LeaderGuard {
+export class LeaderGuard<L> {
   private readonly _driver: ConsensusDriver;
-  private readonly _getLeadership: () => Leadership | undefined;
+  private readonly _getLeadership: () => L | undefined;
 
   /**
    * @param getLeadership - Gives the leadership of the present term, if this process leads.
    */
-  constructor(driver: ConsensusDriver, getLeadership: () => Leadership | undefined) {
+  constructor(driver: ConsensusDriver, getLeadership: () => L | undefined) {
     this._driver = driver;
     this._getLeadership = getLeadership;
   }
@@ -22,7 +21,7 @@
    * Runs a call that proposes: what is committed proves the leadership, so no round is
    * spent on confirming it first.
    */
-  async propose<R>(action: (leadership: Leadership) => R | Promise<R>): Promise<R> {
+  async propose<R>(action: (leadership: L) => R | Promise<R>): Promise<R> {
     try {
       return await action(this._getLeadershipOrThrow());
     } catch (cause) {
@@ -35,7 +34,7 @@
    * @throws ConnectError - FAILED_PRECONDITION naming the leader, or UNAVAILABLE when
    * the fate of a proposal is unknown; both may be tried again.
    */
-  async run<R>(action: (leadership: Leadership) => R | Promise<R>): Promise<R> {
+  async run<R>(action: (leadership: L) => R | Promise<R>): Promise<R> {
     try {
       await this._driver.confirmLeadership();
       return await action(this._getLeadershipOrThrow());
@@ -44,7 +43,7 @@
     }
   }
 
-  private _getLeadershipOrThrow(): Leadership {
+  private _getLeadershipOrThrow(): L {
     const leadership = this._getLeadership();
     if (leadership !== undefined) return leadership;
     throw new AbsentLeader({ leaderAddress: this._driver.getLeaderAddress() });
--- /dev/null
+++ b/src/control/LeadershipWatch.ts
@@ -0,0 +1,75 @@
+/** Begins what a process holds only while it leads with each of its terms, and ends it after. */
+import type { ConsensusDriver } from "../consensus";
+import type { Logger, Metrics } from "../metrics";
+
+/** What a process holds while it leads in one term. */
+export interface TermBound {
+  readonly term: number;
+  /** Starts its work. */
+  start(): void;
+  /** Ends its work; called once. */
+  end(): void;
+}
+
+/** What a watch works with. */
+export interface LeadershipWatchOptions<L extends TermBound> {
+  readonly driver: ConsensusDriver;
+  /** Makes what the present term needs. */
+  readonly createLeadership: () => L;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+const WATCH_MS = 50;
+
+/** Follows whether this process leads. */
+export class LeadershipWatch<L extends TermBound> {
+  private readonly _options: LeadershipWatchOptions<L>;
+  private readonly _timer: NodeJS.Timeout;
+  private _current: L | undefined;
+
+  /**
+   * @param options - Driver and factory.
+   */
+  constructor(options: LeadershipWatchOptions<L>) {
+    this._options = options;
+    this._timer = setInterval(() => {
+      this._update();
+      this._report();
+    }, WATCH_MS);
+  }
+
+  /** Gets the leadership of the present term, if this process leads. */
+  getLeadership(): L | undefined {
+    this._update();
+    return this._current;
+  }
+
+  /** Ends the leadership and the watch. */
+  stop(): void {
+    clearInterval(this._timer);
+    this._current?.end();
+    this._current = undefined;
+  }
+
+  private _update(): void {
+    const { driver, createLeadership, logger } = this._options;
+    const leads = driver.isLeader();
+    if (leads && this._current?.term === driver.node.term) return;
+    if (!leads && this._current === undefined) return;
+    if (this._current !== undefined) logger.info({ event: "leadership_ended", term: this._current.term });
+    this._current?.end();
+    this._current = undefined;
+    if (!leads) return;
+    this._current = createLeadership();
+    this._current.start();
+    logger.info({ event: "leadership_began", term: this._current.term });
+  }
+
+  private _report(): void {
+    const { driver, metrics } = this._options;
+    metrics.gauge("consensus_term", driver.node.term);
+    metrics.gauge("consensus_commit_index", driver.node.commitIndex);
+    metrics.gauge("consensus_leader", driver.isLeader() ? 1 : 0);
+  }
+}
--- a/src/control/PeerTransport.ts
+++ b/src/control/PeerTransport.ts
@@ -20,7 +20,7 @@
   private _isOpen = false;
   private readonly _closed = new AbortController();
 
-  constructor(address: string, secret: string) {
+  constructor(address: string, secret: string | undefined) {
     this._client = createClient(ConsensusService, createRpcTransport(address, secret));
   }
 
@@ -71,13 +71,13 @@
 
 /** Queues to all members. */
 export class PeerTransport implements Transport {
-  private readonly _secret: string;
+  private readonly _secret: string | undefined;
   private readonly _queues = new Map<string, PeerQueue>();
 
   /**
    * @param secret - The cluster's shared secret.
    */
-  constructor(secret: string) {
+  constructor(secret: string | undefined) {
     this._secret = secret;
   }
 
--- /dev/null
+++ b/src/control/member.ts
@@ -0,0 +1,116 @@
+/** What every kind of control process needs to be a member of the agreed state. */
+import { randomBytes } from "node:crypto";
+import { Effect } from "effect";
+import type { Clock } from "../clock";
+import {
+  ConsensusDriver,
+  createMembership,
+  DEFAULT_TIMING,
+  isVoter,
+  RaftNode,
+  SeededRandom,
+  type Transport,
+} from "../consensus";
+import { ConsensusService, type Member } from "../gen/ploverstage/v1/consensus_pb";
+import { MemberId } from "../ids";
+import { FileStorage, type StoredState } from "../log";
+import type { Logger } from "../metrics";
+import { createSecretGuard, LeaderClient, RpcServer } from "../rpc";
+
+const JOIN_MS = 2_000;
+const JOIN_PAUSE_MS = 200;
+
+/** Gets the id of a member that is there from the first start. */
+export function getFirstId(name: string): MemberId {
+  return MemberId(`${name}.0`);
+}
+
+/** Makes a member as the log keeps it. */
+export function createMember(name: string, id: MemberId, address: string, failureDomain: string): Member {
+  return { $typeName: "ploverstage.v1.Member", id, name, address, learner: false, failureDomain };
+}
+
+/** Opens a data folder; an empty one gets a new identity, without members: it waits to be let in. */
+export async function openDataFolder(folder: string, name: string, logger: Logger) {
+  if ((await FileStorage.getMemberId(folder)) === undefined) {
+    const id = MemberId(`${name}.${randomBytes(6).toString("hex")}`);
+    await FileStorage.create(folder, id, undefined);
+    logger.warn({ event: "data_folder_created", member: id, reason: "it was empty; joining as a learner" });
+  }
+  return FileStorage.open(folder);
+}
+
+/** What a member's driver is made of. */
+export interface MemberDriverOptions {
+  readonly storage: FileStorage;
+  readonly stored: StoredState;
+  readonly transport: Transport;
+  readonly getAddress: (memberId: MemberId) => string | undefined;
+  readonly clock: Clock;
+  readonly onFatal: (cause: unknown) => void;
+}
+
+/** Makes the driver of a member from what its disk held. */
+export function createMemberDriver(options: MemberDriverOptions): ConsensusDriver {
+  const { storage, stored, transport, getAddress, clock, onFatal } = options;
+  const node = new RaftNode({
+    id: stored.memberId,
+    membership: createMembership([]),
+    hardState: stored.hardState,
+    snapshot: stored.snapshot,
+    entries: stored.entries,
+    timing: DEFAULT_TIMING,
+    random: new SeededRandom(randomBytes(4).readInt32LE()),
+    now: clock.getMonotonicMs(),
+  });
+  const { hardState, snapshot } = stored;
+  return new ConsensusDriver({ node, hardState, snapshot, storage, transport, getAddress, clock, onFatal });
+}
+
+/** Serves interfaces of our own protocol for as long as the scope is open. */
+export function serveRpc(
+  listen: string,
+  secret: string | undefined,
+  interfaceName: string,
+  routes: Parameters<typeof RpcServer.start>[0]["routes"],
+) {
+  const interceptors = secret === undefined ? [] : [createSecretGuard(secret, interfaceName)];
+  return Effect.acquireRelease(
+    Effect.tryPromise({
+      try: () => RpcServer.start({ listen, routes, interceptors }),
+      catch: (cause) => cause,
+    }),
+    (server) => Effect.promise(() => server.stop()),
+  );
+}
+
+/** What joining needs. */
+export interface JoinOptions {
+  readonly driver: ConsensusDriver;
+  /** This member. */
+  readonly member: Member;
+  /** Where other members may be found. */
+  readonly addresses: readonly string[];
+  readonly followsHints: boolean;
+  readonly secret: string | undefined;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** Asks the leader to let this member in, until it votes. */
+export function joinMembership(options: JoinOptions): Effect.Effect<unknown> {
+  const { driver, member, addresses, followsHints, secret, clock, logger } = options;
+  if (addresses.length === 0) return Effect.void;
+  const client = new LeaderClient(ConsensusService, { addresses, followsHints, secret, clock });
+  const step = Effect.promise(async () => {
+    if (isVoter(driver.node.membership, driver.node.id)) return true;
+    const answer = await client
+      .call((leader, timeoutMs) => leader.join({ member }, { timeoutMs }), JOIN_MS)
+      .catch((cause: unknown) => logger.warn({ event: "join_failed", reason: String(cause) }));
+    return answer?.voting ?? false;
+  });
+  return step.pipe(
+    Effect.tap((isVoting) => (isVoting ? Effect.void : Effect.sleep(JOIN_PAUSE_MS))),
+    Effect.repeat({ until: (isVoting) => isVoting }),
+  );
+}
--- a/src/control/routes/entryRoutes.ts
+++ b/src/control/routes/entryRoutes.ts
@@ -21,7 +21,7 @@
 /** What entry routes work with. */
 export interface EntryRouteOptions {
   readonly driver: ConsensusDriver;
-  readonly guard: LeaderGuard;
+  readonly guard: LeaderGuard<Leadership>;
   readonly clock: Clock;
   readonly configurations: ConfigurationCache;
   readonly patches: PatchCache;
--- a/src/control/routes/operatorRoutes.ts
+++ b/src/control/routes/operatorRoutes.ts
@@ -8,12 +8,13 @@
 import type { Result } from "../../state";
 import type { ConfigurationCache } from "../ConfigurationCache";
 import type { LeaderGuard } from "../LeaderGuard";
+import type { Leadership } from "../Leadership";
 import { createLossStatuses, createStatus } from "./status";
 
 /** What operator routes work with. */
 export interface OperatorRouteOptions {
   readonly driver: ConsensusDriver;
-  readonly guard: LeaderGuard;
+  readonly guard: LeaderGuard<Leadership>;
   readonly clock: Clock;
   readonly configurations: ConfigurationCache;
 }
--- /dev/null
+++ b/src/declaration/index.ts
@@ -0,0 +1,4 @@
+/** Declarations under operator-chosen versions: routes, services, organisations. */
+export { checkDeclaration } from "./checkDeclaration";
+export type * from "./Declaration";
+export { RouteTable } from "./RouteTable";
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -171,3 +171,21 @@
 export function throwIfBroken(holds: boolean, invariant: string, value: unknown): asserts holds {
   if (!holds) throw new BrokenInvariant({ invariant, value });
 }
+
+/** A declaration that is refused whole. */
+export class InvalidDeclaration extends Data.TaggedError("InvalidDeclaration")<{
+  /** Dotted path of the part that is wrong. */
+  readonly path: string;
+  readonly reason: string;
+}> {
+  override get message(): string {
+    return `${this.path}: ${this.reason}`;
+  }
+}
+
+/** A report of an instance that can't be read. */
+export class InvalidReport extends Data.TaggedError("InvalidReport")<{ readonly reason: string }> {
+  override get message(): string {
+    return `the report can't be read: ${this.reason}`;
+  }
+}
--- /dev/null
+++ b/src/gateway/Exchange.ts
@@ -0,0 +1,281 @@
+/**
+ * One caller's request and all its attempts at endpoints.
+ *
+ * Shared by plain answers and streams: choosing a target, sending, telling what a failure
+ * means, and whether another attempt is allowed. What did not run is told as not run;
+ * what may have run never is.
+ */
+import type { IncomingMessage } from "node:http";
+import type { Clock } from "../clock";
+import type { Route } from "../declaration";
+import { LostAnswer, UnreachableEndpoint } from "../errors";
+import type { Target } from "../gen/ploverstage/v1/fleet_pb";
+import type { HttpClient } from "../http";
+import type { CallFacts, Dialect } from "./Dialect";
+import { createNotRun, createUnknown, type GatewayRefusal } from "./GatewayRefusal";
+import { mayRepeat } from "./patience";
+import type { TargetPool } from "./TargetPool";
+
+/** A request that was accepted. Times are monotonic milliseconds. */
+export interface ExchangeRequest {
+  readonly call: CallFacts;
+  readonly route: Route;
+  readonly service: string;
+  readonly organisation: string | undefined;
+  readonly method: string;
+  /** Path and query as the caller sent them. */
+  readonly path: string;
+  /** End-to-end headers without framing, names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  readonly receivedAt: number;
+  readonly deadlineAt: number;
+}
+
+/** What exchanges work with. */
+export interface ExchangeTools {
+  readonly clock: Clock;
+  readonly client: HttpClient;
+  readonly dialect: Dialect;
+  readonly pool: TargetPool;
+  /** Takes one repeat from the entries' budget, if there is one. */
+  readonly takeRetry: () => boolean;
+  /** Called when a target can't be reached or stands still. */
+  readonly onSuspicion: (target: Target, isUnreachable: boolean) => void;
+}
+
+/** A failed attempt, as the log tells it. */
+export interface FailedAttempt {
+  readonly target: string;
+  readonly instance: string;
+  readonly reason: string;
+  readonly wasNotRun: boolean;
+  readonly tookMs: number;
+}
+
+/** An attempt whose endpoint has begun to answer. */
+export interface BegunAttempt {
+  readonly target: Target;
+  readonly incoming: IncomingMessage;
+  readonly startedAt: number;
+  readonly end: () => void;
+  readonly abort: AbortController;
+}
+
+/** Why an attempt failed. */
+export type AttemptFailure = Omit<FailedAttempt, "target" | "instance" | "tookMs"> & {
+  /** Whether an endpoint got any of it. */
+  readonly wasSent: boolean;
+};
+
+const CONNECT_MS = 300;
+const NO_TARGET_RETRY_MS = 1_000;
+const REFUSED_RETRY_MS = 200;
+/** Less time than this is not worth an attempt. */
+const MIN_LEFT_MS = 5;
+
+/** The attempts of one request. */
+export class Exchange {
+  readonly request: ExchangeRequest;
+  readonly tools: ExchangeTools;
+  readonly failures: FailedAttempt[] = [];
+  private readonly _tried = new Set<string>();
+  private _sent = 0;
+  private _mayHaveRun = false;
+  private _isOver = false;
+  private _current: AbortController | undefined;
+
+  /**
+   * @param request - The request.
+   * @param tools - What it is carried out with.
+   */
+  constructor(request: ExchangeRequest, tools: ExchangeTools) {
+    this.request = request;
+    this.tools = tools;
+  }
+
+  /** Gets how many endpoints got the request. */
+  get sentCount(): number {
+    return this._sent;
+  }
+
+  /** Ends the attempt under way: the caller is gone, or its time is over. */
+  cancel(): void {
+    this._isOver = true;
+    this._current?.abort();
+  }
+
+  /** Gets whether the request was cancelled. */
+  get isOver(): boolean {
+    return this._isOver;
+  }
+
+  /** Gets the present time. */
+  getNow(): number {
+    return this.tools.clock.getMonotonicMs();
+  }
+
+  /** Gets how much time is left, milliseconds. */
+  getLeftMs(): number {
+    return this.request.deadlineAt - this.getNow();
+  }
+
+  /** Chooses a target that this request has not been sent to. */
+  chooseTarget(): Target | undefined {
+    const { service, call } = this.request;
+    const { pool } = this.tools;
+    return pool.chooseTarget(this.getNow(), { service, model: call.model, excluded: this._tried });
+  }
+
+  /** Checks whether the request may go to one more endpoint, were there one. */
+  hasAttemptsLeft(): boolean {
+    return this._sent < this.request.route.maxAttempts && this.getLeftMs() > MIN_LEFT_MS;
+  }
+
+  /** Checks whether leaving a silent endpoint for another one would help. */
+  canGoElsewhere(): boolean {
+    if (!mayRepeat(this.request.route) || !this.hasAttemptsLeft()) return false;
+    const other = this.chooseTarget();
+    return other !== undefined && !this.tools.pool.isSuspect(this.getNow(), other.id);
+  }
+
+  /**
+   * Decides whether to try again after a failed attempt; takes a repeat from the budget.
+   */
+  takeNextAttempt(): boolean {
+    if (this._isOver || !this.hasAttemptsLeft()) return false;
+    if (this._mayHaveRun && !mayRepeat(this.request.route)) return false;
+    if (this.chooseTarget() === undefined) return false;
+    return this._sent === 0 || this.tools.takeRetry();
+  }
+
+  /**
+   * Sends the request to a target and waits for the head of its answer.
+   * @param lastEventId - Where a stream goes on.
+   * @param patienceMs - Longest wait for the head.
+   */
+  async send(
+    target: Target,
+    lastEventId: string | undefined,
+    patienceMs: number,
+  ): Promise<BegunAttempt | AttemptFailure> {
+    const startedAt = this.getNow();
+    const abort = new AbortController();
+    this._current = abort;
+    this._tried.add(target.id);
+    const end = this.tools.pool.startRequest(target.id);
+    let wasSent = false;
+    const timer = this._startTimer(abort, patienceMs);
+    try {
+      const incoming = await this._call(target, lastEventId, abort, () => {
+        wasSent = true;
+        this._sent += 1;
+      });
+      return { target, incoming, startedAt, end, abort };
+    } catch (cause) {
+      end();
+      const failure = this._explain(cause, wasSent, abort);
+      this._addFailure(target, failure, startedAt);
+      return failure;
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  /** Notes that an attempt failed after its answer had begun. */
+  failAttempt(attempt: BegunAttempt, failure: AttemptFailure): void {
+    attempt.end();
+    attempt.abort.abort();
+    this._addFailure(attempt.target, failure, attempt.startedAt);
+  }
+
+  /** Notes that an attempt came to a good end. */
+  endAttempt(attempt: BegunAttempt): void {
+    attempt.end();
+    this.tools.pool.addSuccess(attempt.target.id);
+  }
+
+  /** Makes the caller's final answer after the attempts that failed. */
+  createRefusal(): GatewayRefusal {
+    const last = this.failures.at(-1);
+    if (this._mayHaveRun) {
+      const isLate = this.getLeftMs() <= MIN_LEFT_MS;
+      return createUnknown(isLate ? "time_over" : "answer_lost", last?.reason ?? "the time is over");
+    }
+    if (last === undefined) {
+      const { service, call } = this.request;
+      const what = call.model === "" ? service : `${service}/${call.model}`;
+      return createNotRun("no_target", `nothing serves ${what} now`, NO_TARGET_RETRY_MS);
+    }
+    const code = this._sent === 0 ? "endpoint_unreachable" : "endpoint_refused";
+    return createNotRun(code, last.reason, REFUSED_RETRY_MS);
+  }
+
+  private _startTimer(abort: AbortController, patienceMs: number): NodeJS.Timeout {
+    const reason = new LostAnswer({ address: "", reason: `silent for ${Math.round(patienceMs)} ms` });
+    return setTimeout(() => abort.abort(reason), patienceMs);
+  }
+
+  private _call(
+    target: Target,
+    lastEventId: string | undefined,
+    abort: AbortController,
+    beforeSend: () => void,
+  ): Promise<IncomingMessage> {
+    const { request, tools } = this;
+    const leftMs = this.getLeftMs();
+    const headers = tools.dialect.createHeaders(request.headers, {
+      leftMs,
+      instanceId: target.instanceId,
+      organisation: request.organisation,
+      lastEventId,
+    });
+    const hasBody = request.body.length > 0 || !isBodiless(request.method);
+    if (hasBody) headers.push("Content-Length", String(request.body.length));
+    return tools.client.send({
+      method: request.method,
+      address: target.address,
+      path: request.path,
+      headers,
+      body: hasBody ? request.body : undefined,
+      connectMs: Math.min(CONNECT_MS, leftMs),
+      idleMs: Math.max(1, Math.ceil(leftMs)),
+      signal: abort.signal,
+      beforeSend,
+    });
+  }
+
+  private _explain(cause: unknown, wasSent: boolean, abort: AbortController): AttemptFailure {
+    const given = abort.signal.reason;
+    const told = given instanceof LostAnswer ? given : cause;
+    const reason =
+      told instanceof LostAnswer || told instanceof UnreachableEndpoint ? told.reason : String(told);
+    return { reason, wasNotRun: !wasSent, wasSent };
+  }
+
+  private _addFailure(target: Target, failure: AttemptFailure, startedAt: number): void {
+    const now = this.getNow();
+    if (!failure.wasNotRun) this._mayHaveRun = true;
+    this.failures.push({
+      target: target.id,
+      instance: target.instanceId,
+      reason: failure.reason,
+      wasNotRun: failure.wasNotRun,
+      tookMs: Math.round(now - startedAt),
+    });
+    // A caller that left says nothing about the endpoint.
+    if (this._isOver) return;
+    this.tools.pool.addFailure(now, target.id);
+    this.tools.onSuspicion(target, !failure.wasSent);
+  }
+}
+
+/** Methods whose requests have no body unless one was sent. */
+function isBodiless(method: string): boolean {
+  return method === "GET" || method === "HEAD" || method === "DELETE" || method === "OPTIONS";
+}
+
+/** Checks whether an attempt has begun to be answered. */
+export function hasBegun(attempt: BegunAttempt | AttemptFailure): attempt is BegunAttempt {
+  return "incoming" in attempt;
+}
--- /dev/null
+++ b/src/gateway/GatewayProcess.ts
@@ -0,0 +1,152 @@
+/**
+ * An entry that routes by declarations: follows the control leader's view and passes
+ * requests on to targets.
+ *
+ * Out of touch with control it serves on from the last view: targets refuse what is not
+ * theirs, and a refused caller is worse served than one that is served as of a moment ago.
+ */
+import { randomBytes } from "node:crypto";
+import { createServer, type Server } from "node:http";
+import { Effect, type Scope } from "effect";
+import { SystemClock } from "../clock";
+import { SeededRandom } from "../consensus";
+import { type DeclarationFormat, RouteTable } from "../declaration";
+import { HttpClient, splitAddress } from "../http";
+import type { Logger } from "../metrics";
+import { FollowedView, ViewWatcher } from "../registration";
+import { SharedRetryBudget } from "../routing";
+import type { GatewaySettings } from "../settings";
+import type { Dialect } from "./Dialect";
+import { GatewayServer } from "./GatewayServer";
+import { TargetPool } from "./TargetPool";
+
+/** What a gateway is started with. */
+export interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  readonly secret: string | undefined;
+  readonly format: DeclarationFormat;
+  readonly dialect: Dialect;
+  readonly logger: Logger;
+}
+
+const IDLE_ENDPOINT_MS = 30_000;
+/** Part of the time to stop in which connections are still taken: callers keep addresses for a while. */
+const ACCEPTING_SHARE = 0.55;
+/** Part of the time to stop after which what is left is cut. */
+const ENDING_SHARE = 0.95;
+
+/** Starts a gateway; closing its scope is a planned stop. */
+export function startGateway(options: GatewayOptions): Effect.Effect<GatewayServer, unknown, Scope.Scope> {
+  return Effect.gen(function* () {
+    const parts = createParts(options);
+    yield* Effect.addFinalizer(() => Effect.sync(() => parts.client.close()));
+    yield* Effect.acquireRelease(
+      Effect.tryPromise({ try: () => parts.server.start(), catch: (cause) => cause }),
+      () => Effect.promise(() => stopGracefully(options, parts)),
+    );
+    yield* serveReadiness(options, parts);
+    void parts.watcher.run();
+    options.logger.info({ event: "gateway_started", listen: options.settings.gateway.listen });
+    return parts.server;
+  });
+}
+
+function createParts({ settings, secret, format, dialect, logger }: GatewayOptions) {
+  const { gateway } = settings;
+  const clock = new SystemClock();
+  const random = new SeededRandom(randomBytes(4).readInt32LE());
+  const client = new HttpClient(IDLE_ENDPOINT_MS);
+  const view = new FollowedView();
+  const pool = new TargetPool(random);
+  const budget = new SharedRetryBudget({
+    ratio: gateway.retryRatio,
+    extra: gateway.retryExtra,
+    windowMs: gateway.retryWindowS * 1_000,
+  });
+  const getEntryCount = () => Math.max(1, view.getEntries().length);
+  let routes: RouteTable | undefined;
+  const onChange = () => {
+    pool.setTargets(view.getTargets());
+    const held = view.declaration;
+    if (held === undefined || held.version === routes?.declaration.version) return;
+    routes = new RouteTable(format.parse(held.document));
+    server.updateLimits();
+  };
+  const server = new GatewayServer({
+    listen: gateway.listen,
+    clock,
+    random,
+    logger,
+    tools: {
+      clock,
+      client,
+      dialect,
+      pool,
+      takeRetry: () => budget.takeRetry(clock.getMonotonicMs(), getEntryCount()),
+      onSuspicion: () => {},
+    },
+    getRoutes: () => routes,
+    onRequest: () => budget.addRequest(clock.getMonotonicMs(), getEntryCount()),
+  });
+  const watcher = new ViewWatcher({
+    watcherId: `${settings.process.name}.${randomBytes(6).toString("hex")}`,
+    entry: {
+      $typeName: "ploverstage.v1.EntryEndpoint",
+      address: gateway.listen,
+      failureDomain: settings.process.failureDomain,
+    },
+    seeds: gateway.seeds.map((seed) => withPort(seed, gateway.controlPort)),
+    secret,
+    view,
+    clock,
+    logger,
+    onChange,
+  });
+  return { clock, client, server, watcher, getRoutes: () => routes };
+}
+
+type Parts = ReturnType<typeof createParts>;
+
+function withPort(address: string, port: number | undefined): string {
+  return port === undefined ? address : `${splitAddress(address).host}:${port}`;
+}
+
+/** Callers are sent elsewhere at once, taken for as long as they may keep the address, then waited for. */
+async function stopGracefully({ settings, logger }: GatewayOptions, parts: Parts): Promise<void> {
+  const stopMs = settings.gateway.stopS * 1_000;
+  const startedAt = parts.clock.getMonotonicMs();
+  const getLeftMs = (share: number) =>
+    Math.max(0, stopMs * share - (parts.clock.getMonotonicMs() - startedAt));
+  logger.info({ event: "gateway_stopping", requests: parts.server.requestCount });
+  parts.server.announceStop();
+  await parts.watcher.announceStop();
+  await pause(getLeftMs(ACCEPTING_SHARE));
+  await Promise.race([parts.server.stop(), pause(getLeftMs(ENDING_SHARE))]);
+  logger.info({ event: "gateway_stopped", requests: parts.server.requestCount });
+}
+
+/** 200 while callers may be sent here. */
+function serveReadiness({ settings }: GatewayOptions, parts: Parts) {
+  const listen = settings.gateway.readyListen;
+  if (listen === undefined) return Effect.void;
+  const server = createServer((_request, response) => {
+    const isReady = parts.getRoutes() !== undefined && !parts.server.isStopping;
+    response.writeHead(isReady ? 200 : 503, { "Content-Length": 0 }).end();
+  });
+  return Effect.acquireRelease(
+    Effect.tryPromise({ try: () => listenAt(server, listen), catch: (cause) => cause }),
+    () => Effect.sync(() => server.close()),
+  );
+}
+
+async function listenAt(server: Server, address: string): Promise<void> {
+  const { host, port } = splitAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, resolve);
+  });
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/src/gateway/GatewayServer.ts
@@ -0,0 +1,313 @@
+/** The callers' side of a gateway: finds the route and the organisation of each request, and runs it. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Clock } from "../clock";
+import type { RandomSource } from "../consensus";
+import type { DeclaredOrganisation, Route, RouteTable } from "../declaration";
+import { splitAddress } from "../http";
+import type { Logger } from "../metrics";
+import type { CallFacts } from "./Dialect";
+import { Exchange, type ExchangeRequest, type ExchangeTools } from "./Exchange";
+import { createNotRun, GatewayRefusal } from "./GatewayRefusal";
+import { dropHeaders, getEndToEndHeaders } from "./headers";
+import { PlainExchange, type WholeAnswer } from "./PlainExchange";
+import { StreamExchange } from "./StreamExchange";
+
+/** What a gateway server works with. */
+export interface GatewayServerOptions {
+  /** host:port */
+  readonly listen: string;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly tools: ExchangeTools;
+  /** Gets the declaration in force here. */
+  readonly getRoutes: () => RouteTable | undefined;
+  /** Called with each request that is let in. */
+  readonly onRequest: () => void;
+}
+
+const MAX_HEADER_BYTES = 16_384;
+const REQUEST_TIMEOUT_MS = 30_000;
+const UNDECLARED_RETRY_MS = 500;
+const STOPPING_RETRY_MS = 50;
+/** Callers reuse a connection up to the declared time; it is kept a little longer. */
+const IDLE_SLACK_MS = 1_000;
+const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
+const FRAMING: ReadonlySet<string> = new Set(["content-length"]);
+
+/** A request as far as it got. */
+interface Progress {
+  readonly receivedAt: number;
+  call: CallFacts | undefined;
+  route: Route | undefined;
+  exchange: Exchange | undefined;
+}
+
+/** The server of one gateway. */
+export class GatewayServer {
+  private readonly _options: GatewayServerOptions;
+  private readonly _server: Server;
+  private readonly _busy = new Set<Socket>();
+  private _requests = 0;
+  private _bufferedBytes = 0;
+  private _isStopping = false;
+  private _refusesAll = false;
+
+  /**
+   * @param options - Address and what requests are run with.
+   */
+  constructor(options: GatewayServerOptions) {
+    this._options = options;
+    this._server = createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      noDelay: true,
+    });
+    this._server.on("request", (request, response) => void this._handle(request, response));
+    // A caller that waits for permission to send its body gets it: bodies are bounded anyway.
+    this._server.on("checkContinue", (request, response) => {
+      response.writeContinue();
+      void this._handle(request, response);
+    });
+    this._server.on("clientError", (_error, socket) => refuseMalformed(socket as Socket));
+  }
+
+  /** Gets how many requests are being worked on. */
+  get requestCount(): number {
+    return this._requests;
+  }
+
+  /** Gets whether a planned stop is under way. */
+  get isStopping(): boolean {
+    return this._isStopping;
+  }
+
+  /** Starts listening. */
+  async start(): Promise<void> {
+    const { host, port } = splitAddress(this._options.listen);
+    await new Promise<void>((resolve, reject) => {
+      this._server.once("error", reject);
+      this._server.listen(port, host, resolve);
+    });
+  }
+
+  /** Takes bounds of the declaration over. */
+  updateLimits(): void {
+    const limits = this._options.getRoutes()?.declaration.limits;
+    if (limits === undefined) return;
+    this._server.keepAliveTimeout = limits.idleMs + IDLE_SLACK_MS;
+    this._server.headersTimeout = limits.headerMs + IDLE_SLACK_MS;
+  }
+
+  /** Serves on, but ends each connection with its answer. */
+  announceStop(): void {
+    this._isStopping = true;
+  }
+
+  /** Listens no more and refuses what still comes over open connections; ends once all answers are out. */
+  async stop(): Promise<void> {
+    this._refusesAll = true;
+    const closed = new Promise<void>((resolve) => this._server.close(() => resolve()));
+    this._server.closeIdleConnections();
+    await closed;
+  }
+
+  private async _handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this._isStopping) response.setHeader("Connection", "close");
+    this._requests += 1;
+    const progress: Progress = {
+      receivedAt: this._options.clock.getMonotonicMs(),
+      call: undefined,
+      route: undefined,
+      exchange: undefined,
+    };
+    try {
+      await this._run(incoming, response, progress);
+    } catch (cause) {
+      this._refuse(response, progress, toRefusal(cause));
+    } finally {
+      this._requests -= 1;
+      this._busy.delete(incoming.socket);
+    }
+  }
+
+  private async _run(incoming: IncomingMessage, response: ServerResponse, progress: Progress): Promise<void> {
+    const request = await this._accept(incoming, progress);
+    if (response.destroyed) return;
+    const exchange = new Exchange(request, this._options.tools);
+    progress.exchange = exchange;
+    this._options.onRequest();
+    response.once("close", () => {
+      if (!response.writableFinished) exchange.cancel();
+    });
+    const timer = setTimeout(() => this._endLate(response, progress), Math.max(0, exchange.getLeftMs()));
+    try {
+      if (request.route.kind === "stream") await this._runStream(exchange, response, progress);
+      else this._sendWhole(response, progress, await new PlainExchange(exchange).run());
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  private async _accept(incoming: IncomingMessage, progress: Progress): Promise<ExchangeRequest> {
+    const routes = this._options.getRoutes();
+    if (routes === undefined) {
+      throw createNotRun("no_declaration", "no declaration is in force here yet", UNDECLARED_RETRY_MS);
+    }
+    if (this._refusesAll) throw createNotRun("stopping", "this entry stops", STOPPING_RETRY_MS);
+    const call = this._options.tools.dialect.readCall(incoming.headers);
+    progress.call = call;
+    const route = routes.getRoute(incoming.headers.host ?? "", incoming.url ?? "");
+    if (route === undefined) throw createFinal(404, "no_route", "no route has this host and path");
+    progress.route = route;
+    const organisation = getOrganisation(routes, route, call.key);
+    const body = await this._readBody(incoming, routes.declaration.limits.bodyBytes);
+    const { receivedAt } = progress;
+    return {
+      call,
+      route,
+      service: this._chooseService(route),
+      organisation: organisation?.name,
+      method: incoming.method ?? "GET",
+      path: incoming.url ?? "/",
+      headers: dropHeaders(getEndToEndHeaders(incoming.rawHeaders), FRAMING),
+      body,
+      receivedAt,
+      deadlineAt: receivedAt + Math.min(route.timeoutMs, call.waitMs ?? route.timeoutMs),
+    };
+  }
+
+  /** A request goes to a service with the chance that its weight gives. */
+  private _chooseService(route: Route): string {
+    const total = route.split.reduce((sum, share) => sum + share.weight, 0);
+    let left = this._options.random.next() * total;
+    for (const share of route.split) {
+      left -= share.weight;
+      if (left < 0) return share.service;
+    }
+    return route.split.find((share) => share.weight > 0)!.service;
+  }
+
+  private async _readBody(incoming: IncomingMessage, limit: number): Promise<Buffer> {
+    const declared = Number(incoming.headers["content-length"] ?? 0);
+    if (declared > limit) throw createFinal(413, "body_too_large", `a body has at most ${limit} bytes`);
+    const chunks: Buffer[] = [];
+    let length = 0;
+    try {
+      for await (const chunk of incoming as AsyncIterable<Buffer>) {
+        length += chunk.length;
+        this._bufferedBytes += chunk.length;
+        if (length > limit) throw createFinal(413, "body_too_large", `a body has at most ${limit} bytes`);
+        if (this._bufferedBytes > MAX_BUFFERED_BYTES) {
+          throw createNotRun("body_too_large", "too many bodies are held now", UNDECLARED_RETRY_MS);
+        }
+        chunks.push(chunk);
+      }
+    } catch (cause) {
+      if (cause instanceof GatewayRefusal) throw cause;
+      throw createFinal(400, "malformed_request", "the body broke off");
+    } finally {
+      this._bufferedBytes -= length;
+    }
+    return Buffer.concat(chunks);
+  }
+
+  private async _runStream(exchange: Exchange, response: ServerResponse, progress: Progress): Promise<void> {
+    const stream = new StreamExchange(exchange, response);
+    const result = await stream.run();
+    this._log(progress, result.isWhole ? "done" : "cut", { ...result });
+  }
+
+  private _sendWhole(response: ServerResponse, progress: Progress, answer: WholeAnswer): void {
+    if (response.headersSent || response.destroyed) return;
+    const headers = dropHeaders(getEndToEndHeaders(answer.headers), FRAMING);
+    headers.push("Content-Length", String(answer.body.length));
+    response.writeHead(answer.status, headers);
+    response.end(answer.body);
+    this._log(progress, "done", { status: answer.status });
+  }
+
+  /** The time is over: the final answer goes out now, and what is under way ends. */
+  private _endLate(response: ServerResponse, progress: Progress): void {
+    const { exchange } = progress;
+    if (exchange === undefined || response.writableEnded || response.destroyed) return;
+    const hasRun = exchange.sentCount > 0;
+    exchange.cancel();
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    const reason = "the time that the request had is over";
+    const refusal = hasRun
+      ? createFinal(504, "time_over", reason)
+      : createNotRun("time_over", reason, STOPPING_RETRY_MS);
+    this._refuse(response, progress, refusal);
+  }
+
+  private _refuse(response: ServerResponse, progress: Progress, refusal: GatewayRefusal): void {
+    if (response.writableEnded) return;
+    const isGone = response.destroyed;
+    if (response.headersSent) response.destroy();
+    else if (!isGone) writeRefusal(response, refusal);
+    const code = isGone ? "caller_gone" : refusal.code;
+    this._log(progress, "refused", { code, status: refusal.status, reason: refusal.reason });
+  }
+
+  private _log(progress: Progress, outcome: string, details: object): void {
+    const { call, route, exchange, receivedAt } = progress;
+    this._options.logger.info({
+      event: "request_ended",
+      request: call?.requestId ?? "",
+      route: route?.name ?? "",
+      declaration: this._options.getRoutes()?.declaration.version ?? 0,
+      outcome,
+      took_ms: Math.round(this._options.clock.getMonotonicMs() - receivedAt),
+      sent: exchange?.sentCount ?? 0,
+      failures: exchange?.failures,
+      ...details,
+    });
+  }
+}
+
+function getOrganisation(
+  routes: RouteTable,
+  route: Route,
+  key: string | undefined,
+): DeclaredOrganisation | undefined {
+  if (!routes.needsKeys) return undefined;
+  const organisation = key === undefined ? undefined : routes.getOrganisation(key);
+  if (organisation !== undefined || route.allowsAnonymous) return organisation;
+  throw createFinal(401, "unknown_key", "the request needs a key that is known");
+}
+
+function createFinal(status: number, code: GatewayRefusal["code"], reason: string): GatewayRefusal {
+  return new GatewayRefusal({ status, code, reason, retryAfterMs: undefined });
+}
+
+function toRefusal(cause: unknown): GatewayRefusal {
+  if (cause instanceof GatewayRefusal) return cause;
+  return createFinal(502, "answer_lost", String(cause));
+}
+
+function writeRefusal(response: ServerResponse, refusal: GatewayRefusal): void {
+  const body = JSON.stringify({ error: { code: refusal.code, message: refusal.reason } });
+  response.setHeader("Content-Type", "application/json");
+  response.setHeader("Content-Length", Buffer.byteLength(body));
+  if (refusal.retryAfterMs !== undefined) {
+    response.setHeader("Retry-After", (refusal.retryAfterMs / 1_000).toString());
+  }
+  // What was not read of a refused body must not be taken for the next request.
+  if (refusal.status === 400 || refusal.status === 413) response.setHeader("Connection", "close");
+  response.writeHead(refusal.status);
+  response.end(body);
+}
+
+/** What can't be parsed is answered and the connection ended: where the next request begins is unknown. */
+function refuseMalformed(socket: Socket): void {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+}
--- /dev/null
+++ b/src/gateway/StreamExchange.ts
@@ -0,0 +1,210 @@
+/**
+ * Runs a request whose answer is a stream of events.
+ *
+ * Whole events are passed on as they arrive. Where the route allows it, a stream whose
+ * endpoint breaks off or stands still goes on at another one after the last event that
+ * was passed on, within the one answer.
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { EventSplitter } from "./EventSplitter";
+import { type AttemptFailure, type BegunAttempt, type Exchange, hasBegun } from "./Exchange";
+import { getEndToEndHeaders } from "./headers";
+import { getAnswerPatienceMs, getGapPatienceMs, mayRepeat } from "./patience";
+
+/** What a stream came to. */
+export interface StreamResult {
+  /** Whether the caller got the answer whole. */
+  readonly isWhole: boolean;
+  readonly firstEventMs: number | undefined;
+  readonly longestGapMs: number;
+  readonly events: number;
+}
+
+type RelayEnd = "whole" | "brokeOff";
+
+/** Silence is looked for this often. */
+const WATCH_MS = 50;
+
+/** Runs one stream. */
+export class StreamExchange {
+  private readonly _exchange: Exchange;
+  private readonly _response: ServerResponse;
+  private _lastEventId: string | undefined;
+  private _firstEventMs: number | undefined;
+  private _eventAt: number | undefined;
+  private _longestGapMs = 0;
+  private _events = 0;
+
+  /**
+   * @param exchange - The request and its attempts.
+   * @param response - Where the events go.
+   */
+  constructor(exchange: Exchange, response: ServerResponse) {
+    this._exchange = exchange;
+    this._response = response;
+    this._lastEventId = exchange.request.call.lastEventId;
+  }
+
+  /** Gets what the stream has come to so far. */
+  getResult(isWhole: boolean): StreamResult {
+    return {
+      isWhole,
+      firstEventMs: this._firstEventMs,
+      longestGapMs: Math.round(this._longestGapMs),
+      events: this._events,
+    };
+  }
+
+  /**
+   * Runs the request.
+   * @throws GatewayRefusal - When nothing of an answer has gone out.
+   */
+  async run(): Promise<StreamResult> {
+    do {
+      const end = await this._attempt();
+      if (end === "whole") return this.getResult(true);
+    } while (this._exchange.takeNextAttempt());
+    if (!this._response.headersSent) throw this._exchange.createRefusal();
+    // Without its last chunk the answer is visibly not whole.
+    this._response.destroy();
+    return this.getResult(false);
+  }
+
+  private async _attempt(): Promise<RelayEnd> {
+    const exchange = this._exchange;
+    const target = exchange.chooseTarget();
+    if (target === undefined) return "brokeOff";
+    const attempt = await exchange.send(target, this._lastEventId, this._getHeadPatienceMs());
+    if (!hasBegun(attempt)) return "brokeOff";
+    const failure = this._check(attempt);
+    if (failure !== undefined) {
+      exchange.failAttempt(attempt, failure);
+      return "brokeOff";
+    }
+    return this._relay(attempt);
+  }
+
+  private _getHeadPatienceMs(): number {
+    const { route } = this._exchange.request;
+    const leftMs = this._exchange.getLeftMs();
+    const canRepeat = mayRepeat(route) && this._exchange.sentCount + 1 < route.maxAttempts;
+    return canRepeat ? Math.min(leftMs, this._getPatienceMs()) : leftMs;
+  }
+
+  private _getPatienceMs(): number {
+    const { route } = this._exchange.request;
+    return this._events === 0 ? getAnswerPatienceMs(route) : getGapPatienceMs(route);
+  }
+
+  private _check({ incoming }: BegunAttempt): AttemptFailure | undefined {
+    const { tools, request } = this._exchange;
+    const status = incoming.statusCode ?? 0;
+    const facts = tools.dialect.readAnswer(request.call, { status, headers: incoming.headers });
+    if (!facts.isOwn) return { reason: "it answered another request", wasNotRun: false, wasSent: true };
+    if (facts.wasNotRun) return { reason: `it refused with ${status}`, wasNotRun: true, wasSent: true };
+    if (!facts.isGenuine) {
+      return { reason: `its ${status} bears no mark of an endpoint`, wasNotRun: false, wasSent: true };
+    }
+    // A stream that has begun can't turn into a failure; before that, one may be passed on.
+    const isFailure = status >= 300;
+    const canRepeat = mayRepeat(request.route) && this._exchange.hasAttemptsLeft();
+    if (isFailure && (this._response.headersSent || canRepeat)) {
+      return { reason: `it answered ${status}`, wasNotRun: false, wasSent: true };
+    }
+    return undefined;
+  }
+
+  private async _relay(attempt: BegunAttempt): Promise<RelayEnd> {
+    const splitter = new EventSplitter();
+    const watch = this._watchSilence(attempt);
+    try {
+      for await (const chunk of attempt.incoming as AsyncIterable<Buffer>) {
+        for (const event of splitter.addBytes(chunk)) await this._passOn(attempt, event.bytes, event.id);
+      }
+      return await this._endWhole(attempt, splitter);
+    } catch (cause) {
+      const given = attempt.abort.signal.reason;
+      const told = given instanceof SilenceError ? given : cause;
+      const reason = told instanceof Error ? told.message : String(told);
+      this._exchange.failAttempt(attempt, {
+        reason: `its stream broke off: ${reason}`,
+        wasNotRun: false,
+        wasSent: true,
+      });
+      return "brokeOff";
+    } finally {
+      clearInterval(watch);
+    }
+  }
+
+  private async _endWhole(attempt: BegunAttempt, splitter: EventSplitter): Promise<RelayEnd> {
+    const rest = splitter.takeRest();
+    // Without a length only the end of the connection ends it, and that may come within an event.
+    if (rest.length > 0 && !isFramed(attempt.incoming)) throw new Error("it ended within an event");
+    if (rest.length > 0) await this._passOn(attempt, rest, undefined);
+    this._writeHead(attempt.incoming);
+    this._exchange.endAttempt(attempt);
+    await new Promise<void>((resolve) => this._response.end(resolve));
+    return "whole";
+  }
+
+  /** Leaves an endpoint that stands still while another one could go on. */
+  private _watchSilence(attempt: BegunAttempt): NodeJS.Timeout {
+    let heardAt = this._exchange.getNow();
+    let heard = this._events;
+    return setInterval(() => {
+      const now = this._exchange.getNow();
+      if (this._events !== heard) {
+        heard = this._events;
+        heardAt = now;
+      }
+      const silentMs = now - heardAt;
+      if (silentMs < this._getPatienceMs() || !this._exchange.canGoElsewhere()) return;
+      attempt.abort.abort(new SilenceError(`silent for ${Math.round(silentMs)} ms`));
+    }, WATCH_MS);
+  }
+
+  private async _passOn(attempt: BegunAttempt, bytes: Buffer, id: string | undefined): Promise<void> {
+    this._writeHead(attempt.incoming);
+    this._noteEvent();
+    if (id !== undefined) this._lastEventId = id;
+    const response = this._response;
+    if (response.write(bytes) || response.destroyed) return;
+    await new Promise<void>((resolve) => {
+      response.once("drain", resolve);
+      response.once("close", resolve);
+    });
+  }
+
+  private _writeHead(incoming: IncomingMessage): void {
+    if (this._response.headersSent) return;
+    this._response.writeHead(incoming.statusCode ?? 0, getStreamHeaders(incoming));
+  }
+
+  private _noteEvent(): void {
+    const now = this._exchange.getNow();
+    this._events += 1;
+    if (this._eventAt === undefined) this._firstEventMs = Math.round(now - this._exchange.request.receivedAt);
+    else this._longestGapMs = Math.max(this._longestGapMs, now - this._eventAt);
+    this._eventAt = now;
+  }
+}
+
+/** An endpoint was silent for too long. */
+class SilenceError extends Error {}
+
+/** A stream may be longer or shorter than its first endpoint meant, so its length is not passed on. */
+function getStreamHeaders(incoming: IncomingMessage): string[] {
+  const headers = getEndToEndHeaders(incoming.rawHeaders);
+  const kept: string[] = [];
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    if (headers[i]!.toLowerCase() !== "content-length") kept.push(headers[i]!, headers[i + 1]!);
+  }
+  return kept;
+}
+
+function isFramed(incoming: IncomingMessage): boolean {
+  return (
+    incoming.headers["content-length"] !== undefined || incoming.headers["transfer-encoding"] !== undefined
+  );
+}
--- a/src/http/HttpClient.ts
+++ b/src/http/HttpClient.ts
@@ -17,7 +17,8 @@
   /** host:port */
   readonly address: string;
   readonly path: string;
-  readonly headers?: IncomingHttpHeaders;
+  /** Named headers, or names and values in turn as they are to stand on the wire. */
+  readonly headers?: IncomingHttpHeaders | readonly string[];
   /** Whole body, or nothing. */
   readonly body?: string | Uint8Array;
   /** Longest time to connect. */
@@ -32,12 +33,20 @@
   readonly beforeSend?: () => void;
 }
 
+/** An idle connection is closed after this time, unless the other side says sooner. */
 const KEEP_ALIVE_MS = 4_000;
 const MAX_JSON_BYTES = 16_000_000;
 
 /** A client with its own pool of connections. */
 export class HttpClient {
-  private readonly _agent = new Agent({ keepAlive: true, timeout: KEEP_ALIVE_MS, scheduling: "lifo" });
+  private readonly _agent: Agent;
+
+  /**
+   * @param keepAliveMs - How long an idle connection is kept.
+   */
+  constructor(keepAliveMs = KEEP_ALIVE_MS) {
+    this._agent = new Agent({ keepAlive: true, timeout: keepAliveMs, scheduling: "lifo" });
+  }
 
   /** Closes idle connections. */
   close(): void {
@@ -81,7 +90,7 @@
       port,
       method: call.method,
       path: call.path,
-      headers: call.headers,
+      headers: call.headers as IncomingHttpHeaders | string[] | undefined,
       agent: call.isFresh ? false : this._agent,
       timeout: call.idleMs,
       signal: call.signal,
--- a/src/planner/Planner.ts
+++ b/src/planner/Planner.ts
@@ -5,10 +5,10 @@
  * it decided is seen in the next facts. It never takes an instance that the agreed
  * state gives to a replica, nor frees one that may still be in use.
  */
-import type { Configuration, Group, Model } from "../configuration";
+import type { Group, Model } from "../configuration";
 import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
 import { FreePool, getLoads } from "./FreePool";
-import type { Action, InstanceFacts, PlanningFacts } from "./facts";
+import type { Action, InstanceFacts, PlanningConfiguration, PlanningFacts } from "./facts";
 import { ExpectedRepair, type RepairPolicy } from "./RepairPolicy";
 
 /** Reasons told with a change of a replica; also the causes of downtime in reports. */
@@ -54,7 +54,7 @@
    * @param now - Monotonic milliseconds.
    * @returns Actions in the order in which they matter; any may be left undone.
    */
-  plan(now: number, facts: PlanningFacts, configuration: Configuration): Action[] {
+  plan(now: number, facts: PlanningFacts, configuration: PlanningConfiguration): Action[] {
     const turn = new PlanningTurn(now, facts, configuration, this._repair);
     return turn.run();
   }
@@ -64,7 +64,7 @@
 class PlanningTurn {
   private readonly _now: number;
   private readonly _facts: PlanningFacts;
-  private readonly _configuration: Configuration;
+  private readonly _configuration: PlanningConfiguration;
   private readonly _repair: RepairPolicy;
   private readonly _instances: ReadonlyMap<string, InstanceFacts>;
   private readonly _pool: FreePool;
@@ -72,7 +72,7 @@
   private readonly _retiring = new Set<string>();
   private readonly _actions: Action[] = [];
 
-  constructor(now: number, facts: PlanningFacts, configuration: Configuration, repair: RepairPolicy) {
+  constructor(now: number, facts: PlanningFacts, configuration: PlanningConfiguration, repair: RepairPolicy) {
     this._now = now;
     this._facts = facts;
     this._configuration = configuration;
--- a/src/planner/facts.ts
+++ b/src/planner/facts.ts
@@ -1,7 +1,13 @@
 /** What the group planner knows, and what it may decide. Plain data. */
+import type { Configuration } from "../configuration";
 import type { Replica } from "../gen/ploverstage/v1/state_pb";
 import type { InstanceId } from "../ids";
 
+/** The part of a configuration that the planner looks at. */
+export type PlanningConfiguration = Pick<Configuration, "models" | "groups" | "planning" | "weightStore"> & {
+  readonly timing: Pick<Configuration["timing"], "presenceWindow" | "lease">;
+};
+
 /** One engine instance as the planner sees it. Times are monotonic milliseconds. */
 export interface InstanceFacts {
   readonly id: InstanceId;
--- a/src/process/index.ts
+++ b/src/process/index.ts
@@ -1,4 +1,5 @@
 /** What all processes share. */
 export { answerHealth, type ReadinessCheck, startHealthServer } from "./HealthServer";
 export { reportResources } from "./reportResources";
+export { runProcess } from "./runProcess";
 export { awaitStopSignal } from "./signals";
--- /dev/null
+++ b/src/registration/FleetControlProcess.ts
@@ -0,0 +1,193 @@
+/**
+ * A control process whose instances register themselves: a member of the agreed state
+ * and, while it leads, the planner of replicas.
+ *
+ * Members find each other from seeds alone: at the first start of the whole system the
+ * seeds are the founding members, everyone else joins.
+ */
+import { Effect, type Scope } from "effect";
+import { SystemClock } from "../clock";
+import { createMembership } from "../consensus";
+import {
+  addConsensusRoutes,
+  createInitialSnapshot,
+  createMember,
+  createMemberDriver,
+  getFirstId,
+  joinMembership,
+  LeaderGuard,
+  LeadershipWatch,
+  openDataFolder,
+  PeerTransport,
+  serveRpc,
+} from "../control";
+import { type DeclarationFormat, RouteTable } from "../declaration";
+import { splitAddress } from "../http";
+import { MemberId } from "../ids";
+import { FileStorage } from "../log";
+import type { Logger, Metrics } from "../metrics";
+import type { FleetControlSettings } from "../settings";
+import { FleetLeadership } from "./FleetLeadership";
+import { FollowedView } from "./FollowedView";
+import { addFleetRoutes } from "./fleetRoutes";
+import type { InstanceOrders } from "./InstanceOrders";
+import { Registrar } from "./Registrar";
+import type { ReplicaTimes } from "./ReplicaController";
+import { ViewWatcher } from "./ViewWatcher";
+
+/** What a fleet control process is started with. */
+export interface FleetControlOptions {
+  readonly settings: FleetControlSettings;
+  readonly secret: string | undefined;
+  readonly format: DeclarationFormat;
+  readonly orders: InstanceOrders;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Called once when the process can't go on. */
+  readonly onFatal: (cause: unknown) => void;
+}
+
+const HAND_OVER_MS = 700;
+
+/** Starts a control process; it runs until its scope is closed. */
+export function startFleetControl(
+  options: FleetControlOptions,
+): Effect.Effect<Registrar, unknown, Scope.Scope> {
+  return Effect.gen(function* () {
+    const { settings, secret, logger } = options;
+    const { control } = settings;
+    const clock = new SystemClock();
+    const seeds = getRpcAddresses(settings);
+    const { storage, stored } = yield* Effect.tryPromise({
+      try: () => prepareDataFolder(options),
+      catch: (cause) => cause,
+    });
+    const transport = yield* Effect.acquireRelease(
+      Effect.sync(() => new PeerTransport(secret)),
+      (opened) => Effect.sync(() => opened.close()),
+    );
+    // A member's name is its address, so that an answer can be sent before the members are known.
+    const driver = createMemberDriver({
+      storage,
+      stored,
+      transport,
+      getAddress: (memberId) => getRpcAddress(settings, getMemberName(memberId)),
+      clock,
+      onFatal: options.onFatal,
+    });
+    const getRoutes = createRouteCache(() => driver.machine.getDeclaration(), options.format);
+    const createLeadership = () =>
+      new FleetLeadership({
+        driver,
+        orders: options.orders,
+        clock,
+        logger,
+        times: getReplicaTimes(settings),
+        getRoutes,
+      });
+    const watch = yield* Effect.acquireRelease(
+      Effect.sync(() => new LeadershipWatch({ driver, createLeadership, logger, metrics: options.metrics })),
+      (started) => Effect.sync(() => started.stop()),
+    );
+    const getLeadership = () => watch.getLeadership();
+    const guard = new LeaderGuard(driver, getLeadership);
+    yield* serveRpc(control.listen, secret, "the cluster", (router) => {
+      addConsensusRoutes(router, driver);
+      addFleetRoutes(router, { driver, guard, clock, publicAddress: control.publicAddress });
+    });
+    yield* Effect.acquireRelease(
+      Effect.sync(() => driver.start()),
+      () => Effect.promise(() => driver.stop()),
+    );
+    yield* Effect.addFinalizer(() => Effect.promise(() => driver.handOver(HAND_OVER_MS)));
+    const view = new FollowedView();
+    const watcher = new ViewWatcher({
+      watcherId: driver.node.id,
+      entry: undefined,
+      seeds,
+      secret,
+      view,
+      clock,
+      logger,
+      onChange: () => {},
+      isWanted: () => !driver.isLeader(),
+    });
+    yield* Effect.acquireRelease(
+      Effect.sync(() => void watcher.run()),
+      () => Effect.sync(() => watcher.stop()),
+    );
+    const member = createMember(
+      control.publicAddress,
+      MemberId(driver.node.id),
+      control.listen,
+      settings.process.failureDomain,
+    );
+    const others = seeds.filter((address) => address !== control.listen);
+    yield* Effect.forkScoped(
+      joinMembership({ driver, member, addresses: others, followsHints: true, secret, clock, logger }),
+    );
+    logger.info({ event: "control_started", member: driver.node.id, term: stored.hardState.term });
+    const { publicAddress } = control;
+    return new Registrar({
+      getLeadership,
+      view,
+      seeds,
+      secret,
+      format: options.format,
+      clock,
+      logger,
+      publicAddress,
+    });
+  });
+}
+
+/** Founding members make their folder with the founders agreed; all others join. */
+async function prepareDataFolder({ settings, logger }: FleetControlOptions) {
+  const { dataFolder, publicAddress, seeds, isFirstStart } = settings.control;
+  const isFounder = isFirstStart && seeds.includes(publicAddress);
+  if (isFounder && (await FileStorage.getMemberId(dataFolder)) === undefined) {
+    const founders = [...seeds]
+      .sort()
+      .map((seed) => createMember(seed, getFirstId(seed), getRpcAddress(settings, seed), ""));
+    await FileStorage.create(
+      dataFolder,
+      getFirstId(publicAddress),
+      createInitialSnapshot(createMembership(founders)),
+    );
+    logger.info({ event: "data_folder_founded", founders: seeds });
+  }
+  return openDataFolder(dataFolder, publicAddress, logger);
+}
+
+function getMemberName(memberId: MemberId): string {
+  return memberId.slice(0, memberId.lastIndexOf("."));
+}
+
+/** All members serve each other at the same port of their machines. */
+function getRpcAddress(settings: FleetControlSettings, publicAddress: string): string {
+  return `${splitAddress(publicAddress).host}:${splitAddress(settings.control.listen).port}`;
+}
+
+function getRpcAddresses(settings: FleetControlSettings): string[] {
+  return settings.control.seeds.map((seed) => getRpcAddress(settings, seed));
+}
+
+function getReplicaTimes({ control }: FleetControlSettings): ReplicaTimes {
+  const { reportMs, reportsMissed, loadWindowS, ...times } = control.replicas;
+  return { ...times, presenceMs: reportMs * reportsMissed, loadWindowMs: loadWindowS * 1_000 };
+}
+
+/** A declaration is parsed once a version. */
+function createRouteCache(
+  getDeclaration: () => { readonly version: number; readonly document: Uint8Array } | undefined,
+  format: DeclarationFormat,
+): () => RouteTable | undefined {
+  let cached: RouteTable | undefined;
+  return () => {
+    const held = getDeclaration();
+    if (held !== undefined && held.version !== cached?.declaration.version) {
+      cached = new RouteTable(format.parse(held.document));
+    }
+    return cached;
+  };
+}
--- /dev/null
+++ b/src/registration/FleetLeadership.ts
@@ -0,0 +1,241 @@
+/** Everything that a control process with registered instances holds only while it leads. */
+
+import { create } from "@bufbuild/protobuf";
+import type { Clock } from "../clock";
+import { type ConsensusDriver, getVoters } from "../consensus";
+import type { RouteTable } from "../declaration";
+import {
+  type EntryEndpoint,
+  type InstanceReport,
+  type SuspectRequest,
+  type Target,
+  TargetSchema,
+} from "../gen/ploverstage/v1/fleet_pb";
+import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
+import type { Logger } from "../metrics";
+import { FleetView } from "./FleetView";
+import type { InstanceOrders } from "./InstanceOrders";
+import { InstanceRegistry, type RegisteredInstance } from "./InstanceRegistry";
+import { ReplicaController, type ReplicaTimes } from "./ReplicaController";
+
+/** What a leadership works with. */
+export interface FleetLeadershipOptions {
+  readonly driver: ConsensusDriver;
+  readonly orders: InstanceOrders;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly times: ReplicaTimes;
+  readonly getRoutes: () => RouteTable | undefined;
+}
+
+const STEP_MS = 100;
+/** A plain service's instance stays a target that long after its last report: entries find out sooner. */
+const SILENT_TARGET_MS = 20_000;
+/** An entry whose call ended stays among the addresses that long, since it may call again. */
+const ENTRY_GRACE_MS = 1_000;
+
+interface WatchingEntry {
+  readonly endpoint: EntryEndpoint;
+  /** When its call ended; `undefined` while it watches. */
+  readonly lostAt: number | undefined;
+}
+
+/** One term of leadership at work. */
+export class FleetLeadership {
+  /** The term that it belongs to. */
+  readonly term: number;
+  /** What watchers are told. */
+  readonly view = new FleetView();
+  private readonly _options: FleetLeadershipOptions;
+  private readonly _registry = new InstanceRegistry();
+  private readonly _controller: ReplicaController;
+  private readonly _entries = new Map<string, WatchingEntry>();
+  private readonly _watchers = new Set<() => void>();
+  private readonly _startedAt: number;
+  private _timer: NodeJS.Timeout | undefined;
+  private _isEnded = false;
+
+  /**
+   * @param options - Driver, orders, clock and times.
+   */
+  constructor(options: FleetLeadershipOptions) {
+    this._options = options;
+    this.term = options.driver.node.term;
+    this._startedAt = options.clock.getMonotonicMs();
+    this._controller = new ReplicaController({ ...options, registry: this._registry });
+  }
+
+  /** Gets whether the term is over. */
+  get isEnded(): boolean {
+    return this._isEnded;
+  }
+
+  /** Starts planning and publishing. */
+  start(): void {
+    this._publish();
+    this._timer = setInterval(() => void this._step(), STEP_MS);
+  }
+
+  /** Ends planning and publishing. */
+  end(): void {
+    this._isEnded = true;
+    clearInterval(this._timer);
+    this._notify();
+  }
+
+  /** Takes reports of instances over; resolves once departures among them are agreed. */
+  async addReports(reports: readonly InstanceReport[]): Promise<void> {
+    const now = this._options.clock.getMonotonicMs();
+    const { machine } = this._options.driver;
+    const departing: string[] = [];
+    for (const report of reports) {
+      if (report.deregistered || report.leaving) departing.push(report.instanceId);
+      if (!report.deregistered) this._registry.addReport(now, report);
+    }
+    const instanceIds = departing.filter((id) => !machine.hasDeparted(id));
+    if (instanceIds.length === 0) return;
+    await this._options.driver.propose({
+      case: "recordDepartures",
+      value: { $typeName: "ploverstage.v1.RecordDepartures", instanceIds },
+    });
+    this._options.logger.info({ event: "departures_recorded", instances: instanceIds });
+    this._publish();
+  }
+
+  /** Publishes what was just agreed on. */
+  publish(): void {
+    this._publish();
+  }
+
+  /** Notes what an entry saw of a target. */
+  addSuspicion(suspicion: SuspectRequest): void {
+    this._options.logger.info({ event: "target_suspected", ...suspicion, $typeName: undefined });
+  }
+
+  /**
+   * Adds a watcher.
+   * @param entry - Its address for callers; `undefined` for a control follower.
+   * @param wake - Called when there is something to tell.
+   * @returns Ends the watch.
+   */
+  addWatcher(id: string, entry: EntryEndpoint | undefined, wake: () => void): () => void {
+    this._watchers.add(wake);
+    if (entry !== undefined) {
+      this._entries.set(id, { endpoint: entry, lostAt: undefined });
+      this._publish();
+    }
+    return () => {
+      this._watchers.delete(wake);
+      if (entry === undefined || this._entries.get(id)?.endpoint !== entry) return;
+      this._entries.set(id, { endpoint: entry, lostAt: this._options.clock.getMonotonicMs() });
+    };
+  }
+
+  /** Takes an entry that stops out of the addresses at once. */
+  removeEntry(id: string): void {
+    this._entries.delete(id);
+    this._publish();
+  }
+
+  private async _step(): Promise<void> {
+    const now = this._options.clock.getMonotonicMs();
+    this._registry.removeSilent(now);
+    await this._controller.step().catch((cause: unknown) => {
+      this._options.logger.warn({ event: "planning_failed", reason: String(cause) });
+    });
+    if (!this._isEnded) this._publish();
+  }
+
+  private _publish(): void {
+    const now = this._options.clock.getMonotonicMs();
+    const { driver, times } = this._options;
+    const before = this.view.revision;
+    this.view.setDeclaration(driver.machine.getDeclaration());
+    this.view.setTargets(this._createTargets(now));
+    this.view.removeTargets(this._getUnusable());
+    if (now - this._startedAt > times.presenceMs) this.view.setComplete();
+    this.view.setEntries(this._getEntries(now));
+    this.view.setControlAddresses(getVoters(driver.node.membership).map((member) => member.address));
+    if (this.view.revision !== before) this._notify();
+  }
+
+  private _notify(): void {
+    for (const wake of [...this._watchers]) wake();
+  }
+
+  private _getEntries(now: number): EntryEndpoint[] {
+    for (const [id, { lostAt }] of this._entries) {
+      if (lostAt !== undefined && now - lostAt > ENTRY_GRACE_MS) this._entries.delete(id);
+    }
+    const endpoints = [...this._entries.values()].map(({ endpoint }) => endpoint);
+    // A restarted entry has another id and the same address.
+    const byAddress = new Map(endpoints.map((endpoint) => [endpoint.address, endpoint]));
+    return [...byAddress.values()].sort((a, b) => (a.address < b.address ? -1 : 1));
+  }
+
+  private _createTargets(now: number): Target[] {
+    const engineServices = new Map(
+      (this._options.getRoutes()?.declaration.services ?? []).map((service) => [
+        service.name,
+        service.engine,
+      ]),
+    );
+    const plain = this._registry
+      .getInstances()
+      .filter((instance) => engineServices.get(instance.report.service) === undefined)
+      .filter((instance) => this._isPlainTarget(now, instance))
+      .map((instance) => createPlainTarget(instance));
+    const replicas = this._options.driver.machine
+      .getReplicas()
+      .filter((replica) => !this._hasDepartedMember(replica) && this._controller.isOpen(replica))
+      .map((replica) => this._createReplicaTarget(replica))
+      .filter((target) => target !== undefined);
+    return [...plain, ...replicas];
+  }
+
+  private _isPlainTarget(now: number, { report, reportedAt }: RegisteredInstance): boolean {
+    const hasDeparted = report.leaving || this._options.driver.machine.hasDeparted(report.instanceId);
+    return !hasDeparted && now - reportedAt <= SILENT_TARGET_MS;
+  }
+
+  private _createReplicaTarget(replica: Replica): Target | undefined {
+    const head = this._registry.getInstance(replica.members[0]!.instanceId)?.report;
+    if (head === undefined) return undefined;
+    return create(TargetSchema, {
+      id: replica.id,
+      service: head.service,
+      model: replica.model,
+      instanceId: head.instanceId,
+      address: head.address,
+      failureDomain: head.failureDomain,
+      slots: head.slots,
+    });
+  }
+
+  private _hasDepartedMember(replica: Replica): boolean {
+    const { machine } = this._options.driver;
+    return replica.members.some((member) => machine.hasDeparted(member.instanceId));
+  }
+
+  /** Gets what an earlier leader may have told of and what must take no new work. */
+  private _getUnusable(): string[] {
+    const { machine } = this._options.driver;
+    const replicas = machine
+      .getReplicasChangedSince(0)
+      ?.filter((replica) => replica.phase !== ReplicaPhase.SERVING || this._hasDepartedMember(replica))
+      .map((replica) => replica.id);
+    return [...(replicas ?? []), ...machine.getDepartures()];
+  }
+}
+
+function createPlainTarget({ report }: RegisteredInstance): Target {
+  return create(TargetSchema, {
+    id: report.instanceId,
+    service: report.service,
+    model: "",
+    instanceId: report.instanceId,
+    address: report.address,
+    failureDomain: report.failureDomain,
+    slots: report.slots,
+  });
+}
--- /dev/null
+++ b/src/registration/FleetView.ts
@@ -0,0 +1,145 @@
+/**
+ * What the leader tells its watchers: targets, entries, members and the declaration.
+ *
+ * Each change has a revision, so that a watcher is sent only what it lacks. Pure.
+ */
+import { create, equals } from "@bufbuild/protobuf";
+import {
+  type EntryEndpoint,
+  EntryListSchema,
+  type Target,
+  TargetSchema,
+  type ViewUpdate,
+  ViewUpdateSchema,
+} from "../gen/ploverstage/v1/fleet_pb";
+import type { Declaration } from "../gen/ploverstage/v1/state_pb";
+
+/** How far a watcher was told. */
+export interface WatchPosition {
+  readonly revision: number;
+  readonly declarationVersion: number;
+}
+
+interface RevisedTarget {
+  /** `undefined` once removed. */
+  readonly target: Target | undefined;
+  readonly revision: number;
+}
+
+/** Removed targets kept, so that watchers can be told of them. */
+const KEPT_REMOVALS = 1_000;
+
+/** A revisioned view. */
+export class FleetView {
+  private readonly _targets = new Map<string, RevisedTarget>();
+  private _entries: readonly EntryEndpoint[] = [];
+  private _controlAddresses: readonly string[] = [];
+  private _declaration: Declaration | undefined;
+  private _revision = 0;
+  private _entriesRevision = 0;
+  private _controlRevision = 0;
+  private _isComplete = false;
+  private _completeRevision = 0;
+
+  /** Gets the number of the newest change. */
+  get revision(): number {
+    return this._revision;
+  }
+
+  /** Gets the version of the declaration, 0 without one. */
+  get declarationVersion(): number {
+    return this._declaration?.version ?? 0;
+  }
+
+  /** Gets the entries that callers may be sent to. */
+  get entries(): readonly EntryEndpoint[] {
+    return this._entries;
+  }
+
+  /** Sets the targets; those not named are removed. */
+  setTargets(targets: readonly Target[]): void {
+    const ids = new Set(targets.map((target) => target.id));
+    for (const target of targets) {
+      const known = this._targets.get(target.id)?.target;
+      if (known !== undefined && equals(TargetSchema, known, target)) continue;
+      this._targets.set(target.id, { target, revision: ++this._revision });
+    }
+    for (const [id, { target }] of this._targets) {
+      if (target === undefined || ids.has(id)) continue;
+      this._targets.delete(id);
+      this._targets.set(id, { target: undefined, revision: ++this._revision });
+    }
+    this._forgetRemovals();
+  }
+
+  /** Tells of targets that are gone although this leader never told of them. */
+  removeTargets(ids: readonly string[]): void {
+    for (const id of ids) {
+      if (this._targets.has(id)) continue;
+      this._targets.set(id, { target: undefined, revision: ++this._revision });
+    }
+    this._forgetRemovals();
+  }
+
+  /** Says that every target is known: what a watcher holds beyond them is gone. */
+  setComplete(): void {
+    if (this._isComplete) return;
+    this._isComplete = true;
+    this._completeRevision = ++this._revision;
+  }
+
+  /** Sets the entries. */
+  setEntries(entries: readonly EntryEndpoint[]): void {
+    if (JSON.stringify(entries) === JSON.stringify(this._entries)) return;
+    this._entries = entries;
+    this._entriesRevision = ++this._revision;
+  }
+
+  /** Sets the addresses of the control members. */
+  setControlAddresses(addresses: readonly string[]): void {
+    if (addresses.join() === this._controlAddresses.join()) return;
+    this._controlAddresses = addresses;
+    this._controlRevision = ++this._revision;
+  }
+
+  /** Sets the declaration unless the one held has a higher version. */
+  setDeclaration(declaration: Declaration | undefined): void {
+    if (declaration === undefined || declaration.version <= this.declarationVersion) return;
+    this._declaration = declaration;
+    this._revision += 1;
+  }
+
+  /**
+   * Gets what a watcher lacks.
+   * @param position - `undefined` at the start of a call.
+   */
+  createUpdate(term: number, position: WatchPosition | undefined, knownVersion: number): ViewUpdate {
+    const since = position?.revision ?? -1;
+    const isNewlyComplete = this._isComplete && this._completeRevision > since;
+    const changed = [...this._targets].filter(([, item]) => isNewlyComplete || item.revision > since);
+    const version = position?.declarationVersion ?? knownVersion;
+    return create(ViewUpdateSchema, {
+      term,
+      complete: isNewlyComplete,
+      targets: changed.flatMap(([, { target }]) => (target === undefined ? [] : [target])),
+      removedTargetIds: changed.flatMap(([id, { target }]) => (target === undefined ? [id] : [])),
+      declaration: this.declarationVersion > version ? this._declaration : undefined,
+      entries:
+        this._entriesRevision > since ? create(EntryListSchema, { entries: [...this._entries] }) : undefined,
+      controlAddresses: this._controlRevision > since ? [...this._controlAddresses] : [],
+    });
+  }
+
+  /** Gets the position of a watcher that was sent everything. */
+  getPosition(): WatchPosition {
+    return { revision: this._revision, declarationVersion: this.declarationVersion };
+  }
+
+  private _forgetRemovals(): void {
+    if (this._targets.size <= KEPT_REMOVALS) return;
+    for (const [id, { target }] of this._targets) {
+      if (this._targets.size <= KEPT_REMOVALS) return;
+      if (target === undefined) this._targets.delete(id);
+    }
+  }
+}
--- /dev/null
+++ b/src/registration/FollowedView.ts
@@ -0,0 +1,61 @@
+/**
+ * The leader's view as a watcher holds it.
+ *
+ * Updates of an older term are dropped, and so is a declaration below the one held:
+ * what a watcher acts on never goes back. Pure.
+ */
+import type { EntryEndpoint, Target, ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
+import type { Declaration } from "../gen/ploverstage/v1/state_pb";
+
+/** A followed view. */
+export class FollowedView {
+  private readonly _targets = new Map<string, Target>();
+  private _entries: readonly EntryEndpoint[] = [];
+  private _controlAddresses: readonly string[] = [];
+  private _declaration: Declaration | undefined;
+  private _term = 0;
+
+  /** Gets the term of the leader that was heard last. */
+  get term(): number {
+    return this._term;
+  }
+
+  /** Gets the declaration with the highest version heard of. */
+  get declaration(): Declaration | undefined {
+    return this._declaration;
+  }
+
+  /** Gets where requests may be sent. */
+  getTargets(): Target[] {
+    return [...this._targets.values()];
+  }
+
+  /** Gets the entries that callers may be sent to. */
+  getEntries(): readonly EntryEndpoint[] {
+    return this._entries;
+  }
+
+  /** Gets the addresses of the control members, as far as the leader told them. */
+  getControlAddresses(): readonly string[] {
+    return this._controlAddresses;
+  }
+
+  /**
+   * Takes an update over.
+   * @returns Whether it came from the newest leader heard of.
+   */
+  apply(update: ViewUpdate): boolean {
+    if (update.term < this._term) return false;
+    this._term = update.term;
+    if (update.complete) this._targets.clear();
+    for (const target of update.targets) this._targets.set(target.id, target);
+    for (const id of update.removedTargetIds) this._targets.delete(id);
+    const { declaration } = update;
+    if (declaration !== undefined && declaration.version > (this._declaration?.version ?? 0)) {
+      this._declaration = declaration;
+    }
+    if (update.entries !== undefined) this._entries = update.entries.entries;
+    if (update.controlAddresses.length > 0) this._controlAddresses = update.controlAddresses;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/registration/InstanceOrders.ts
@@ -0,0 +1,61 @@
+/** Orders to the instances of replicas. */
+
+/** Whom an order goes to. */
+export interface OrderReceiver {
+  readonly instanceId: string;
+  /** host:port */
+  readonly address: string;
+}
+
+/** Takes a place in a replica; loads the model where it has to. */
+export interface JoinOrder {
+  readonly kind: "join";
+  readonly replicaId: string;
+  readonly epoch: number;
+  readonly model: string;
+  /** Instance ids, the head first. */
+  readonly members: readonly string[];
+}
+
+/** Lets the head of a replica take requests. */
+export interface OpenOrder {
+  readonly kind: "open";
+  readonly replicaId: string;
+  readonly epoch: number;
+}
+
+/** Ends new requests at the head of a replica; those under way may end. */
+export interface CloseOrder {
+  readonly kind: "close";
+  readonly replicaId: string;
+  readonly epoch: number;
+}
+
+/** Gives a place in a replica up at once. */
+export interface LeaveOrder {
+  readonly kind: "leave";
+  readonly replicaId: string;
+  readonly epoch: number;
+}
+
+/** Loads a model onto the instance's host, ahead of need. */
+export interface StageOrder {
+  readonly kind: "stage";
+  readonly model: string;
+}
+
+/** Any order. */
+export type InstanceOrder = JoinOrder | OpenOrder | CloseOrder | LeaveOrder | StageOrder;
+
+/**
+ * What an order came to: `begun` or `done`; `unfit` for the instance's state; `stale`
+ * against a newer epoch; `elsewhere` when another life has the address; `absent` when
+ * nothing listens there; `unanswered` when it may be carried out yet, even much later.
+ */
+export type OrderOutcome = "begun" | "done" | "unfit" | "stale" | "elsewhere" | "absent" | "unanswered";
+
+/** Gives orders. */
+export interface InstanceOrders {
+  /** Sends one order; never throws. */
+  send(receiver: OrderReceiver, order: InstanceOrder): Promise<OrderOutcome>;
+}
--- /dev/null
+++ b/src/registration/InstanceRegistry.ts
@@ -0,0 +1,99 @@
+/**
+ * The instances that registered themselves, as the leader knows them.
+ *
+ * Soft state: rebuilt from the next reports. An id is one life of an instance; reports
+ * of one life carry a rising sequence number, by which a late one is dropped.
+ * Pure: times are monotonic milliseconds given by the caller.
+ */
+import type { InstanceReport } from "../gen/ploverstage/v1/fleet_pb";
+
+/** One registered instance. */
+export interface RegisteredInstance {
+  readonly report: InstanceReport;
+  readonly firstReportedAt: number;
+  readonly reportedAt: number;
+}
+
+/** What a report came to. */
+export type ReportOutcome = "taken" | "late" | "gone";
+
+/** A silent instance is forgotten after this time. */
+const FORGET_MS = 60_000;
+/** A replaced life that has reported so often since lives still. */
+const REVIVING_REPORTS = 2;
+
+/** The registered instances. */
+export class InstanceRegistry {
+  private readonly _instances = new Map<string, RegisteredInstance>();
+  /** Which life reported from an address last. */
+  private readonly _lives = new Map<string, string>();
+  private readonly _gone = new Set<string>();
+  /** Lives that another one took the address from, with the reports that they sent since. */
+  private readonly _replaced = new Map<string, number>();
+
+  /** Gets an instance by its id. */
+  getInstance(id: string): RegisteredInstance | undefined {
+    return this._instances.get(id);
+  }
+
+  /** Gets all instances that are not known to be gone. */
+  getInstances(): RegisteredInstance[] {
+    return [...this._instances.values()];
+  }
+
+  /**
+   * Checks whether an instance is certainly gone: it deregistered, or another life
+   * reported from its address.
+   */
+  isGone(id: string): boolean {
+    return this._gone.has(id) || this._replaced.has(id);
+  }
+
+  /** Takes a report over unless a newer one of the same life came before. */
+  addReport(now: number, report: InstanceReport): ReportOutcome {
+    const id = report.instanceId;
+    if (this._gone.has(id) || this._isReplaced(id)) return "gone";
+    const known = this._instances.get(id);
+    if (known !== undefined && report.sequence <= known.report.sequence) return "late";
+    this._replaceLife(report);
+    this._instances.set(id, { report, firstReportedAt: known?.firstReportedAt ?? now, reportedAt: now });
+    return "taken";
+  }
+
+  /** Notes that an instance is gone for good. */
+  removeInstance(id: string): void {
+    const address = this._instances.get(id)?.report.address;
+    if (address !== undefined && this._lives.get(address) === id) this._lives.delete(address);
+    this._instances.delete(id);
+    this._gone.add(id);
+  }
+
+  /** Forgets instances that have been silent for long. */
+  removeSilent(now: number): void {
+    for (const [id, { reportedAt, report }] of this._instances) {
+      if (now - reportedAt <= FORGET_MS) continue;
+      this._instances.delete(id);
+      if (this._lives.get(report.address) === id) this._lives.delete(report.address);
+    }
+  }
+
+  /** Two lives can't listen at one address: the older one has ended. */
+  private _replaceLife(report: InstanceReport): void {
+    const previous = this._lives.get(report.address);
+    if (previous !== undefined && previous !== report.instanceId) {
+      this._instances.delete(previous);
+      this._replaced.set(previous, 0);
+    }
+    this._lives.set(report.address, report.instanceId);
+  }
+
+  /** A last report may arrive after the next life's first; one that goes on reporting lives. */
+  private _isReplaced(id: string): boolean {
+    const reports = this._replaced.get(id);
+    if (reports === undefined) return false;
+    this._replaced.set(id, reports + 1);
+    if (reports + 1 < REVIVING_REPORTS) return true;
+    this._replaced.delete(id);
+    return false;
+  }
+}
--- /dev/null
+++ b/src/registration/Registrar.ts
@@ -0,0 +1,128 @@
+/**
+ * What any control process does for instances, operators and callers, whoever leads.
+ *
+ * Reports and declarations go to the leader, here or over the network; nothing is
+ * acknowledged that the leader did not take.
+ */
+import type { Clock } from "../clock";
+import type { Declaration, DeclarationFormat } from "../declaration";
+import type { EntryEndpoint } from "../gen/ploverstage/v1/fleet_pb";
+import { FleetService, type InstanceReport } from "../gen/ploverstage/v1/fleet_pb";
+import type { Declaration as HeldDeclaration } from "../gen/ploverstage/v1/state_pb";
+import type { Logger } from "../metrics";
+import { LeaderClient } from "../rpc";
+import type { FleetLeadership } from "./FleetLeadership";
+import type { FollowedView } from "./FollowedView";
+
+/** What a registrar works with. */
+export interface RegistrarOptions {
+  /** Gives the leadership if this process leads. */
+  readonly getLeadership: () => FleetLeadership | undefined;
+  /** The leader's view as this process follows it. */
+  readonly view: FollowedView;
+  readonly seeds: readonly string[];
+  readonly secret: string | undefined;
+  readonly format: DeclarationFormat;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Where instances and operators reach this process. */
+  readonly publicAddress: string;
+}
+
+const REPORT_MS = 800;
+const DECLARATION_MS = 3_000;
+const READ_MS = 900;
+/** Reports that arrive within this time travel to the leader in one call. */
+const BATCH_MS = 15;
+
+/** Forwards to the leader, in batches where many come at once. */
+export class Registrar {
+  private readonly _options: RegistrarOptions;
+  private readonly _client: LeaderClient<typeof FleetService>;
+  private _waiting: InstanceReport[] = [];
+  private _batch: Promise<string> | undefined;
+
+  /**
+   * @param options - Leadership, view and seeds.
+   */
+  constructor(options: RegistrarOptions) {
+    this._options = options;
+    const { seeds, view, secret, clock } = options;
+    this._client = new LeaderClient(FleetService, {
+      get addresses() {
+        return [...new Set([...seeds, ...view.getControlAddresses()])];
+      },
+      followsHints: true,
+      secret,
+      clock,
+    });
+  }
+
+  /**
+   * Takes an instance's report.
+   * @returns Address for the next reports.
+   * @throws UnreachableControl - When no leader took it.
+   */
+  async addReport(report: InstanceReport): Promise<string> {
+    const leadership = this._options.getLeadership();
+    if (leadership !== undefined) {
+      await leadership.addReports([report]);
+      return this._options.publicAddress;
+    }
+    this._waiting.push(report);
+    this._batch ??= this._sendBatch();
+    return this._batch;
+  }
+
+  /**
+   * Checks a declaration and has it agreed on.
+   * @returns Its version; a higher one may hold already.
+   * @throws InvalidDeclaration, UnreachableControl, UnknownProposal, AbsentLeader
+   */
+  async putDeclaration(document: Uint8Array): Promise<Declaration> {
+    const declaration = this._options.format.parse(document);
+    const { version } = declaration;
+    await this._client.call(
+      (leader, timeoutMs) =>
+        leader.putDeclaration({ version, document }, { timeoutMs: Math.max(timeoutMs, DECLARATION_MS / 2) }),
+      DECLARATION_MS,
+    );
+    this._options.logger.info({ event: "declaration_held", version, bytes: document.length });
+    return declaration;
+  }
+
+  /**
+   * Gets the newest declaration, under a confirmed majority.
+   * @throws UnreachableControl
+   */
+  async getDeclaration(): Promise<HeldDeclaration | undefined> {
+    const answer = await this._client.call(
+      (leader, timeoutMs) => leader.getDeclaration({}, { timeoutMs }),
+      READ_MS,
+    );
+    return answer.declaration;
+  }
+
+  /**
+   * Gets the entries that callers may be sent to, the last ones heard of if need be.
+   * @param failureDomain - The caller's: entries there come first.
+   */
+  getEntries(failureDomain: string): readonly EntryEndpoint[] {
+    const own = this._options.getLeadership()?.view.entries ?? [];
+    const entries = own.length > 0 ? own : this._options.view.getEntries();
+    const isFar = (entry: EntryEndpoint) => Number(entry.failureDomain !== failureDomain);
+    return [...entries].sort((a, b) => isFar(a) - isFar(b));
+  }
+
+  private async _sendBatch(): Promise<string> {
+    await new Promise((resolve) => setTimeout(resolve, BATCH_MS));
+    const reports = this._waiting;
+    this._waiting = [];
+    this._batch = undefined;
+    const answer = await this._client.call(
+      (leader, timeoutMs) => leader.report({ reports }, { timeoutMs }),
+      REPORT_MS,
+    );
+    return answer.leaderAddress;
+  }
+}
--- /dev/null
+++ b/src/registration/ReplicaCloser.ts
@@ -0,0 +1,140 @@
+/**
+ * Closes retiring replicas, and tells when their instances may be given to others.
+ *
+ * A head that may still take requests keeps its instances: it has to be known as closed,
+ * broken or gone first. A head that answers no order is made to break by taking a
+ * member out of its replica. Pure: it decides, the controller sends.
+ */
+import { PlaceState } from "../gen/ploverstage/v1/fleet_pb";
+import type { Replica } from "../gen/ploverstage/v1/state_pb";
+import type { InstanceOrder, OrderOutcome, OrderReceiver } from "./InstanceOrders";
+import type { InstanceRegistry } from "./InstanceRegistry";
+
+/** An order that is due now. */
+export interface DueOrder {
+  readonly receiver: OrderReceiver;
+  readonly order: InstanceOrder;
+}
+
+/** Bounds on closing. */
+export interface ClosingTimes {
+  /** How long a head may work on what it has, once closed. */
+  readonly drainMs: number;
+  /** How long a replica stands still before it breaks. */
+  readonly stallMs: number;
+}
+
+interface Closing {
+  readonly since: number;
+  /** Whether requests under way may end first. */
+  readonly drains: boolean;
+  isClosed: boolean;
+  hasLeft: boolean;
+  leaveAsks: number;
+  /** When a member left a head that does not answer. */
+  memberLeftAt: number | undefined;
+}
+
+/** Orders to leave that a head may miss before a member is taken out instead. */
+const HEAD_PATIENCE_ASKS = 2;
+/** Clocks of instances differ a little in rate. */
+const BREAK_MARGIN_MS = 1_500;
+
+/** Outcomes after which the instance is certainly not in the replica that the order named. */
+const ENDED: ReadonlySet<OrderOutcome> = new Set(["done", "begun", "unfit", "stale", "elsewhere", "absent"]);
+
+/** The retiring replicas of one term. */
+export class ReplicaCloser {
+  private readonly _registry: InstanceRegistry;
+  private readonly _closings = new Map<string, Closing>();
+
+  /**
+   * @param registry - What instances say of themselves.
+   */
+  constructor(registry: InstanceRegistry) {
+    this._registry = registry;
+  }
+
+  /**
+   * Notes the retiring replicas.
+   * @param drains - Whether a replica may end its work first.
+   */
+  setRetiring(now: number, retiring: readonly Replica[], drains: (replica: Replica) => boolean): void {
+    const ids = new Set(retiring.map((replica) => replica.id));
+    for (const id of this._closings.keys()) if (!ids.has(id)) this._closings.delete(id);
+    for (const replica of retiring) {
+      if (this._closings.has(replica.id)) continue;
+      this._closings.set(replica.id, {
+        since: now,
+        drains: drains(replica),
+        isClosed: false,
+        hasLeft: false,
+        leaveAsks: 0,
+        memberLeftAt: undefined,
+      });
+    }
+  }
+
+  /** Checks whether no request can begin in a retiring replica any more. */
+  isOver(now: number, replica: Replica, times: ClosingTimes): boolean {
+    const closing = this._closings.get(replica.id);
+    if (closing === undefined) return false;
+    const head = replica.members[0]!.instanceId;
+    if (closing.hasLeft || this._registry.isGone(head)) return true;
+    const place = this._registry.getInstance(head)?.report.place;
+    const isOwn = place?.replicaId === replica.id && place.epoch === replica.epoch;
+    if (isOwn && place.state === PlaceState.BROKEN) return true;
+    if (place !== undefined && place.epoch > replica.epoch) return true;
+    return closing.memberLeftAt !== undefined && now - closing.memberLeftAt > times.stallMs + BREAK_MARGIN_MS;
+  }
+
+  /** Gets the next order for a retiring replica that is not over. */
+  getDueOrder(now: number, replica: Replica, times: ClosingTimes): DueOrder | undefined {
+    const closing = this._closings.get(replica.id);
+    if (closing === undefined || this.isOver(now, replica, times)) return undefined;
+    const { id: replicaId, epoch } = replica;
+    const head = replica.members[0]!;
+    if (closing.drains && !closing.isClosed) {
+      return { receiver: head, order: { kind: "close", replicaId, epoch } };
+    }
+    if (this._isDraining(now, replica, closing, times)) return undefined;
+    if (closing.leaveAsks < HEAD_PATIENCE_ASKS || closing.memberLeftAt !== undefined) {
+      return { receiver: head, order: { kind: "leave", replicaId, epoch } };
+    }
+    const member = this._getReachableMember(replica);
+    closing.leaveAsks = 0;
+    return { receiver: member ?? head, order: { kind: "leave", replicaId, epoch } };
+  }
+
+  /** Notes what an order came to. */
+  addOutcome(now: number, replica: Replica, due: DueOrder, outcome: OrderOutcome): void {
+    const closing = this._closings.get(replica.id);
+    if (closing === undefined) return;
+    const isHead = due.receiver.instanceId === replica.members[0]!.instanceId;
+    if (due.order.kind === "close") {
+      // A head that can't be closed is left at once.
+      closing.isClosed = true;
+      if (outcome === "elsewhere" || outcome === "absent") closing.hasLeft = true;
+      return;
+    }
+    if (isHead) closing.leaveAsks += 1;
+    if (!ENDED.has(outcome)) return;
+    if (isHead) closing.hasLeft = true;
+    else closing.memberLeftAt ??= now;
+  }
+
+  /** A closed head is ready again once its work is over. */
+  private _isDraining(now: number, replica: Replica, closing: Closing, times: ClosingTimes): boolean {
+    if (!closing.drains || now - closing.since > times.drainMs) return false;
+    const place = this._registry.getInstance(replica.members[0]!.instanceId)?.report.place;
+    const isOwn = place?.replicaId === replica.id && place.epoch === replica.epoch;
+    return isOwn && (place.state === PlaceState.OPEN || place.state === PlaceState.CLOSING);
+  }
+
+  private _getReachableMember(replica: Replica): OrderReceiver | undefined {
+    return replica.members.slice(1).find((member) => {
+      const place = this._registry.getInstance(member.instanceId)?.report.place;
+      return place?.replicaId === replica.id && place.epoch === replica.epoch;
+    });
+  }
+}
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -12,3 +12,4 @@
 } from "./Placement";
 export { BLOCK_CHARACTERS, getPrefixDigests, type PrefixDigests, PrefixTable } from "./PrefixTable";
 export { RetryBudget } from "./RetryBudget";
+export { type RetryBound, SharedRetryBudget } from "./SharedRetryBudget";
--- a/src/rpc/LeaderClient.ts
+++ b/src/rpc/LeaderClient.ts
@@ -16,9 +16,11 @@
 
 /** How a leader is called. */
 export interface LeaderClientOptions {
-  /** host:port of all control processes. */
+  /** host:port of control processes; read again whenever another one is to be asked. */
   readonly addresses: readonly string[];
-  readonly secret: string;
+  /** Whether a leader that is not among them may be asked, where settings name only some. */
+  readonly followsHints?: boolean;
+  readonly secret: string | undefined;
   readonly clock: Clock;
 }
 
@@ -75,8 +77,8 @@
     const error = ConnectError.from(cause);
     if (isFinal(error.code)) throw error;
     const hint = error.metadata.get(LEADER_HEADER) ?? "";
-    const isKnown = this._options.addresses.includes(hint);
-    this._current = isKnown && hint !== this._current ? hint : this._getNext();
+    const isKnown = this._options.addresses.includes(hint) || this._options.followsHints === true;
+    this._current = isKnown && hint !== "" && hint !== this._current ? hint : this._getNext();
     return error.rawMessage;
   }
 
--- a/src/rpc/RpcServer.ts
+++ b/src/rpc/RpcServer.ts
@@ -14,6 +14,8 @@
 
 /** Largest message accepted: a snapshot of the state must fit. */
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
+/** A caller that misses the answer to a ping for so long is cut off. */
+const PING_INTERVAL_MS = 700;
 
 /** A listening server. */
 export class RpcServer {
@@ -30,7 +32,11 @@
     );
     this._server.on("session", (session) => {
       this._sessions.add(session);
-      session.once("close", () => this._sessions.delete(session));
+      const timer = startPings(session);
+      session.once("close", () => {
+        clearInterval(timer);
+        this._sessions.delete(session);
+      });
       session.on("error", () => session.destroy());
     });
   }
@@ -53,3 +59,17 @@
     await closed;
   }
 }
+
+/** A frozen caller keeps its connection; only a missing answer tells it from a quiet one. */
+function startPings(session: ServerHttp2Session): NodeJS.Timeout {
+  let isAwaited = false;
+  return setInterval(() => {
+    if (isAwaited) {
+      session.destroy();
+      return;
+    }
+    isAwaited = session.ping((failure) => {
+      isAwaited = failure !== null;
+    });
+  }, PING_INTERVAL_MS).unref();
+}
--- a/src/rpc/createRpcTransport.ts
+++ b/src/rpc/createRpcTransport.ts
@@ -10,12 +10,13 @@
 /**
  * Makes a transport to one process.
  * @param address - host:port of its interface.
+ * @param secret - The shared secret; `undefined` where the network alone protects the calls.
  */
-export function createRpcTransport(address: string, secret: string): Transport {
+export function createRpcTransport(address: string, secret: string | undefined): Transport {
   return createConnectTransport({
     baseUrl: `http://${address}`,
     httpVersion: "2",
-    interceptors: [createSecretSender(secret)],
+    interceptors: secret === undefined ? [] : [createSecretSender(secret)],
     acceptCompression: [],
     pingIntervalMs: PING_INTERVAL_MS,
     pingTimeoutMs: PING_TIMEOUT_MS,
--- a/src/settings/Settings.ts
+++ b/src/settings/Settings.ts
@@ -71,6 +71,60 @@
   metrics: Schema.optionalKey(StatsdServer),
 };
 
+const Milliseconds = Schema.Int.check(Schema.isBetween({ minimum: 0, maximum: 3_600_000 }));
+const Share = Schema.Number.check(Schema.isGreaterThanOrEqualTo(0));
+
+/** Bounds that keep replicas safe; where a platform gives them, its figures. */
+const Replicas = Schema.Struct({
+  /** How often an instance reports. */
+  reportMs: Milliseconds,
+  /** Reports that an instance may miss before it is absent. */
+  reportsMissed: withDefault(Share, 2.5),
+  /** How long a closed replica may work on what it has. */
+  drainMs: withDefault(Milliseconds, 9_000),
+  /** How long a replica stands still, for want of an instance, before it breaks. */
+  stallMs: Milliseconds,
+  /** Window of the weight store's limit on loads, and how far it may be overrun in it. */
+  loadWindowS: Share,
+  loadOverrun: withDefault(Share, 1),
+  /** Instances kept free in each fabric domain for repairs. */
+  reserve: withDefault(Schema.Int.check(Schema.isBetween({ minimum: 0, maximum: 64 })), 1),
+});
+
+const FleetControl = Schema.Struct({
+  /** Where the system's own processes reach this one; all use the same port. */
+  listen: Address,
+  /** Where instances and operators reach this process; it is also the member's name. */
+  publicAddress: Address,
+  /** Where callers ask for addresses of entries. */
+  directoryListen: Schema.optionalKey(Address),
+  dataFolder: Schema.String,
+  /** Public addresses of a few control processes. */
+  seeds: Schema.Array(Address).check(Schema.isMinLength(1)),
+  /** Whether this is the first start of the whole system, so that the seeds are its founders. */
+  isFirstStart: withDefault(Schema.Boolean, false),
+  /** How long callers may keep an answer with addresses. */
+  addressTtlS: withDefault(Share, 2),
+  replicas: Replicas,
+});
+
+const Gateway = Schema.Struct({
+  /** Where callers connect. */
+  listen: Address,
+  /** Where readiness is asked for. */
+  readyListen: Schema.optionalKey(Address),
+  /** host:port of control processes, as the system's own processes reach them. */
+  seeds: Schema.Array(Address).check(Schema.isMinLength(1)),
+  /** Port at which control processes are reached, where seeds name another one. */
+  controlPort: Schema.optionalKey(Port),
+  /** How long a planned stop may take. */
+  stopS: withDefault(Share, 8),
+  /** Repeats of all entries together: a share of the requests and, in the window, some more. */
+  retryRatio: withDefault(Share, 0.1),
+  retryExtra: withDefault(Share, 10),
+  retryWindowS: withDefault(Share, 10),
+});
+
 /** Settings of a control process. */
 export const ControlSettingsSchema = Schema.Struct({
   ...shared,
@@ -81,10 +135,27 @@
 /** Settings of an entry process. */
 export const EntrySettingsSchema = Schema.Struct({ ...shared, secrets: Secrets, entry: Entry });
 
+/** Settings of a control process whose instances register themselves. */
+export const FleetControlSettingsSchema = Schema.Struct({
+  ...shared,
+  secrets: Schema.optionalKey(Schema.Struct({ clusterFile: Schema.String })),
+  control: FleetControl,
+});
+/** Settings of an entry that routes by declarations. */
+export const GatewaySettingsSchema = Schema.Struct({
+  ...shared,
+  secrets: Schema.optionalKey(Schema.Struct({ clusterFile: Schema.String })),
+  gateway: Gateway,
+});
+
 /** Settings of a control process. */
 export type ControlSettings = typeof ControlSettingsSchema.Type;
 /** Settings of an entry process. */
 export type EntrySettings = typeof EntrySettingsSchema.Type;
+/** Settings of a control process whose instances register themselves. */
+export type FleetControlSettings = typeof FleetControlSettingsSchema.Type;
+/** Settings of an entry that routes by declarations. */
+export type GatewaySettings = typeof GatewaySettingsSchema.Type;
 
 /**
  * Reads and checks a control process's settings.
@@ -102,6 +173,22 @@
   return (await readDocument(file)).decode(EntrySettingsSchema);
 }
 
+/**
+ * Reads and checks the settings of a control process whose instances register themselves.
+ * @throws InvalidFile
+ */
+export async function readFleetControlSettings(file: string): Promise<FleetControlSettings> {
+  return (await readDocument(file)).decode(FleetControlSettingsSchema);
+}
+
+/**
+ * Reads and checks the settings of an entry that routes by declarations.
+ * @throws InvalidFile
+ */
+export async function readGatewaySettings(file: string): Promise<GatewaySettings> {
+  return (await readDocument(file)).decode(GatewaySettingsSchema);
+}
+
 /**
  * Reads a secret.
  * @throws InvalidFile - When the file is missing, or the secret too short to be one.
--- a/src/state/StateMachine.ts
+++ b/src/state/StateMachine.ts
@@ -116,6 +116,11 @@
     return this._departed.has(instanceId);
   }
 
+  /** Gets the instances that said that they leave, the newest ones. */
+  getDepartures(): string[] {
+    return [...this._departed];
+  }
+
   /** Encodes the state for a snapshot. */
   encode(): Uint8Array {
     return toBinary(StateSchema, this._state);
@@ -231,6 +236,7 @@
       return { kind: "refusedReplica", reason: `${replica.id} is past that phase` };
     }
     replica.phase = move.phase;
+    if (move.phase === ReplicaPhase.SERVING) replica.servedAtIndex = index;
     replica.reason = move.reason;
     replica.changedAtIndex = index;
     replica.changedAtMs = this._advanceClock(move.atMs);
