--- a/src/declaration/Declaration.ts
+++ b/src/declaration/Declaration.ts
@@ -57,6 +57,8 @@
   readonly models: readonly DeclaredModel[];
   /** Loads that may begin in a second, over all instances. */
   readonly loadsPerSecond: number;
+  /** Loads at a time past which each takes longer. */
+  readonly concurrentLoads: number;
 }
 
 /** A service: plain, or one whose instances form replicas of models. */
--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -13,7 +13,7 @@
 import type { HttpClient } from "../http";
 import type { CallFacts, Dialect } from "./Dialect";
 import { createNotRun, createUnknown, type GatewayRefusal } from "./GatewayRefusal";
-import { mayRepeat } from "./patience";
+import { isSilentTooLong, mayRepeat } from "./patience";
 import type { TargetPool } from "./TargetPool";
 
 /** A request that was accepted. Times are monotonic milliseconds. */
@@ -70,7 +70,9 @@
 
 const CONNECT_MS = 300;
 const NO_TARGET_RETRY_MS = 1_000;
-const REFUSED_RETRY_MS = 200;
+const REFUSED_RETRY_MS = 1_200;
+/** Silence is looked for this often. */
+const WATCH_MS = 50;
 /** Less time than this is not worth an attempt. */
 const MIN_LEFT_MS = 5;
 
@@ -152,12 +154,12 @@
   /**
    * Sends the request to a target and waits for the head of its answer.
    * @param lastEventId - Where a stream goes on.
-   * @param patienceMs - Longest wait for the head.
+   * @param getPatienceMs - Gives the longest silence of an endpoint that works.
    */
   async send(
     target: Target,
     lastEventId: string | undefined,
-    patienceMs: number,
+    getPatienceMs: () => number,
   ): Promise<BegunAttempt | AttemptFailure> {
     const startedAt = this.getNow();
     const abort = new AbortController();
@@ -165,12 +167,13 @@
     this._tried.add(target.id);
     const end = this.tools.pool.startRequest(target.id);
     let wasSent = false;
-    const timer = this._startTimer(abort, patienceMs);
+    const stopWatch = this._watchSilence(target, abort, getPatienceMs, () => startedAt);
     try {
       const incoming = await this._call(target, lastEventId, abort, () => {
         wasSent = true;
         this._sent += 1;
       });
+      this.tools.pool.addSign(this.getNow(), target.id);
       return { target, incoming, startedAt, end, abort };
     } catch (cause) {
       end();
@@ -178,10 +181,19 @@
       this._addFailure(target, failure, startedAt);
       return failure;
     } finally {
-      clearTimeout(timer);
+      stopWatch();
     }
   }
 
+  /**
+   * Leaves an endpoint that stands still, while another one could run the request.
+   * @param getHeardAt - When this attempt heard anything.
+   * @returns Ends the watch.
+   */
+  watchSilence(attempt: BegunAttempt, getPatienceMs: () => number, getHeardAt: () => number): () => void {
+    return this._watchSilence(attempt.target, attempt.abort, getPatienceMs, getHeardAt);
+  }
+
   /** Notes that an attempt failed after its answer had begun. */
   failAttempt(attempt: BegunAttempt, failure: AttemptFailure): void {
     attempt.end();
@@ -211,9 +223,22 @@
     return createNotRun(code, last.reason, REFUSED_RETRY_MS);
   }
 
-  private _startTimer(abort: AbortController, patienceMs: number): NodeJS.Timeout {
-    const reason = new LostAnswer({ address: "", reason: `silent for ${Math.round(patienceMs)} ms` });
-    return setTimeout(() => abort.abort(reason), patienceMs);
+  private _watchSilence(
+    target: Target,
+    abort: AbortController,
+    getPatienceMs: () => number,
+    getHeardAt: () => number,
+  ): () => void {
+    const timer = setInterval(() => {
+      const now = this.getNow();
+      const silentMs = now - getHeardAt();
+      const targetSilentMs = now - this.tools.pool.getHeardAt(target.id);
+      if (!isSilentTooLong(silentMs, targetSilentMs, getPatienceMs()) || !this.canGoElsewhere()) return;
+      abort.abort(
+        new LostAnswer({ address: target.address, reason: `silent for ${Math.round(silentMs)} ms` }),
+      );
+    }, WATCH_MS);
+    return () => clearInterval(timer);
   }
 
   private _call(
@@ -246,11 +271,7 @@
   }
 
   private _explain(cause: unknown, wasSent: boolean, abort: AbortController): AttemptFailure {
-    const given = abort.signal.reason;
-    const told = given instanceof LostAnswer ? given : cause;
-    const reason =
-      told instanceof LostAnswer || told instanceof UnreachableEndpoint ? told.reason : String(told);
-    return { reason, wasNotRun: !wasSent, wasSent };
+    return { reason: explainFailure(cause, abort), wasNotRun: !wasSent, wasSent };
   }
 
   private _addFailure(target: Target, failure: AttemptFailure, startedAt: number): void {
@@ -270,6 +291,14 @@
   }
 }
 
+/** Gets why an attempt ended: what aborted it says more than what that looked like on the connection. */
+export function explainFailure(cause: unknown, abort: AbortController): string {
+  const given = abort.signal.reason;
+  const told = given instanceof LostAnswer ? given : cause;
+  if (told instanceof LostAnswer || told instanceof UnreachableEndpoint) return told.reason;
+  return told instanceof Error ? told.message : String(told);
+}
+
 /** Methods whose requests have no body unless one was sent. */
 function isBodiless(method: string): boolean {
   return method === "GET" || method === "HEAD" || method === "DELETE" || method === "OPTIONS";
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -18,6 +18,7 @@
 import type { GatewaySettings } from "../settings";
 import type { Dialect } from "./Dialect";
 import { GatewayServer } from "./GatewayServer";
+import { SuspicionReporter } from "./SuspicionReporter";
 import { TargetPool } from "./TargetPool";
 
 /** What a gateway is started with. */
@@ -65,8 +66,11 @@
   });
   const getEntryCount = () => Math.max(1, view.getEntries().length);
   let routes: RouteTable | undefined;
+  const seeds = gateway.seeds.map((seed) => withPort(seed, gateway.controlPort));
   const onChange = () => {
-    pool.setTargets(view.getTargets());
+    const targets = view.getTargets();
+    pool.setTargets(targets);
+    suspicions.retain(new Set(targets.map((target) => target.id)));
     const held = view.declaration;
     if (held === undefined || held.version === routes?.declaration.version) return;
     routes = new RouteTable(format.parse(held.document));
@@ -83,7 +87,9 @@
       dialect,
       pool,
       takeRetry: () => budget.takeRetry(clock.getMonotonicMs(), getEntryCount()),
-      onSuspicion: () => {},
+      onSuspicion: (target, isUnreachable) => {
+        if (target.model !== "") suspicions.report(target, isUnreachable);
+      },
     },
     getRoutes: () => routes,
     onRequest: () => budget.addRequest(clock.getMonotonicMs(), getEntryCount()),
@@ -95,13 +101,21 @@
       address: gateway.listen,
       failureDomain: settings.process.failureDomain,
     },
-    seeds: gateway.seeds.map((seed) => withPort(seed, gateway.controlPort)),
+    seeds,
     secret,
     view,
     clock,
     logger,
     onChange,
   });
+  const suspicions = new SuspicionReporter({
+    get addresses() {
+      return [...new Set([watcher.leaderAddress, ...view.getControlAddresses(), ...seeds])];
+    },
+    followsHints: true,
+    secret,
+    clock,
+  });
   return { clock, client, server, watcher, getRoutes: () => routes };
 }
 
--- a/src/gateway/PlainExchange.ts
+++ b/src/gateway/PlainExchange.ts
@@ -47,7 +47,8 @@
     const exchange = this._exchange;
     const target = exchange.chooseTarget();
     if (target === undefined) return undefined;
-    const attempt = await exchange.send(target, exchange.request.call.lastEventId, this._getPatienceMs());
+    const { call, route } = exchange.request;
+    const attempt = await exchange.send(target, call.lastEventId, () => getAnswerPatienceMs(route));
     if (!hasBegun(attempt)) return undefined;
     const failure = this._check(attempt);
     if (failure !== undefined) {
@@ -57,15 +58,6 @@
     return this._readWhole(attempt);
   }
 
-  /** Only a request that may go elsewhere is taken from a silent endpoint before its time is over. */
-  private _getPatienceMs(): number {
-    const exchange = this._exchange;
-    const leftMs = exchange.getLeftMs();
-    const { route } = exchange.request;
-    const canRepeat = mayRepeat(route) && exchange.sentCount + 1 < route.maxAttempts;
-    return canRepeat ? Math.min(leftMs, getAnswerPatienceMs(route)) : leftMs;
-  }
-
   private _check({ incoming }: BegunAttempt): AttemptFailure | undefined {
     const { tools, request } = this._exchange;
     const status = incoming.statusCode ?? 0;
--- a/src/gateway/StreamExchange.ts
+++ b/src/gateway/StreamExchange.ts
@@ -7,7 +7,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { EventSplitter } from "./EventSplitter";
-import { type AttemptFailure, type BegunAttempt, type Exchange, hasBegun } from "./Exchange";
+import { type AttemptFailure, type BegunAttempt, type Exchange, explainFailure, hasBegun } from "./Exchange";
 import { getEndToEndHeaders } from "./headers";
 import { getAnswerPatienceMs, getGapPatienceMs, mayRepeat } from "./patience";
 
@@ -22,9 +22,6 @@
 
 type RelayEnd = "whole" | "brokeOff";
 
-/** Silence is looked for this often. */
-const WATCH_MS = 50;
-
 /** Runs one stream. */
 export class StreamExchange {
   private readonly _exchange: Exchange;
@@ -74,7 +71,7 @@
     const exchange = this._exchange;
     const target = exchange.chooseTarget();
     if (target === undefined) return "brokeOff";
-    const attempt = await exchange.send(target, this._lastEventId, this._getHeadPatienceMs());
+    const attempt = await exchange.send(target, this._lastEventId, () => this._getPatienceMs());
     if (!hasBegun(attempt)) return "brokeOff";
     const failure = this._check(attempt);
     if (failure !== undefined) {
@@ -84,13 +81,6 @@
     return this._relay(attempt);
   }
 
-  private _getHeadPatienceMs(): number {
-    const { route } = this._exchange.request;
-    const leftMs = this._exchange.getLeftMs();
-    const canRepeat = mayRepeat(route) && this._exchange.sentCount + 1 < route.maxAttempts;
-    return canRepeat ? Math.min(leftMs, this._getPatienceMs()) : leftMs;
-  }
-
   private _getPatienceMs(): number {
     const { route } = this._exchange.request;
     return this._events === 0 ? getAnswerPatienceMs(route) : getGapPatienceMs(route);
@@ -116,24 +106,28 @@
 
   private async _relay(attempt: BegunAttempt): Promise<RelayEnd> {
     const splitter = new EventSplitter();
-    const watch = this._watchSilence(attempt);
+    let heardAt = attempt.startedAt;
+    const stopWatch = this._exchange.watchSilence(
+      attempt,
+      () => this._getPatienceMs(),
+      () => heardAt,
+    );
     try {
       for await (const chunk of attempt.incoming as AsyncIterable<Buffer>) {
+        heardAt = this._exchange.getNow();
+        this._exchange.tools.pool.addSign(heardAt, attempt.target.id);
         for (const event of splitter.addBytes(chunk)) await this._passOn(attempt, event.bytes, event.id);
       }
       return await this._endWhole(attempt, splitter);
     } catch (cause) {
-      const given = attempt.abort.signal.reason;
-      const told = given instanceof SilenceError ? given : cause;
-      const reason = told instanceof Error ? told.message : String(told);
       this._exchange.failAttempt(attempt, {
-        reason: `its stream broke off: ${reason}`,
+        reason: `its stream broke off: ${explainFailure(cause, attempt.abort)}`,
         wasNotRun: false,
         wasSent: true,
       });
       return "brokeOff";
     } finally {
-      clearInterval(watch);
+      stopWatch();
     }
   }
 
@@ -148,22 +142,6 @@
     return "whole";
   }
 
-  /** Leaves an endpoint that stands still while another one could go on. */
-  private _watchSilence(attempt: BegunAttempt): NodeJS.Timeout {
-    let heardAt = this._exchange.getNow();
-    let heard = this._events;
-    return setInterval(() => {
-      const now = this._exchange.getNow();
-      if (this._events !== heard) {
-        heard = this._events;
-        heardAt = now;
-      }
-      const silentMs = now - heardAt;
-      if (silentMs < this._getPatienceMs() || !this._exchange.canGoElsewhere()) return;
-      attempt.abort.abort(new SilenceError(`silent for ${Math.round(silentMs)} ms`));
-    }, WATCH_MS);
-  }
-
   private async _passOn(attempt: BegunAttempt, bytes: Buffer, id: string | undefined): Promise<void> {
     this._writeHead(attempt.incoming);
     this._noteEvent();
@@ -190,9 +168,6 @@
   }
 }
 
-/** An endpoint was silent for too long. */
-class SilenceError extends Error {}
-
 /** A stream may be longer or shorter than its first endpoint meant, so its length is not passed on. */
 function getStreamHeaders(incoming: IncomingMessage): string[] {
   const headers = getEndToEndHeaders(incoming.rawHeaders);
--- a/src/gateway/TargetPool.ts
+++ b/src/gateway/TargetPool.ts
@@ -21,11 +21,14 @@
   /** Before this time it is used only when there is no other. */
   suspectUntil: number;
   failures: number;
+  /** When any request heard anything of it. */
+  heardAt: number;
 }
 
 /** How long a target is avoided after its first failure; doubled with each that follows. */
 const SUSPICION_MS = 500;
 const MAX_SUSPICION_MS = 4_000;
+const NEVER = Number.NEGATIVE_INFINITY;
 /** Requests that a suspect counts as, against one that is not. */
 const SUSPECT_LOAD = 1_000;
 
@@ -46,7 +49,8 @@
     this._targets = new Map(
       targets.map((target) => {
         const known = this._targets.get(target.id);
-        if (known === undefined) return [target.id, { target, inFlight: 0, suspectUntil: 0, failures: 0 }];
+        if (known === undefined)
+          return [target.id, { target, inFlight: 0, suspectUntil: 0, failures: 0, heardAt: NEVER }];
         known.target = target;
         return [target.id, known];
       }),
@@ -99,6 +103,17 @@
     };
   }
 
+  /** Notes that something was heard of a target. */
+  addSign(now: number, id: string): void {
+    const state = this._targets.get(id);
+    if (state !== undefined) state.heardAt = now;
+  }
+
+  /** Gets when anything was heard of a target. */
+  getHeardAt(id: string): number {
+    return this._targets.get(id)?.heardAt ?? NEVER;
+  }
+
   /** Notes that a target answered as it should. */
   addSuccess(id: string): void {
     const state = this._targets.get(id);
--- a/src/gateway/patience.ts
+++ b/src/gateway/patience.ts
@@ -5,6 +5,8 @@
 const ANSWER_PATIENCE = 2.5;
 const MIN_ANSWER_PATIENCE_MS = 250;
 const MIN_FIRST_EVENT_PATIENCE_MS = 800;
+/** An endpoint that other requests hear of works; what it has not begun may wait so much longer. */
+const BUSY_PATIENCE = 4;
 /** A pause between two events may be so many times its objective. */
 const GAP_PATIENCE = 2;
 const MIN_GAP_PATIENCE_MS = 500;
@@ -20,6 +22,17 @@
   return Math.max(MIN_GAP_PATIENCE_MS, (route.gapObjectiveMs ?? route.objectiveMs) * GAP_PATIENCE);
 }
 
+/**
+ * Checks whether an endpoint has been silent for too long.
+ * @param silentMs - How long this request has heard nothing.
+ * @param targetSilentMs - How long no request has heard anything of the endpoint.
+ * @param patienceMs - The longest silence of an endpoint that works.
+ */
+export function isSilentTooLong(silentMs: number, targetSilentMs: number, patienceMs: number): boolean {
+  if (silentMs < patienceMs) return false;
+  return targetSilentMs >= patienceMs || silentMs >= patienceMs * BUSY_PATIENCE;
+}
+
 /** Checks whether a request of a route may run more than once. */
 export function mayRepeat(route: Route): boolean {
   return route.kind === "repeatable" || (route.kind === "stream" && route.isResumable);
--- a/src/planner/Planner.ts
+++ b/src/planner/Planner.ts
@@ -222,7 +222,7 @@
     for (const replica of broken.sort((a, b) => this._countAbsent(a) - this._countAbsent(b))) {
       if (this._retiring.has(replica.id)) continue;
       if (this._mayComeBack(view, replica)) continue;
-      const donors = this._getDonors(view, replica);
+      const donors = this._getDonors(view, replica) ?? (this._repair.isLossFinal ? [] : undefined);
       if (donors === undefined) continue;
       this._retire(replica, REASON.lost);
       for (const donor of donors) this._retire(donor, REASON.donor);
--- a/src/planner/RepairPolicy.ts
+++ b/src/planner/RepairPolicy.ts
@@ -17,20 +17,33 @@
 
 /** A way to choose the waiting time. */
 export interface RepairPolicy {
+  /** Whether a lost instance never takes its place again, so that its replica holds the others for nothing. */
+  readonly isLossFinal: boolean;
   /** Gets how long to wait from the loss on, milliseconds. */
   getWaitMs(facts: RepairFacts): number;
 }
 
 /** Waits as long as is allowed: a baseline. */
 export class WaitingRepair implements RepairPolicy {
+  readonly isLossFinal = false;
+
   /** Gets the longest wait allowed. */
   getWaitMs(facts: RepairFacts): number {
     return facts.maxWaitMs;
   }
 }
 
-/** Rebuilds at once: a baseline. */
+/** Rebuilds at once: a baseline, and right where an instance that comes back has lost its place. */
 export class ImmediateRepair implements RepairPolicy {
+  readonly isLossFinal: boolean;
+
+  /**
+   * @param isLossFinal - Whether a lost instance never takes its place again.
+   */
+  constructor(isLossFinal = false) {
+    this.isLossFinal = isLossFinal;
+  }
+
   /** Gets no wait. */
   getWaitMs(): number {
     return 0;
@@ -45,6 +58,8 @@
 
 /** Waits as long as makes the expected end of the outage soonest. */
 export class ExpectedRepair implements RepairPolicy {
+  readonly isLossFinal = false;
+
   /** Gets the wait with the least expected outage; ties go to the shorter one. */
   getWaitMs(facts: RepairFacts): number {
     const absences = [...PRIOR_ABSENCES, ...facts.absences];
--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -109,7 +109,14 @@
 
   /** Notes what an entry saw of a target. */
   addSuspicion(suspicion: SuspectRequest): void {
-    this._options.logger.info({ event: "target_suspected", ...suspicion, $typeName: undefined });
+    const { targetId, instanceId, unreachable } = suspicion;
+    this._options.logger.info({
+      event: "target_suspected",
+      target: targetId,
+      instance: instanceId,
+      unreachable,
+    });
+    this._controller.checkReplica(targetId);
   }
 
   /**
@@ -140,10 +147,24 @@
   private async _step(): Promise<void> {
     const now = this._options.clock.getMonotonicMs();
     this._registry.removeSilent(now);
+    if (this._isWarm(now)) await this._plan();
+    if (!this._isEnded) this._publish();
+  }
+
+  /** What has not been heard yet says nothing of an instance while the term is young. */
+  private _isWarm(now: number): boolean {
+    if (now - this._startedAt > this._options.times.presenceMs) return true;
+    return this._options.driver.machine
+      .getReplicas()
+      .every((replica) =>
+        replica.members.every((member) => this._registry.getInstance(member.instanceId) !== undefined),
+      );
+  }
+
+  private async _plan(): Promise<void> {
     await this._controller.step().catch((cause: unknown) => {
       this._options.logger.warn({ event: "planning_failed", reason: String(cause) });
     });
-    if (!this._isEnded) this._publish();
   }
 
   private _publish(): void {
@@ -187,7 +208,7 @@
       .map((instance) => createPlainTarget(instance));
     const replicas = this._options.driver.machine
       .getReplicas()
-      .filter((replica) => !this._hasDepartedMember(replica) && this._controller.isOpen(replica))
+      .filter((replica) => !this._hasDepartedMember(replica) && this._controller.isOpen(now, replica))
       .map((replica) => this._createReplicaTarget(replica))
       .filter((target) => target !== undefined);
     return [...plain, ...replicas];
--- a/src/registration/InstanceOrders.ts
+++ b/src/registration/InstanceOrders.ts
@@ -54,8 +54,13 @@
  */
 export type OrderOutcome = "begun" | "done" | "unfit" | "stale" | "elsewhere" | "absent" | "unanswered";
 
-/** Gives orders. */
+/** What asking an instance for a sign of life came to. */
+export type ProbeOutcome = "present" | "silent" | "absent";
+
+/** Gives orders, and asks for a sign of life. */
 export interface InstanceOrders {
+  /** Asks an instance whether it is there; never throws. */
+  probe(receiver: OrderReceiver, timeoutMs: number): Promise<ProbeOutcome>;
   /** Sends one order; never throws. */
   send(receiver: OrderReceiver, order: InstanceOrder): Promise<OrderOutcome>;
 }
--- /dev/null
+++ b/src/registration/PresenceDoubts.ts
@@ -0,0 +1,28 @@
+/**
+ * Instances that were asked for a sign of life, because an entry saw their replica stand
+ * still, and gave none.
+ *
+ * A doubt lasts until the instance reports again. Pure.
+ */
+
+/** Instances in doubt. */
+export class PresenceDoubts {
+  private readonly _doubtedAt = new Map<string, number>();
+
+  /** Notes that an instance gave no sign of life. */
+  addDoubt(now: number, instanceId: string): void {
+    this._doubtedAt.set(instanceId, now);
+  }
+
+  /**
+   * Checks whether an instance is in doubt.
+   * @param reportedAt - When it reported last.
+   */
+  isDoubted(instanceId: string, reportedAt: number): boolean {
+    const doubtedAt = this._doubtedAt.get(instanceId);
+    if (doubtedAt === undefined) return false;
+    if (reportedAt <= doubtedAt) return true;
+    this._doubtedAt.delete(instanceId);
+    return false;
+  }
+}
--- a/src/registration/ReplicaCloser.ts
+++ b/src/registration/ReplicaCloser.ts
@@ -36,7 +36,7 @@
 }
 
 /** Orders to leave that a head may miss before a member is taken out instead. */
-const HEAD_PATIENCE_ASKS = 2;
+const HEAD_PATIENCE_ASKS = 1;
 /** Clocks of instances differ a little in rate. */
 const BREAK_MARGIN_MS = 1_500;
 
@@ -98,7 +98,9 @@
       return { receiver: head, order: { kind: "close", replicaId, epoch } };
     }
     if (this._isDraining(now, replica, closing, times)) return undefined;
-    if (closing.leaveAsks < HEAD_PATIENCE_ASKS || closing.memberLeftAt !== undefined) {
+    // Once a member has left, the head breaks by itself.
+    if (closing.memberLeftAt !== undefined) return undefined;
+    if (closing.leaveAsks < HEAD_PATIENCE_ASKS) {
       return { receiver: head, order: { kind: "leave", replicaId, epoch } };
     }
     const member = this._getReachableMember(replica);
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -23,6 +23,7 @@
 import type { InstanceOrder, InstanceOrders, OrderOutcome, OrderReceiver } from "./InstanceOrders";
 import type { InstanceRegistry, RegisteredInstance } from "./InstanceRegistry";
 import { LoadLimiter } from "./LoadLimiter";
+import { PresenceDoubts } from "./PresenceDoubts";
 import { type ClosingTimes, ReplicaCloser } from "./ReplicaCloser";
 import { sizeGroups } from "./sizeGroups";
 
@@ -53,7 +54,11 @@
 /** A load ordered ahead of need is taken as held from its order on, for so long at most. */
 const STAGING_MS = 40_000;
 const LOADED_VERSION = "1";
-const CONCURRENT_LOADS = 6;
+/** Some loads more than run at full speed, so that the weight store is not idle between two. */
+const LOAD_OVERLAP = 4 / 3;
+/** A replica's members are asked for a sign of life no more often than this. */
+const PROBE_PAUSE_MS = 1_000;
+const PROBE_TIMEOUT_MS = 400;
 const READY_STATES: ReadonlySet<PlaceState> = new Set([PlaceState.READY, PlaceState.OPEN]);
 
 interface Staging {
@@ -64,13 +69,15 @@
 /** Controls the replicas of one term. */
 export class ReplicaController {
   private readonly _options: ReplicaControllerOptions;
-  private readonly _planner = new Planner(new ImmediateRepair());
+  private readonly _planner = new Planner(new ImmediateRepair(true));
   private readonly _closer: ReplicaCloser;
   private readonly _limiter = new LoadLimiter();
   /** When an order of this content was sent to this instance last. */
   private readonly _sentAt = new Map<string, number>();
   private readonly _busy = new Set<string>();
   private readonly _staging = new Map<string, Staging>();
+  private readonly _doubts = new PresenceDoubts();
+  private readonly _probedAt = new Map<string, number>();
   private _isStepping = false;
 
   /**
@@ -93,9 +100,36 @@
   }
 
   /** Checks whether a replica takes requests now, as far as its instances say. */
-  isOpen(replica: Replica): boolean {
+  isOpen(now: number, replica: Replica): boolean {
     const head = this._getPlace(replica, replica.members[0]!.instanceId);
-    return replica.phase === ReplicaPhase.SERVING && head === PlaceState.OPEN;
+    if (replica.phase !== ReplicaPhase.SERVING || head !== PlaceState.OPEN) return false;
+    return replica.members.every((member) => this._isPresent(now, member.instanceId));
+  }
+
+  /** Asks the members of a replica that an entry saw stand still for a sign of life. */
+  checkReplica(replicaId: string): void {
+    const now = this._options.clock.getMonotonicMs();
+    const replica = this._options.driver.machine.getReplica(replicaId);
+    if (replica?.phase !== ReplicaPhase.SERVING) return;
+    if (now - (this._probedAt.get(replicaId) ?? Number.NEGATIVE_INFINITY) < PROBE_PAUSE_MS) return;
+    this._probedAt.set(replicaId, now);
+    for (const member of replica.members) void this._probeMember(replica, member);
+  }
+
+  private async _probeMember(replica: Replica, member: OrderReceiver): Promise<void> {
+    const { orders, clock, logger } = this._options;
+    const sentAt = clock.getMonotonicMs();
+    const outcome = await orders.probe(member, PROBE_TIMEOUT_MS);
+    if (outcome === "present") return;
+    this._doubts.addDoubt(sentAt, member.instanceId);
+    logger.info({ event: "instance_doubted", instance: member.instanceId, replica: replica.id, outcome });
+    await this.step();
+  }
+
+  private _isPresent(now: number, instanceId: string): boolean {
+    const instance = this._options.registry.getInstance(instanceId);
+    if (instance === undefined || this._doubts.isDoubted(instanceId, instance.reportedAt)) return false;
+    return now - instance.reportedAt <= this._options.times.presenceMs;
   }
 
   private async _step(now: number): Promise<void> {
@@ -161,7 +195,7 @@
       fabricDomain: report.fabricDomain,
       isLeaving: report.leaving || this._options.driver.machine.hasDeparted(instanceId),
       checksOrders: true,
-      answeredAt: reportedAt,
+      answeredAt: this._doubts.isDoubted(instanceId, reportedAt) ? Number.NEGATIVE_INFINITY : reportedAt,
       epoch: place?.epoch ?? 0,
       isReady: place !== undefined && READY_STATES.has(place.state),
       model,
@@ -188,7 +222,8 @@
       if (replica.phase === ReplicaPhase.RETIRING) continue;
       servingByModel.set(replica.model, (servingByModel.get(replica.model) ?? 0) + 1);
     }
-    const groups = sizeGroups({ engine, instancesByDomain, reserve, servingByModel });
+    const warmModels = getWarmModels(now, engine, facts, presenceMs);
+    const groups = sizeGroups({ engine, instancesByDomain, reserve, servingByModel, warmModels });
     return {
       models: engine.models.map((model) => ({
         name: model.name,
@@ -202,8 +237,8 @@
         ...group,
         replicas: Math.max(group.replicas, servingByModel.get(group.model) ?? 0),
       })),
-      planning: { reserve, maxWait: 1, flapLosses: Number.MAX_SAFE_INTEGER, flapWindow: 1 },
-      weightStore: { concurrentLoads: CONCURRENT_LOADS },
+      planning: { reserve: 0, maxWait: 1, flapLosses: Number.MAX_SAFE_INTEGER, flapWindow: 1 },
+      weightStore: { concurrentLoads: Math.ceil(engine.concurrentLoads * LOAD_OVERLAP) },
       timing: { presenceWindow: presenceMs, lease: 0 },
     };
   }
@@ -366,6 +401,30 @@
   }
 }
 
+/** Gets models that enough free instances of one fabric domain hold. */
+function getWarmModels(
+  now: number,
+  engine: EngineProfile,
+  facts: PlanningFacts,
+  presenceMs: number,
+): Set<string> {
+  const held = new Set(
+    facts.replicas.flatMap((replica) => replica.members.map((member) => member.instanceId)),
+  );
+  const counts = new Map<string, number>();
+  for (const instance of facts.instances) {
+    const isAway = now - instance.answeredAt > presenceMs || instance.isLeaving || instance.isLoading;
+    if (held.has(instance.id) || isAway) continue;
+    const key = `${instance.fabricDomain}/${instance.model}`;
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+  const sizes = new Map(engine.models.map((model) => [model.name, model.instancesPerReplica]));
+  const warm = [...counts]
+    .map(([key, count]) => ({ model: key.slice(key.indexOf("/") + 1), count }))
+    .filter(({ model, count }) => count >= (sizes.get(model) ?? Number.POSITIVE_INFINITY));
+  return new Set(warm.map(({ model }) => model));
+}
+
 function getOrderKey(instanceId: string, order: InstanceOrder): string {
   const about = order.kind === "stage" ? order.model : `${order.replicaId}/${order.epoch}`;
   return `${instanceId}/${order.kind}/${about}`;
--- a/src/registration/sizeGroups.ts
+++ b/src/registration/sizeGroups.ts
@@ -9,16 +9,18 @@
   readonly instancesByDomain: ReadonlyMap<string, number>;
   /** Instances to keep free in each fabric domain for repairs. */
   readonly reserve: number;
-  /** Whole replicas that each model has now. */
+  /** Replicas that each model has now, or soon. */
   readonly servingByModel: ReadonlyMap<string, number>;
+  /** Models of which a replica could be formed now without a load. */
+  readonly warmModels: ReadonlySet<string>;
 }
 
 /**
  * Sizes one group for each model, so that each has capacity in proportion to its work.
- * @returns Groups, the one that is shortest of its size first.
+ * @returns Groups: first those that can grow without a load, then the one that is shortest of its size.
  */
 export function sizeGroups(facts: SizingFacts): Group[] {
-  const { engine, servingByModel } = facts;
+  const { engine, servingByModel, warmModels } = facts;
   const free = new Map(
     [...facts.instancesByDomain].map(([domain, count]) => [domain, count - facts.reserve]),
   );
@@ -31,10 +33,14 @@
   }
   return engine.models
     .map((model) => createGroup(model, counts.get(model.name)!))
-    .sort((a, b) => getFilled(a, servingByModel) - getFilled(b, servingByModel));
+    .sort(
+      (a, b) =>
+        Number(warmModels.has(b.model)) - Number(warmModels.has(a.model)) ||
+        getFilled(a, servingByModel) - getFilled(b, servingByModel),
+    );
 }
 
-/** A replica's capacity falls with its pace, so work a replica is share x pace / replicas. */
+/** A model's share is its part of the instances' work: the model with the most work an instance is next. */
 function getNeediest(
   models: readonly DeclaredModel[],
   counts: ReadonlyMap<string, number>,
@@ -42,7 +48,8 @@
 ): DeclaredModel | undefined {
   const largest = Math.max(0, ...free.values());
   const fitting = models.filter((model) => model.instancesPerReplica <= largest);
-  const getLoad = (model: DeclaredModel) => (model.share * model.pace) / (counts.get(model.name)! + 1);
+  const getLoad = (model: DeclaredModel) =>
+    model.share / ((counts.get(model.name)! + 1) * model.instancesPerReplica);
   return fitting.sort((a, b) => getLoad(b) - getLoad(a))[0];
 }
 
@@ -61,7 +68,7 @@
     name: model.name.toLowerCase(),
     model: model.name,
     replicas,
-    minimum: Math.ceil(replicas / 2),
+    minimum: replicas,
     instancesPerReplica: model.instancesPerReplica,
     value: 1,
   };
