--- a/src/clock/index.ts
+++ b/src/clock/index.ts
@@ -1,5 +1,7 @@
 /** Reading of the present time; only shells read it, deciding functions are given it. */
 
+export { LoopLag } from "./LoopLag";
+
 /** The two clocks of a process, in milliseconds. */
 export interface Clock {
   /** Gets monotonic time: for intervals, leases and deadlines. */
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -108,14 +108,7 @@
     logger,
     onChange,
   });
-  const suspicions = new SuspicionReporter({
-    get addresses() {
-      return [...new Set([watcher.leaderAddress, ...view.getControlAddresses(), ...seeds])];
-    },
-    followsHints: true,
-    secret,
-    clock,
-  });
+  const suspicions = new SuspicionReporter(watcher, clock);
   return { clock, client, server, watcher, getRoutes: () => routes };
 }
 
--- a/src/planner/FreePool.ts
+++ b/src/planner/FreePool.ts
@@ -8,6 +8,7 @@
   readonly members: readonly InstanceFacts[];
   readonly loads: number;
   readonly sameGroup: number;
+  readonly otherGroups: number;
   readonly leftOver: number;
 }
 
@@ -17,11 +18,15 @@
   private readonly _groupCounts = new Map<string, number>();
   /** Candidates by group and fabric domain; a domain's are made anew once it changed. */
   private readonly _candidates = new Map<string, Map<string, Candidate>>();
+  private readonly _stagesFirst: boolean;
 
   /**
    * @param instances - Present, staying, trusted instances that belong to no replica.
+   * @param stagesFirst - Whether a replica is formed only where either all its instances hold the
+   * model or none does.
    */
-  constructor(instances: readonly InstanceFacts[]) {
+  constructor(instances: readonly InstanceFacts[], stagesFirst = false) {
+    this._stagesFirst = stagesFirst;
     for (const instance of instances) {
       const domain = this._domains.get(instance.fabricDomain);
       if (domain === undefined) this._domains.set(instance.fabricDomain, [instance]);
@@ -64,7 +69,8 @@
     for (const fabricDomain of this._domains.keys()) {
       const candidate = this._getCandidate(fabricDomain, group, model);
       if (candidate === undefined || candidate.leftOver < reserve) continue;
-      if (best === undefined || compareCandidates(candidate, best) < 0) best = candidate;
+      if (this._stagesFirst && isMixed(candidate)) continue;
+      if (best === undefined || this._compare(candidate, best) < 0) best = candidate;
     }
     if (best === undefined) return undefined;
     this._removeInstances(best);
@@ -72,6 +78,10 @@
     return best.members;
   }
 
+  private _compare(a: Candidate, b: Candidate): number {
+    return this._stagesFirst ? compareAlike(a, b) : compareCandidates(a, b);
+  }
+
   private _removeInstances({ fabricDomain, members }: Candidate): void {
     const taken = new Set(members);
     const rest = this._domains.get(fabricDomain)!.filter((instance) => !taken.has(instance));
@@ -79,6 +89,13 @@
     for (const candidates of this._candidates.values()) candidates.delete(fabricDomain);
   }
 
+  private _getOtherGroups(group: string, fabricDomain: string): number {
+    const suffix = `/${fabricDomain}`;
+    const all = [...this._groupCounts].filter(([key]) => key.endsWith(suffix));
+    const total = all.reduce((sum, [, count]) => sum + count, 0);
+    return total - (this._groupCounts.get(getKey(group, fabricDomain)) ?? 0);
+  }
+
   private _getCandidate(fabricDomain: string, group: Group, model: Model): Candidate | undefined {
     const free = this._domains.get(fabricDomain)!;
     if (free.length < group.instancesPerReplica) return undefined;
@@ -110,11 +127,16 @@
       members,
       loads: members.reduce((sum, instance) => sum + getLoads(instance, model), 0),
       sameGroup: this._groupCounts.get(getKey(group.name, fabricDomain)) ?? 0,
+      otherGroups: this._getOtherGroups(group.name, fabricDomain),
       leftOver: free.length - members.length,
     };
   }
 }
 
+function isMixed({ loads, members }: Candidate): boolean {
+  return loads > 0 && loads < members.length;
+}
+
 /** Gets 0 when an instance holds a model's version already, else 1. */
 export function getLoads(instance: InstanceFacts, model: Model): number {
   return instance.model === model.name && instance.modelVersion === model.version ? 0 : 1;
@@ -129,6 +151,20 @@
   );
 }
 
+/**
+ * Prefers fabric domains whose replicas are of one model: what is left of a replica that
+ * lost an instance then completes the next one without a load.
+ */
+function compareAlike(a: Candidate, b: Candidate): number {
+  return (
+    a.loads - b.loads ||
+    a.otherGroups - b.otherGroups ||
+    b.sameGroup - a.sameGroup ||
+    a.leftOver - b.leftOver ||
+    (a.fabricDomain < b.fabricDomain ? -1 : 1)
+  );
+}
+
 function getKey(group: string, fabricDomain: string): string {
   return `${group}/${fabricDomain}`;
 }
--- a/src/planner/Planner.ts
+++ b/src/planner/Planner.ts
@@ -78,7 +78,7 @@
     this._configuration = configuration;
     this._repair = repair;
     this._instances = new Map(facts.instances.map((instance) => [instance.id, instance]));
-    this._pool = new FreePool(this._getFreeInstances());
+    this._pool = new FreePool(this._getFreeInstances(), configuration.stagesFirst);
     this._views = this._createViews();
   }
 
@@ -338,13 +338,14 @@
     const forming = this._views
       .flatMap((view) => view.forming.map((replica) => ({ replica, view })))
       .filter(({ replica }) => !this._retiring.has(replica.id))
-      .map((item) => ({ ...item, missing: this._getUnjoined(item.replica).length }))
+      .map((item) => ({ ...item, missing: this._getMissingShare(item.replica) }))
       .sort((a, b) => b.view.group.value - a.view.group.value || a.missing - b.missing);
     for (const { replica, view } of forming) {
       for (const { instance, rank } of this._getUnjoined(replica)) {
         if (instance.isLoading) continue;
         const loads = getLoads(instance, view.model);
-        if (loads > budget) continue;
+        // What needs no load is never held up by loads that go on.
+        if (loads > 0 && loads > budget) continue;
         budget -= loads;
         this._actions.push({ kind: "loadInstance", replica, instance, rank });
       }
@@ -354,6 +355,10 @@
 
   /** Loads onto spares what their fabric domain would need most, once no replica waits for it. */
   private _warmSpares(budget: number): void {
+    if (this._configuration.stagesFirst) {
+      this._stageSpares(budget);
+      return;
+    }
     const busy = this._getRetiringDomains();
     const spares = this._pool
       .getInstances()
@@ -366,6 +371,45 @@
     }
   }
 
+  /**
+   * Loads onto spares that hold no wanted model the one that brings their fabric domain
+   * nearest to another whole replica.
+   */
+  private _stageSpares(budget: number): void {
+    const spares = this._pool.getInstances();
+    const cold = spares.filter((instance) => !this._holdsWanted(instance));
+    const held = new Map<string, number>();
+    for (const instance of spares) addCount(held, getStageKey(instance.fabricDomain, instance.model));
+    for (const instance of cold.slice(0, Math.max(0, budget))) {
+      const view = this._getNearest(instance.fabricDomain, held);
+      if (view === undefined) continue;
+      const { name: model, version: modelVersion, adapters } = view.model;
+      addCount(held, getStageKey(instance.fabricDomain, model));
+      this._actions.push({ kind: "warmInstance", instance, model, modelVersion, adapters });
+    }
+  }
+
+  /** Of models that lack equally many, the one with the fewest free holders for each replica that may break. */
+  private _getNearest(fabricDomain: string, held: ReadonlyMap<string, number>): GroupView | undefined {
+    const candidates = this._views.map((view) => {
+      const holders = held.get(getStageKey(fabricDomain, view.model.name)) ?? 0;
+      const replicas = [...view.serving, ...view.forming].filter(
+        (replica) => replica.fabricDomain === fabricDomain,
+      );
+      const missing = view.group.instancesPerReplica - (holders % view.group.instancesPerReplica);
+      // Holders left over from a lost replica wait for so few; else a spare insures those that serve.
+      const isWaiting = holders > replicas.length;
+      return { view, holders, replicas: replicas.length, missing, isWaiting };
+    });
+    const useful = candidates.filter(({ isWaiting, replicas }) => isWaiting || replicas > 0);
+    useful.sort(
+      (a, b) =>
+        Number(b.isWaiting) - Number(a.isWaiting) ||
+        (a.isWaiting ? a.missing - b.missing : a.holders / a.replicas - b.holders / b.replicas),
+    );
+    return useful[0]?.view ?? this._views[0];
+  }
+
   /** Where a replica is being rebuilt, its spares are about to be taken and must not be busy loading. */
   private _getRetiringDomains(): Set<string> {
     const retiring = this._facts.replicas.filter(
@@ -387,6 +431,10 @@
     return this._facts.instances.filter((instance) => instance.isLoading).length;
   }
 
+  private _getMissingShare(replica: Replica): number {
+    return this._getUnjoined(replica).length / replica.members.length;
+  }
+
   private _getUnjoined(replica: Replica): { instance: InstanceFacts; rank: number }[] {
     return this._getMembers(replica).flatMap((instance, rank) => {
       if (instance === undefined || !this._isPresent(instance)) return [];
@@ -395,6 +443,14 @@
   }
 }
 
+function getStageKey(fabricDomain: string, model: string): string {
+  return `${fabricDomain}/${model}`;
+}
+
+function addCount(counts: Map<string, number>, key: string): void {
+  counts.set(key, (counts.get(key) ?? 0) + 1);
+}
+
 function isCurrent(replica: Replica, model: Model): boolean {
   return replica.model === model.name && replica.modelVersion === model.version;
 }
--- a/src/planner/facts.ts
+++ b/src/planner/facts.ts
@@ -6,6 +6,11 @@
 /** The part of a configuration that the planner looks at. */
 export type PlanningConfiguration = Pick<Configuration, "models" | "groups" | "planning" | "weightStore"> & {
   readonly timing: Pick<Configuration["timing"], "presenceWindow" | "lease">;
+  /**
+   * Whether instances that hold a model wait for others to load it before they form a
+   * replica, so that they stay free for one that can be formed sooner.
+   */
+  readonly stagesFirst?: boolean;
 };
 
 /** One engine instance as the planner sees it. Times are monotonic milliseconds. */
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -6,7 +6,7 @@
  * seeds are the founding members, everyone else joins.
  */
 import { Effect, type Scope } from "effect";
-import { SystemClock } from "../clock";
+import { LoopLag, SystemClock } from "../clock";
 import { createMembership } from "../consensus";
 import {
   addConsensusRoutes,
@@ -76,8 +76,13 @@
       onFatal: options.onFatal,
     });
     const getRoutes = createRouteCache(() => driver.machine.getDeclaration(), options.format);
+    const lag = yield* Effect.acquireRelease(
+      Effect.sync(() => new LoopLag(clock)),
+      (started) => Effect.sync(() => started.stop()),
+    );
     const createLeadership = () =>
       new FleetLeadership({
+        lag,
         driver,
         orders: options.orders,
         clock,
@@ -130,6 +135,7 @@
     const { publicAddress } = control;
     return new Registrar({
       getLeadership,
+      isLeaderKnown: () => driver.node.leaderId !== "",
       view,
       seeds,
       secret,
--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -1,7 +1,7 @@
 /** Everything that a control process with registered instances holds only while it leads. */
 
 import { create } from "@bufbuild/protobuf";
-import type { Clock } from "../clock";
+import type { Clock, LoopLag } from "../clock";
 import { type ConsensusDriver, getVoters } from "../consensus";
 import type { RouteTable } from "../declaration";
 import {
@@ -24,6 +24,8 @@
   readonly orders: InstanceOrders;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** How late this process runs. */
+  readonly lag: LoopLag;
   readonly times: ReplicaTimes;
   readonly getRoutes: () => RouteTable | undefined;
 }
--- a/src/registration/Registrar.ts
+++ b/src/registration/Registrar.ts
@@ -6,6 +6,7 @@
  */
 import type { Clock } from "../clock";
 import type { Declaration, DeclarationFormat } from "../declaration";
+import { UnreachableControl } from "../errors";
 import type { EntryEndpoint } from "../gen/ploverstage/v1/fleet_pb";
 import { FleetService, type InstanceReport } from "../gen/ploverstage/v1/fleet_pb";
 import type { Declaration as HeldDeclaration } from "../gen/ploverstage/v1/state_pb";
@@ -18,6 +19,8 @@
 export interface RegistrarOptions {
   /** Gives the leadership if this process leads. */
   readonly getLeadership: () => FleetLeadership | undefined;
+  /** Tells whether this process knows who leads. */
+  readonly isLeaderKnown: () => boolean;
   /** The leader's view as this process follows it. */
   readonly view: FollowedView;
   readonly seeds: readonly string[];
@@ -29,18 +32,25 @@
   readonly publicAddress: string;
 }
 
-const REPORT_MS = 800;
+const REPORT_MS = 600;
 const DECLARATION_MS = 3_000;
 const READ_MS = 900;
 /** Reports that arrive within this time travel to the leader in one call. */
 const BATCH_MS = 15;
 
+/** A report on its way to the leader. */
+interface WaitingReport {
+  readonly report: InstanceReport;
+  readonly resolve: (leaderAddress: string) => void;
+  readonly reject: (cause: unknown) => void;
+}
+
 /** Forwards to the leader, in batches where many come at once. */
 export class Registrar {
   private readonly _options: RegistrarOptions;
   private readonly _client: LeaderClient<typeof FleetService>;
-  private _waiting: InstanceReport[] = [];
-  private _batch: Promise<string> | undefined;
+  private _waiting: WaitingReport[] = [];
+  private _isSending = false;
 
   /**
    * @param options - Leadership, view and seeds.
@@ -69,9 +79,12 @@
       await leadership.addReports([report]);
       return this._options.publicAddress;
     }
-    this._waiting.push(report);
-    this._batch ??= this._sendBatch();
-    return this._batch;
+    // Without a leader nothing is gained by waiting: the instance asks elsewhere.
+    if (!this._options.isLeaderKnown()) throw this._createUnreachable("no leader is known here");
+    return new Promise((resolve, reject) => {
+      this._waiting.push({ report, resolve, reject });
+      if (!this._isSending) void this._sendBatches();
+    });
   }
 
   /**
@@ -114,15 +127,30 @@
     return [...entries].sort((a, b) => isFar(a) - isFar(b));
   }
 
-  private async _sendBatch(): Promise<string> {
+  /** One call at a time: what arrives meanwhile travels with the next one. */
+  private async _sendBatches(): Promise<void> {
+    this._isSending = true;
     await new Promise((resolve) => setTimeout(resolve, BATCH_MS));
-    const reports = this._waiting;
+    while (this._waiting.length > 0) await this._sendBatch();
+    this._isSending = false;
+  }
+
+  private async _sendBatch(): Promise<void> {
+    const batch = this._waiting;
     this._waiting = [];
-    this._batch = undefined;
-    const answer = await this._client.call(
-      (leader, timeoutMs) => leader.report({ reports }, { timeoutMs }),
-      REPORT_MS,
-    );
-    return answer.leaderAddress;
+    const reports = batch.map((waiting) => waiting.report);
+    try {
+      const answer = await this._client.call(
+        (leader, timeoutMs) => leader.report({ reports }, { timeoutMs }),
+        REPORT_MS,
+      );
+      for (const waiting of batch) waiting.resolve(answer.leaderAddress);
+    } catch (cause) {
+      for (const waiting of batch) waiting.reject(cause);
+    }
+  }
+
+  private _createUnreachable(reason: string): UnreachableControl {
+    return new UnreachableControl({ tried: this._options.seeds, reason });
   }
 }
--- a/src/registration/ReplicaCloser.ts
+++ b/src/registration/ReplicaCloser.ts
@@ -133,10 +133,14 @@
     return isOwn && (place.state === PlaceState.OPEN || place.state === PlaceState.CLOSING);
   }
 
+  /** The member that reported last is the likeliest to answer. */
   private _getReachableMember(replica: Replica): OrderReceiver | undefined {
-    return replica.members.slice(1).find((member) => {
+    const members = replica.members.slice(1).filter((member) => {
       const place = this._registry.getInstance(member.instanceId)?.report.place;
       return place?.replicaId === replica.id && place.epoch === replica.epoch;
     });
+    const getReportedAt = (member: OrderReceiver) =>
+      this._registry.getInstance(member.instanceId)?.reportedAt ?? Number.NEGATIVE_INFINITY;
+    return members.sort((a, b) => getReportedAt(b) - getReportedAt(a))[0];
   }
 }
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -4,7 +4,7 @@
  *
  * Held only while leading. What it knows of instances are their reports.
  */
-import type { Clock } from "../clock";
+import type { Clock, LoopLag } from "../clock";
 import type { ConsensusDriver } from "../consensus";
 import type { DeclaredService, EngineProfile, RouteTable } from "../declaration";
 import { PlaceState } from "../gen/ploverstage/v1/fleet_pb";
@@ -45,6 +45,8 @@
   readonly orders: InstanceOrders;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** How late this process runs. */
+  readonly lag: LoopLag;
   readonly times: ReplicaTimes;
   readonly getRoutes: () => RouteTable | undefined;
 }
@@ -59,6 +61,10 @@
 /** A replica's members are asked for a sign of life no more often than this. */
 const PROBE_PAUSE_MS = 1_000;
 const PROBE_TIMEOUT_MS = 400;
+/** An instance that reported so lately is there, whatever a probe came to. */
+const MIN_SILENCE_MS = 900;
+/** A process that runs its timers so late can't tell who is silent. */
+const MAX_LAG_MS = 120;
 const READY_STATES: ReadonlySet<PlaceState> = new Set([PlaceState.READY, PlaceState.OPEN]);
 
 interface Staging {
@@ -121,6 +127,10 @@
     const sentAt = clock.getMonotonicMs();
     const outcome = await orders.probe(member, PROBE_TIMEOUT_MS);
     if (outcome === "present") return;
+    const reportedAt = this._options.registry.getInstance(member.instanceId)?.reportedAt;
+    const silentMs = clock.getMonotonicMs() - (reportedAt ?? Number.NEGATIVE_INFINITY);
+    const isCertain = outcome === "absent" || this._options.lag.getWorstMs() < MAX_LAG_MS;
+    if (!isCertain || silentMs < MIN_SILENCE_MS) return;
     this._doubts.addDoubt(sentAt, member.instanceId);
     logger.info({ event: "instance_doubted", instance: member.instanceId, replica: replica.id, outcome });
     await this.step();
@@ -184,8 +194,9 @@
   ): InstanceFacts {
     const { instanceId, place } = report;
     const staging = this._staging.get(instanceId);
-    const isStaging = staging !== undefined && staging.until > now;
-    const model = isStaging ? staging.model : (report.stagedModels[0] ?? "");
+    const isStaging =
+      staging !== undefined && staging.until > now && !report.stagedModels.includes(staging.model);
+    const model = report.stagedModels[0] ?? "";
     const isJoining =
       place?.state === PlaceState.JOINING && replicas.some((replica) => replica.id === place.replicaId);
     return {
@@ -200,7 +211,7 @@
       isReady: place !== undefined && READY_STATES.has(place.state),
       model,
       modelVersion: model === "" ? "" : LOADED_VERSION,
-      isLoading: this._busy.has(instanceId) || isJoining,
+      isLoading: this._busy.has(instanceId) || isJoining || isStaging,
       losses: [],
     };
   }
@@ -240,6 +251,7 @@
       planning: { reserve: 0, maxWait: 1, flapLosses: Number.MAX_SAFE_INTEGER, flapWindow: 1 },
       weightStore: { concurrentLoads: Math.ceil(engine.concurrentLoads * LOAD_OVERLAP) },
       timing: { presenceWindow: presenceMs, lease: 0 },
+      stagesFirst: true,
     };
   }
 
@@ -250,7 +262,9 @@
       case "loadInstance":
         return this._joinInstance(now, action.replica, action.instance);
       case "warmInstance":
-        return this._stageInstance(now, action.instance, action.model);
+        // Its answer may take long, and nothing else waits for it.
+        void this._stageInstance(now, action.instance, action.model);
+        return;
       case "serveReplica":
         return this._moveReplica(action.replica, ReplicaPhase.SERVING, REASON.whole);
       case "retireReplica":
@@ -336,7 +350,8 @@
     const order: InstanceOrder = { kind: "stage", model };
     if (!this._isDue(now, instance.id, order) || !this._takeLoad(now)) return;
     this._staging.set(instance.id, { model, until: now + STAGING_MS });
-    this._sendLater({ instanceId: instance.id, address: instance.address }, order);
+    const outcome = await this._send({ instanceId: instance.id, address: instance.address }, order);
+    if (outcome !== "begun" && outcome !== "done") this._staging.delete(instance.id);
   }
 
   /** The head is opened only after every member was seen ready in this epoch. */
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -1,7 +1,13 @@
 /** Follows the leader's view over one long call, and finds the leader again when it breaks. */
+import type { MessageInitShape } from "@bufbuild/protobuf";
 import { type Client, ConnectError, createClient } from "@connectrpc/connect";
 import type { Clock } from "../clock";
-import { type EntryEndpoint, FleetService, type ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
+import {
+  type EntryEndpoint,
+  FleetService,
+  type SuspectRequestSchema,
+  type ViewUpdate,
+} from "../gen/ploverstage/v1/fleet_pb";
 import type { Logger } from "../metrics";
 import { createRpcTransport, LEADER_HEADER } from "../rpc";
 import type { FollowedView } from "./FollowedView";
@@ -27,9 +33,12 @@
 const SILENCE_MS = 1_000;
 /** The first answer may wait for a connection to come up. */
 const FIRST_ANSWER_MS = 700;
+/** Pause after a first failure; it doubles up to the longest, so that an election is not disturbed. */
 const PAUSE_MS = 50;
+const MAX_PAUSE_MS = 500;
 const IDLE_MS = 100;
 const STOP_MS = 700;
+const SUSPICION_MS = 500;
 
 /** Follows a view. */
 export class ViewWatcher {
@@ -62,6 +71,7 @@
 
   /** Follows until stopped. */
   async run(): Promise<void> {
+    let pauseMs = PAUSE_MS;
     while (!this._isStopped) {
       if (this._options.isWanted?.() === false) {
         await pause(IDLE_MS);
@@ -71,12 +81,21 @@
       if (this._isConnected) {
         this._options.logger.warn({ event: "control_lost", leader: this._current, reason: failure.message });
       }
+      pauseMs = this._isConnected ? PAUSE_MS : Math.min(MAX_PAUSE_MS, pauseMs * 2);
       this._isConnected = false;
       this._current = this._getNext(failure);
-      await pause(PAUSE_MS);
+      await pause(pauseMs);
     }
   }
 
+  /** Tells the leader that was heard last of a suspicion; it may be lost. */
+  reportSuspicion(suspicion: MessageInitShape<typeof SuspectRequestSchema>): void {
+    if (!this._isConnected) return;
+    void this._getClient(this._current)
+      .suspect(suspicion, { timeoutMs: SUSPICION_MS })
+      .catch(() => {});
+  }
+
   /** Tells the leader that this entry stops; callers are sent elsewhere from then on. */
   async announceStop(): Promise<void> {
     const { watcherId, entry } = this._options;
--- a/src/registration/sizeGroups.ts
+++ b/src/registration/sizeGroups.ts
@@ -21,14 +21,16 @@
  */
 export function sizeGroups(facts: SizingFacts): Group[] {
   const { engine, servingByModel, warmModels } = facts;
-  const free = new Map(
-    [...facts.instancesByDomain].map(([domain, count]) => [domain, count - facts.reserve]),
-  );
+  const domains = [...facts.instancesByDomain].map(([name, count]) => ({
+    name,
+    free: count - facts.reserve,
+    models: new Set<string>(),
+  }));
   const counts = new Map<string, number>(engine.models.map((model) => [model.name, 0]));
   for (;;) {
-    const next = getNeediest(engine.models, counts, free);
+    const next = getNeediest(engine.models, counts, domains);
     if (next === undefined) break;
-    takeDomain(free, next.instancesPerReplica, engine.models);
+    takeInstances(domains, next);
     counts.set(next.name, counts.get(next.name)! + 1);
   }
   return engine.models
@@ -40,27 +42,39 @@
     );
 }
 
+/** A fabric domain while it is being filled. */
+interface SizedDomain {
+  readonly name: string;
+  free: number;
+  readonly models: Set<string>;
+}
+
 /** A model's share is its part of the instances' work: the model with the most work an instance is next. */
 function getNeediest(
   models: readonly DeclaredModel[],
   counts: ReadonlyMap<string, number>,
-  free: ReadonlyMap<string, number>,
+  domains: readonly SizedDomain[],
 ): DeclaredModel | undefined {
-  const largest = Math.max(0, ...free.values());
+  const largest = Math.max(0, ...domains.map((domain) => domain.free));
   const fitting = models.filter((model) => model.instancesPerReplica <= largest);
   const getLoad = (model: DeclaredModel) =>
     model.share / ((counts.get(model.name)! + 1) * model.instancesPerReplica);
   return fitting.sort((a, b) => getLoad(b) - getLoad(a))[0];
 }
 
-/** Takes from the domain that is left with the fewest instances that fit no replica. */
-function takeDomain(free: Map<string, number>, size: number, models: readonly DeclaredModel[]): void {
-  const smallest = Math.min(...models.map((model) => model.instancesPerReplica));
-  const candidates = [...free].filter(([, count]) => count >= size);
-  const getWaste = (count: number) => (count - size < smallest ? count - size : 0);
-  candidates.sort(([, a], [, b]) => getWaste(a) - getWaste(b) || b - a);
-  const [domain, count] = candidates[0]!;
-  free.set(domain, count - size);
+/** Fills fabric domains with replicas of one model each, as far as that goes. */
+function takeInstances(domains: readonly SizedDomain[], model: DeclaredModel): void {
+  const getOthers = (domain: SizedDomain) => domain.models.size - Number(domain.models.has(model.name));
+  const candidates = domains.filter((domain) => domain.free >= model.instancesPerReplica);
+  candidates.sort(
+    (a, b) =>
+      getOthers(a) - getOthers(b) ||
+      Number(b.models.has(model.name)) - Number(a.models.has(model.name)) ||
+      b.free - a.free,
+  );
+  const domain = candidates[0]!;
+  domain.free -= model.instancesPerReplica;
+  domain.models.add(model.name);
 }
 
 function createGroup(model: DeclaredModel, replicas: number): Group {
--- a/src/rpc/LeaderClient.ts
+++ b/src/rpc/LeaderClient.ts
@@ -28,7 +28,9 @@
 export type LeaderCall<S extends DescService, R> = (client: Client<S>, timeoutMs: number) => Promise<R>;
 
 const ATTEMPT_MS = 700;
+/** Pause after a first failure; it doubles up to the longest. */
 const PAUSE_MS = 50;
+const MAX_PAUSE_MS = 400;
 
 /** A client of one service of the control leader. */
 export class LeaderClient<S extends DescService> {
@@ -59,6 +61,7 @@
   async call<R>(call: LeaderCall<S, R>, totalMs: number): Promise<R> {
     const endAt = this._options.clock.getMonotonicMs() + totalMs;
     let reason = "none was asked";
+    let pauseMs = PAUSE_MS;
     for (;;) {
       const leftMs = endAt - this._options.clock.getMonotonicMs();
       if (leftMs <= 0) throw new UnreachableControl({ tried: this._options.addresses, reason });
@@ -68,7 +71,9 @@
       } catch (cause) {
         reason = this._goOn(cause);
       }
-      await new Promise((resolve) => setTimeout(resolve, Math.min(PAUSE_MS, leftMs)));
+      const waitMs = Math.min(pauseMs, leftMs);
+      await new Promise((resolve) => setTimeout(resolve, waitMs));
+      pauseMs = Math.min(MAX_PAUSE_MS, pauseMs * 2);
     }
   }
 
--- a/src/settings/Settings.ts
+++ b/src/settings/Settings.ts
@@ -87,8 +87,11 @@
   /** Window of the weight store's limit on loads, and how far it may be overrun in it. */
   loadWindowS: Share,
   loadOverrun: withDefault(Share, 1),
-  /** Instances kept free in each fabric domain for repairs. */
-  reserve: withDefault(Schema.Int.check(Schema.isBetween({ minimum: 0, maximum: 64 })), 1),
+  /**
+   * Instances kept free in each fabric domain for repairs; what is left of a broken replica
+   * serves as well.
+   */
+  reserve: withDefault(Schema.Int.check(Schema.isBetween({ minimum: 0, maximum: 64 })), 0),
 });
 
 const FleetControl = Schema.Struct({
