--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -14,8 +14,8 @@
 import { HttpClient, splitAddress } from "../http";
 import type { Logger } from "../metrics";
 import { FollowedView, ViewWatcher } from "../registration";
-import { SharedRetryBudget } from "../routing";
-import type { GatewaySettings } from "../settings";
+import { type RetryBound, SharedRetryBudget } from "../routing";
+import type { GatewaySettings, LiveSettings } from "../settings";
 import type { Dialect } from "./Dialect";
 import { GatewayServer } from "./GatewayServer";
 import { SuspicionReporter } from "./SuspicionReporter";
@@ -23,7 +23,8 @@
 
 /** What a gateway is started with. */
 export interface GatewayOptions {
-  readonly settings: GatewaySettings;
+  /** Addresses count as read at the start; all else may change. */
+  readonly settings: LiveSettings<GatewaySettings>;
   readonly secret: string | undefined;
   readonly format: DeclarationFormat;
   readonly dialect: Dialect;
@@ -47,26 +48,21 @@
     );
     yield* serveReadiness(options, parts);
     void parts.watcher.run();
-    options.logger.info({ event: "gateway_started", listen: options.settings.gateway.listen });
+    options.logger.info({ event: "gateway_started", listen: options.settings.current.gateway.listen });
     return parts.server;
   });
 }
 
-function createParts({ settings, secret, format, dialect, logger }: GatewayOptions) {
-  const { gateway } = settings;
+function createParts({ settings: live, secret, format, dialect, logger }: GatewayOptions) {
+  const { gateway, process } = live.current;
   const clock = new SystemClock();
   const random = new SeededRandom(randomBytes(4).readInt32LE());
   const client = new HttpClient(IDLE_ENDPOINT_MS);
   const view = new FollowedView();
   const pool = new TargetPool(random);
-  const budget = new SharedRetryBudget({
-    ratio: gateway.retryRatio,
-    extra: gateway.retryExtra,
-    windowMs: gateway.retryWindowS * 1_000,
-  });
+  const budget = new SharedRetryBudget(() => getRetryBound(live.current));
   const getEntryCount = () => Math.max(1, view.getEntries().length);
   let routes: RouteTable | undefined;
-  const seeds = gateway.seeds.map((seed) => withPort(seed, gateway.controlPort));
   const onChange = () => {
     const targets = view.getTargets();
     pool.setTargets(targets);
@@ -95,13 +91,13 @@
     onRequest: () => budget.addRequest(clock.getMonotonicMs(), getEntryCount()),
   });
   const watcher = new ViewWatcher({
-    watcherId: `${settings.process.name}.${randomBytes(6).toString("hex")}`,
+    watcherId: `${process.name}.${randomBytes(6).toString("hex")}`,
     entry: {
       $typeName: "ploverstage.v1.EntryEndpoint",
       address: gateway.listen,
-      failureDomain: settings.process.failureDomain,
+      failureDomain: process.failureDomain,
     },
-    seeds,
+    getSeeds: () => getControlAddresses(live.current),
     secret,
     view,
     clock,
@@ -114,13 +110,19 @@
 
 type Parts = ReturnType<typeof createParts>;
 
-function withPort(address: string, port: number | undefined): string {
-  return port === undefined ? address : `${splitAddress(address).host}:${port}`;
+function getControlAddresses({ gateway }: GatewaySettings): string[] {
+  const { seeds, controlPort } = gateway;
+  if (controlPort === undefined) return [...seeds];
+  return seeds.map((seed) => `${splitAddress(seed).host}:${controlPort}`);
+}
+
+function getRetryBound({ gateway }: GatewaySettings): RetryBound {
+  return { ratio: gateway.retryRatio, extra: gateway.retryExtra, windowMs: gateway.retryWindowS * 1_000 };
 }
 
 /** Callers are sent elsewhere at once, taken for as long as they may keep the address, then waited for. */
 async function stopGracefully({ settings, logger }: GatewayOptions, parts: Parts): Promise<void> {
-  const stopMs = settings.gateway.stopS * 1_000;
+  const stopMs = settings.current.gateway.stopS * 1_000;
   const startedAt = parts.clock.getMonotonicMs();
   const getLeftMs = (share: number) =>
     Math.max(0, stopMs * share - (parts.clock.getMonotonicMs() - startedAt));
@@ -134,7 +136,7 @@
 
 /** 200 while callers may be sent here. */
 function serveReadiness({ settings }: GatewayOptions, parts: Parts) {
-  const listen = settings.gateway.readyListen;
+  const listen = settings.current.gateway.readyListen;
   if (listen === undefined) return Effect.void;
   const server = createServer((_request, response) => {
     const isReady = parts.getRoutes() !== undefined && !parts.server.isStopping;
--- a/src/http/HttpClient.ts
+++ b/src/http/HttpClient.ts
@@ -62,7 +62,11 @@
     return new Promise((resolve, reject) => {
       const outgoing = this._createRequest(call);
       const progress = new CallProgress(call, outgoing);
-      outgoing.once("response", resolve);
+      outgoing.once("response", (answer) => {
+        // An answer without a length ends with its connection: a reset must not look like its end.
+        outgoing.on("error", (cause) => answer.destroy(cause));
+        resolve(answer);
+      });
       outgoing.on("error", (cause) => reject(progress.createError(cause)));
       outgoing.once("close", () => reject(progress.createError(new Error("the connection was closed"))));
     });
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -26,7 +26,7 @@
 import { MemberId } from "../ids";
 import { FileStorage } from "../log";
 import type { Logger, Metrics } from "../metrics";
-import type { FleetControlSettings } from "../settings";
+import type { FleetControlSettings, LiveSettings } from "../settings";
 import { FleetLeadership } from "./FleetLeadership";
 import { FollowedView } from "./FollowedView";
 import { addFleetRoutes } from "./fleetRoutes";
@@ -37,7 +37,8 @@
 
 /** What a fleet control process is started with. */
 export interface FleetControlOptions {
-  readonly settings: FleetControlSettings;
+  /** Addresses and folders count as read at the start; all else may change. */
+  readonly settings: LiveSettings<FleetControlSettings>;
   readonly secret: string | undefined;
   readonly format: DeclarationFormat;
   readonly orders: InstanceOrders;
@@ -54,10 +55,11 @@
   options: FleetControlOptions,
 ): Effect.Effect<Registrar, unknown, Scope.Scope> {
   return Effect.gen(function* () {
-    const { settings, secret, logger } = options;
+    const { secret, logger } = options;
+    const settings = options.settings.current;
     const { control } = settings;
     const clock = new SystemClock();
-    const seeds = getRpcAddresses(settings);
+    const getSeeds = () => getRpcAddresses(options.settings.current);
     const { storage, stored } = yield* Effect.tryPromise({
       try: () => prepareDataFolder(options),
       catch: (cause) => cause,
@@ -87,7 +89,7 @@
         orders: options.orders,
         clock,
         logger,
-        times: getReplicaTimes(settings),
+        getTimes: () => getReplicaTimes(options.settings.current),
         getRoutes,
       });
     const watch = yield* Effect.acquireRelease(
@@ -109,7 +111,7 @@
     const watcher = new ViewWatcher({
       watcherId: driver.node.id,
       entry: undefined,
-      seeds,
+      getSeeds,
       secret,
       view,
       clock,
@@ -127,7 +129,7 @@
       control.listen,
       settings.process.failureDomain,
     );
-    const others = seeds.filter((address) => address !== control.listen);
+    const others = getSeeds().filter((address) => address !== control.listen);
     yield* Effect.forkScoped(
       joinMembership({ driver, member, addresses: others, followsHints: true, secret, clock, logger }),
     );
@@ -137,7 +139,7 @@
       getLeadership,
       isLeaderKnown: () => driver.node.leaderId !== "",
       view,
-      seeds,
+      getSeeds,
       secret,
       format: options.format,
       clock,
@@ -148,7 +150,7 @@
 }
 
 /** Founding members make their folder with the founders agreed; all others join. */
-async function prepareDataFolder({ settings, logger }: FleetControlOptions) {
+async function prepareDataFolder({ settings: { current: settings }, logger }: FleetControlOptions) {
   const { dataFolder, publicAddress, seeds, isFirstStart } = settings.control;
   const isFounder = isFirstStart && seeds.includes(publicAddress);
   if (isFounder && (await FileStorage.getMemberId(dataFolder)) === undefined) {
--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -26,7 +26,7 @@
   readonly logger: Logger;
   /** How late this process runs. */
   readonly lag: LoopLag;
-  readonly times: ReplicaTimes;
+  readonly getTimes: () => ReplicaTimes;
   readonly getRoutes: () => RouteTable | undefined;
 }
 
@@ -155,7 +155,7 @@
 
   /** What has not been heard yet says nothing of an instance while the term is young. */
   private _isWarm(now: number): boolean {
-    if (now - this._startedAt > this._options.times.presenceMs) return true;
+    if (now - this._startedAt > this._options.getTimes().presenceMs) return true;
     return this._options.driver.machine
       .getReplicas()
       .every((replica) =>
@@ -171,12 +171,12 @@
 
   private _publish(): void {
     const now = this._options.clock.getMonotonicMs();
-    const { driver, times } = this._options;
+    const { driver, getTimes } = this._options;
     const before = this.view.revision;
     this.view.setDeclaration(driver.machine.getDeclaration());
     this.view.setTargets(this._createTargets(now));
     this.view.removeTargets(this._getUnusable());
-    if (now - this._startedAt > times.presenceMs) this.view.setComplete();
+    if (now - this._startedAt > getTimes().presenceMs) this.view.setComplete();
     this.view.setEntries(this._getEntries(now));
     this.view.setControlAddresses(getVoters(driver.node.membership).map((member) => member.address));
     if (this.view.revision !== before) this._notify();
--- a/src/registration/Registrar.ts
+++ b/src/registration/Registrar.ts
@@ -23,7 +23,7 @@
   readonly isLeaderKnown: () => boolean;
   /** The leader's view as this process follows it. */
   readonly view: FollowedView;
-  readonly seeds: readonly string[];
+  readonly getSeeds: () => readonly string[];
   readonly secret: string | undefined;
   readonly format: DeclarationFormat;
   readonly clock: Clock;
@@ -57,10 +57,10 @@
    */
   constructor(options: RegistrarOptions) {
     this._options = options;
-    const { seeds, view, secret, clock } = options;
+    const { getSeeds, view, secret, clock } = options;
     this._client = new LeaderClient(FleetService, {
       get addresses() {
-        return [...new Set([...seeds, ...view.getControlAddresses()])];
+        return [...new Set([...getSeeds(), ...view.getControlAddresses()])];
       },
       followsHints: true,
       secret,
@@ -151,6 +151,6 @@
   }
 
   private _createUnreachable(reason: string): UnreachableControl {
-    return new UnreachableControl({ tried: this._options.seeds, reason });
+    return new UnreachableControl({ tried: this._options.getSeeds(), reason });
   }
 }
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -47,7 +47,7 @@
   readonly logger: Logger;
   /** How late this process runs. */
   readonly lag: LoopLag;
-  readonly times: ReplicaTimes;
+  readonly getTimes: () => ReplicaTimes;
   readonly getRoutes: () => RouteTable | undefined;
 }
 
@@ -133,19 +133,19 @@
     if (!isCertain || silentMs < MIN_SILENCE_MS) return;
     this._doubts.addDoubt(sentAt, member.instanceId);
     logger.info({ event: "instance_doubted", instance: member.instanceId, replica: replica.id, outcome });
-    await this.step();
   }
 
   private _isPresent(now: number, instanceId: string): boolean {
     const instance = this._options.registry.getInstance(instanceId);
     if (instance === undefined || this._doubts.isDoubted(instanceId, instance.reportedAt)) return false;
-    return now - instance.reportedAt <= this._options.times.presenceMs;
+    return now - instance.reportedAt <= this._options.getTimes().presenceMs;
   }
 
   private async _step(now: number): Promise<void> {
     const service = this._getEngineService();
     if (service?.engine === undefined) return;
-    const { driver, times } = this._options;
+    const { driver, getTimes } = this._options;
+    const times = getTimes();
     const replicas = driver.machine.getReplicas();
     const retiring = replicas.filter((replica) => replica.phase === ReplicaPhase.RETIRING);
     this._closer.setRetiring(now, retiring, (replica) => replica.reason !== REASON.lost);
@@ -221,7 +221,7 @@
     engine: EngineProfile,
     facts: PlanningFacts,
   ): PlanningConfiguration {
-    const { presenceMs, reserve } = this._options.times;
+    const { presenceMs, reserve } = this._options.getTimes();
     const instancesByDomain = new Map<string, number>();
     for (const instance of facts.instances) {
       if (instance.isLeaving || now - instance.answeredAt > presenceMs) continue;
@@ -374,7 +374,7 @@
 
   private _closeReplica(now: number, replica: Replica): void {
     if (this._wasNeverOpened(replica)) return;
-    const due = this._closer.getDueOrder(now, replica, this._options.times);
+    const due = this._closer.getDueOrder(now, replica, this._options.getTimes());
     if (due === undefined || !this._isDue(now, due.receiver.instanceId, due.order)) return;
     void this._send(due.receiver, due.order).then((outcome) =>
       this._closer.addOutcome(this._options.clock.getMonotonicMs(), replica, due, outcome),
@@ -393,7 +393,7 @@
   }
 
   private _takeLoad(now: number): boolean {
-    const { loadWindowMs, loadOverrun } = this._options.times;
+    const { loadWindowMs, loadOverrun } = this._options.getTimes();
     const perSecond = this._getEngineService()?.engine?.loadsPerSecond ?? 0;
     const loads = Math.max(1, Math.floor((perSecond * loadWindowMs * loadOverrun) / 1_000));
     return this._limiter.takeLoad(now, { loads, windowMs: loadWindowMs });
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -18,7 +18,7 @@
   /** This entry, as callers reach it; `undefined` for a control follower. */
   readonly entry: EntryEndpoint | undefined;
   /** host:port of control processes to ask first. */
-  readonly seeds: readonly string[];
+  readonly getSeeds: () => readonly string[];
   readonly secret: string | undefined;
   readonly view: FollowedView;
   readonly clock: Clock;
@@ -56,7 +56,7 @@
    */
   constructor(options: ViewWatcherOptions) {
     this._options = options;
-    this._current = options.seeds[0]!;
+    this._current = options.getSeeds()[0]!;
   }
 
   /** Gets how long the leader has been silent, milliseconds. */
@@ -164,8 +164,8 @@
   private _getNext(failure: ConnectError): string {
     const hint = failure.metadata.get(LEADER_HEADER) ?? "";
     if (hint !== "" && hint !== this._current) return hint;
-    const { seeds, view } = this._options;
-    const candidates = [...new Set([...view.getControlAddresses(), ...seeds])];
+    const { getSeeds, view } = this._options;
+    const candidates = [...new Set([...view.getControlAddresses(), ...getSeeds()])];
     this._next += 1;
     return candidates[this._next % candidates.length]!;
   }
--- a/src/routing/SharedRetryBudget.ts
+++ b/src/routing/SharedRetryBudget.ts
@@ -21,21 +21,21 @@
 
 /** One entry's bucket. */
 export class SharedRetryBudget {
-  private readonly _bound: RetryBound;
+  private readonly _getBound: () => RetryBound;
   private _saved: number | undefined;
   private _refilledAt = 0;
 
   /**
-   * @param bound - The bound over all entries.
+   * @param getBound - Gives the bound over all entries as it is now.
    */
-  constructor(bound: RetryBound) {
-    this._bound = bound;
+  constructor(getBound: () => RetryBound) {
+    this._getBound = getBound;
   }
 
   /** Notes a first attempt. */
   addRequest(now: number, entries: number): void {
     this._refill(now, entries);
-    this._add(this._bound.ratio * RATIO_SHARE, entries);
+    this._add(this._getBound().ratio * RATIO_SHARE, entries);
   }
 
   /**
@@ -52,7 +52,7 @@
   private _refill(now: number, entries: number): void {
     const size = this._getSize(entries);
     if (this._saved === undefined) this._saved = size;
-    else this._add(((now - this._refilledAt) / this._bound.windowMs) * size, entries);
+    else this._add(((now - this._refilledAt) / this._getBound().windowMs) * size, entries);
     this._refilledAt = now;
   }
 
@@ -61,6 +61,6 @@
   }
 
   private _getSize(entries: number): number {
-    return (this._bound.extra * BUCKET_SHARE) / Math.max(1, entries);
+    return (this._getBound().extra * BUCKET_SHARE) / Math.max(1, entries);
   }
 }
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -1,4 +1,5 @@
 /** Settings of the processes. */
+export { LiveSettings, type LiveSettingsOptions } from "./LiveSettings";
 export {
   type ControlSettings,
   ControlSettingsSchema,
