--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -32,8 +32,8 @@
 }
 
 const IDLE_ENDPOINT_MS = 30_000;
-/** Part of the time to stop in which connections are still taken: callers keep addresses for a while. */
-const ACCEPTING_SHARE = 0.55;
+/** Part of the time to stop in which requests are still taken; they need the rest of it to end. */
+const ACCEPTING_SHARE = 0.36;
 /** Part of the time to stop after which what is left is cut. */
 const ENDING_SHARE = 0.95;
 
@@ -120,7 +120,7 @@
   return { ratio: gateway.retryRatio, extra: gateway.retryExtra, windowMs: gateway.retryWindowS * 1_000 };
 }
 
-/** Callers are sent elsewhere at once, taken for as long as they may keep the address, then waited for. */
+/** Callers are sent elsewhere at once, served a while longer, then refused while what was taken ends. */
 async function stopGracefully({ settings, logger }: GatewayOptions, parts: Parts): Promise<void> {
   const stopMs = settings.current.gateway.stopS * 1_000;
   const startedAt = parts.clock.getMonotonicMs();
@@ -130,7 +130,8 @@
   parts.server.announceStop();
   await parts.watcher.announceStop();
   await pause(getLeftMs(ACCEPTING_SHARE));
-  await Promise.race([parts.server.stop(), pause(getLeftMs(ENDING_SHARE))]);
+  await Promise.race([parts.server.finish(), pause(getLeftMs(ENDING_SHARE))]);
+  parts.server.stop();
   logger.info({ event: "gateway_stopped", requests: parts.server.requestCount });
 }
 
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -49,11 +49,11 @@
 export class GatewayServer {
   private readonly _options: GatewayServerOptions;
   private readonly _server: Server;
-  private readonly _busy = new Set<Socket>();
   private _requests = 0;
   private _bufferedBytes = 0;
   private _isStopping = false;
   private _refusesAll = false;
+  private _onIdle: () => void = () => {};
 
   /**
    * @param options - Address and what requests are run with.
@@ -106,12 +106,23 @@
     this._isStopping = true;
   }
 
-  /** Listens no more and refuses what still comes over open connections; ends once all answers are out. */
-  async stop(): Promise<void> {
+  /** Refuses what comes from now on; resolves once every answer is out. */
+  async finish(): Promise<void> {
     this._refusesAll = true;
-    const closed = new Promise<void>((resolve) => this._server.close(() => resolve()));
-    this._server.closeIdleConnections();
-    await closed;
+    await new Promise<void>((resolve) => {
+      this._onIdle = resolve;
+      this._endIfIdle();
+    });
+  }
+
+  /** Ends all connections and listens no more. */
+  stop(): void {
+    this._server.close();
+    this._server.closeAllConnections();
+  }
+
+  private _endIfIdle(): void {
+    if (this._refusesAll && this._requests === 0) this._onIdle();
   }
 
   private async _handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -129,7 +140,8 @@
       this._refuse(response, progress, toRefusal(cause));
     } finally {
       this._requests -= 1;
-      this._busy.delete(incoming.socket);
+      // The last bytes of an answer go out with this turn.
+      setImmediate(() => this._endIfIdle());
     }
   }
 
--- a/src/planner/FreePool.ts
+++ b/src/planner/FreePool.ts
@@ -78,6 +78,13 @@
     return best.members;
   }
 
+  /** Takes one instance out, since something else was decided for it. */
+  removeInstance(instance: InstanceFacts): void {
+    const rest = this._domains.get(instance.fabricDomain)?.filter((other) => other !== instance);
+    if (rest !== undefined) this._domains.set(instance.fabricDomain, rest);
+    for (const candidates of this._candidates.values()) candidates.delete(instance.fabricDomain);
+  }
+
   private _compare(a: Candidate, b: Candidate): number {
     return this._stagesFirst ? compareAlike(a, b) : compareCandidates(a, b);
   }
--- a/src/planner/Planner.ts
+++ b/src/planner/Planner.ts
@@ -87,6 +87,7 @@
     this._retireUndeclared();
     for (const view of this._views) this._retireUnwanted(view);
     for (const view of this._views) this._repairLost(view);
+    if (this._configuration.stagesFirst) this._completeHolders();
     for (const view of this._views) this._formMissing(view);
     for (const view of this._views) this._rollOut(view);
     this._warmSpares(this._loadForming());
@@ -372,42 +373,76 @@
   }
 
   /**
-   * Loads onto spares that hold no wanted model the one that brings their fabric domain
-   * nearest to another whole replica.
+   * Loads a model onto as many spares as its free holders in a fabric domain lack for a
+   * replica. Fewest first: loads are scarce, and each of these brings a replica the soonest.
    */
+  private _completeHolders(): void {
+    let budget = this._configuration.weightStore.concurrentLoads - this._countLoading();
+    const lacks = this._getLacks().sort((a, b) => a.missing - b.missing);
+    for (const { view, fabricDomain, missing } of lacks) {
+      const cold = this._getColdSpares(fabricDomain);
+      if (missing > cold.length || missing > budget) continue;
+      budget -= missing;
+      for (const instance of cold.slice(0, missing)) this._stage(instance, view.model);
+    }
+  }
+
+  private _getLacks(): { view: GroupView; fabricDomain: string; missing: number }[] {
+    const domains = [...new Set(this._facts.instances.map((instance) => instance.fabricDomain))];
+    const short = this._views.filter((view) => this._isShort(view));
+    return short.flatMap((view) =>
+      domains.flatMap((fabricDomain) => {
+        const holders = this._countHolders(fabricDomain, view.model);
+        const missing = view.group.instancesPerReplica - holders;
+        return holders > 0 && missing > 0 ? [{ view, fabricDomain, missing }] : [];
+      }),
+    );
+  }
+
+  private _isShort({ group, serving, forming }: GroupView): boolean {
+    const staying = [...serving, ...forming].filter((replica) => !this._retiring.has(replica.id));
+    return staying.length < group.replicas;
+  }
+
+  /** Counts free instances that hold a model, or will soon. */
+  private _countHolders(fabricDomain: string, model: Model): number {
+    const isHere = (instance: InstanceFacts) => instance.fabricDomain === fabricDomain;
+    const free = this._pool.getInstances().filter((instance) => getLoads(instance, model) === 0);
+    const staging = this._facts.instances.filter(
+      (instance) => instance.stagingModel === model.name && this._isPresent(instance) && !instance.isLeaving,
+    );
+    return free.filter(isHere).length + staging.filter(isHere).length;
+  }
+
+  private _getColdSpares(fabricDomain: string): InstanceFacts[] {
+    return this._pool
+      .getInstances()
+      .filter((instance) => instance.fabricDomain === fabricDomain && !this._holdsWanted(instance));
+  }
+
+  private _stage(instance: InstanceFacts, { name: model, version: modelVersion, adapters }: Model): void {
+    this._pool.removeInstance(instance);
+    this._actions.push({ kind: "warmInstance", instance, model, modelVersion, adapters });
+  }
+
+  /** Loads onto spares that hold no wanted model the one whose replicas in their domain they would repair. */
   private _stageSpares(budget: number): void {
-    const spares = this._pool.getInstances();
-    const cold = spares.filter((instance) => !this._holdsWanted(instance));
-    const held = new Map<string, number>();
-    for (const instance of spares) addCount(held, getStageKey(instance.fabricDomain, instance.model));
-    for (const instance of cold.slice(0, Math.max(0, budget))) {
-      const view = this._getNearest(instance.fabricDomain, held);
-      if (view === undefined) continue;
-      const { name: model, version: modelVersion, adapters } = view.model;
-      addCount(held, getStageKey(instance.fabricDomain, model));
-      this._actions.push({ kind: "warmInstance", instance, model, modelVersion, adapters });
+    const spares = this._pool.getInstances().filter((instance) => !this._holdsWanted(instance));
+    for (const instance of spares.slice(0, Math.max(0, budget))) {
+      const view = this._getLeastInsured(instance.fabricDomain);
+      if (view !== undefined) this._stage(instance, view.model);
     }
   }
 
-  /** Of models that lack equally many, the one with the fewest free holders for each replica that may break. */
-  private _getNearest(fabricDomain: string, held: ReadonlyMap<string, number>): GroupView | undefined {
-    const candidates = this._views.map((view) => {
-      const holders = held.get(getStageKey(fabricDomain, view.model.name)) ?? 0;
+  private _getLeastInsured(fabricDomain: string): GroupView | undefined {
+    const insured = this._views.flatMap((view) => {
       const replicas = [...view.serving, ...view.forming].filter(
         (replica) => replica.fabricDomain === fabricDomain,
-      );
-      const missing = view.group.instancesPerReplica - (holders % view.group.instancesPerReplica);
-      // Holders left over from a lost replica wait for so few; else a spare insures those that serve.
-      const isWaiting = holders > replicas.length;
-      return { view, holders, replicas: replicas.length, missing, isWaiting };
+      ).length;
+      const holders = this._countHolders(fabricDomain, view.model);
+      return replicas === 0 ? [] : [{ view, share: holders / replicas }];
     });
-    const useful = candidates.filter(({ isWaiting, replicas }) => isWaiting || replicas > 0);
-    useful.sort(
-      (a, b) =>
-        Number(b.isWaiting) - Number(a.isWaiting) ||
-        (a.isWaiting ? a.missing - b.missing : a.holders / a.replicas - b.holders / b.replicas),
-    );
-    return useful[0]?.view ?? this._views[0];
+    return insured.sort((a, b) => a.share - b.share)[0]?.view;
   }
 
   /** Where a replica is being rebuilt, its spares are about to be taken and must not be busy loading. */
@@ -443,14 +478,6 @@
   }
 }
 
-function getStageKey(fabricDomain: string, model: string): string {
-  return `${fabricDomain}/${model}`;
-}
-
-function addCount(counts: Map<string, number>, key: string): void {
-  counts.set(key, (counts.get(key) ?? 0) + 1);
-}
-
 function isCurrent(replica: Replica, model: Model): boolean {
   return replica.model === model.name && replica.modelVersion === model.version;
 }
--- a/src/planner/facts.ts
+++ b/src/planner/facts.ts
@@ -32,6 +32,8 @@
   readonly modelVersion: string;
   /** Whether an order to load is on its way or being carried out. */
   readonly isLoading: boolean;
+  /** Model that it loads ahead of need, if it does. */
+  readonly stagingModel?: string;
   /** When it was lost lately, ascending. */
   readonly losses: readonly number[];
 }
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -212,6 +212,7 @@
       model,
       modelVersion: model === "" ? "" : LOADED_VERSION,
       isLoading: this._busy.has(instanceId) || isJoining || isStaging,
+      stagingModel: isStaging ? staging.model : undefined,
       losses: [],
     };
   }
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -108,7 +108,7 @@
     this._client.close();
     for (const server of this._servers) server.closeAllConnections();
     await Promise.all(this._servers.map((server) => new Promise((resolve) => server.close(resolve))));
-    await this._gateway.stop();
+    this._gateway.stop();
   }
 
   /** Calls through the gateway on a connection of its own. */
--- /dev/null
+++ b/test/planner/staging.test.ts
@@ -0,0 +1,69 @@
+import { describe, expect, it } from "vitest";
+import { ImmediateRepair, type InstanceFacts, Planner, type PlanningConfiguration } from "../../src/planner";
+import { createFacts, createInstances, createReplica, NOW } from "../support/planning";
+
+const HELD = { model: "m", modelVersion: "1" };
+
+function createConfiguration(replicas: number): PlanningConfiguration {
+  return {
+    models: [{ name: "m", version: "1", adapters: [], load: 16_000, acceleratorsPerInstance: 1 }],
+    groups: [{ name: "g", model: "m", replicas, minimum: replicas, instancesPerReplica: 4, value: 1 }],
+    planning: { reserve: 0, maxWait: 1, flapLosses: 1_000, flapWindow: 1 },
+    weightStore: { concurrentLoads: 6 },
+    timing: { presenceWindow: 3_000, lease: 0 },
+    stagesFirst: true,
+  };
+}
+
+function plan(instances: readonly InstanceFacts[], replicas = 1, changes = {}) {
+  const facts = createFacts({ instances, ...changes });
+  return new Planner(new ImmediateRepair(true)).plan(NOW, facts, createConfiguration(replicas));
+}
+
+describe("Planner that stages first", () => {
+  it("forms from instances that hold the model", () => {
+    const [first, ...rest] = plan([
+      ...createInstances(4, HELD),
+      ...createInstances(2, { fabricDomain: "x" }),
+    ]);
+    expect(first).toMatchObject({ kind: "formReplica" });
+    expect(rest.map((action) => action.kind)).not.toContain("formReplica");
+  });
+
+  it("forms from instances that all have to load, where none holds the model", () => {
+    expect(plan(createInstances(4))[0]).toMatchObject({ kind: "formReplica" });
+  });
+
+  it("keeps holders free and loads onto as many others as they lack", () => {
+    const actions = plan([
+      ...createInstances(3, HELD),
+      ...createInstances(2).map((instance, i) => ({ ...instance, id: `c${i}` as InstanceFacts["id"] })),
+    ]);
+    expect(actions).toEqual([expect.objectContaining({ kind: "warmInstance", model: "m" })]);
+  });
+
+  it("loads onto no further one while the one that lacks is loading", () => {
+    const loading = createInstances(1, { fabricDomain: "f", isLoading: true, stagingModel: "m" });
+    const all = [...createInstances(3, HELD), ...loading, ...createInstances(2)];
+    const instances = all.map((instance, i) => ({ ...instance, id: `i${i}` as InstanceFacts["id"] }));
+    expect(plan(instances)).toEqual([]);
+  });
+
+  it("gives up a replica that lost an instance, even where it can't be made whole", () => {
+    const { replica, instances } = createReplica(1, createInstances(4));
+    const lost = instances.map((instance, i) =>
+      i === 0 ? { ...instance, answeredAt: NOW - 60_000 } : instance,
+    );
+    expect(plan(lost, 1, { replicas: [replica] })).toEqual([
+      expect.objectContaining({ kind: "retireReplica", replica }),
+    ]);
+  });
+
+  it("never holds up a join without a load for loads that go on", () => {
+    const { replica } = createReplica(1, createInstances(4), { phase: 1 });
+    const members = createInstances(4, HELD);
+    const busy = createInstances(8, { fabricDomain: "x", isLoading: true });
+    const actions = plan([...members, ...busy], 1, { replicas: [replica] });
+    expect(actions.filter((action) => action.kind === "loadInstance").length).toBe(4);
+  });
+});
