--- a/src/planner/FreePool.ts
+++ b/src/planner/FreePool.ts
@@ -19,14 +19,21 @@
   /** Candidates by group and fabric domain; a domain's are made anew once it changed. */
   private readonly _candidates = new Map<string, Map<string, Candidate>>();
   private readonly _stagesFirst: boolean;
+  private readonly _modelByDomain: ReadonlyMap<string, string>;
 
   /**
    * @param instances - Present, staying, trusted instances that belong to no replica.
    * @param stagesFirst - Whether a replica is formed only where either all its instances hold the
    * model or none does.
+   * @param modelByDomain - With it: the only model that the instances of a domain load together.
    */
-  constructor(instances: readonly InstanceFacts[], stagesFirst = false) {
+  constructor(
+    instances: readonly InstanceFacts[],
+    stagesFirst = false,
+    modelByDomain: ReadonlyMap<string, string> = new Map(),
+  ) {
     this._stagesFirst = stagesFirst;
+    this._modelByDomain = modelByDomain;
     for (const instance of instances) {
       const domain = this._domains.get(instance.fabricDomain);
       if (domain === undefined) this._domains.set(instance.fabricDomain, [instance]);
@@ -69,7 +76,7 @@
     for (const fabricDomain of this._domains.keys()) {
       const candidate = this._getCandidate(fabricDomain, group, model);
       if (candidate === undefined || candidate.leftOver < reserve) continue;
-      if (this._stagesFirst && isMixed(candidate)) continue;
+      if (this._stagesFirst && !this._mayForm(candidate, model)) continue;
       if (best === undefined || this._compare(candidate, best) < 0) best = candidate;
     }
     if (best === undefined) return undefined;
@@ -78,6 +85,12 @@
     return best.members;
   }
 
+  private _mayForm({ fabricDomain, loads, members }: Candidate, model: Model): boolean {
+    if (loads === 0) return true;
+    const wanted = this._modelByDomain.get(fabricDomain) ?? model.name;
+    return loads === members.length && wanted === model.name;
+  }
+
   /** Takes one instance out, since something else was decided for it. */
   removeInstance(instance: InstanceFacts): void {
     const rest = this._domains.get(instance.fabricDomain)?.filter((other) => other !== instance);
@@ -140,10 +153,6 @@
   }
 }
 
-function isMixed({ loads, members }: Candidate): boolean {
-  return loads > 0 && loads < members.length;
-}
-
 /** Gets 0 when an instance holds a model's version already, else 1. */
 export function getLoads(instance: InstanceFacts, model: Model): number {
   return instance.model === model.name && instance.modelVersion === model.version ? 0 : 1;
--- a/src/planner/Planner.ts
+++ b/src/planner/Planner.ts
@@ -38,6 +38,21 @@
   readonly forming: readonly Replica[];
 }
 
+/** Free holders of a model in a fabric domain that are too few for a replica. */
+interface Lack {
+  readonly view: GroupView;
+  readonly fabricDomain: string;
+  readonly missing: number;
+}
+
+/** A forming replica whose instances may have to load. */
+interface LoadCandidate {
+  readonly replica: Replica;
+  readonly view: GroupView;
+  /** Part of its instances that have not joined. */
+  readonly missing: number;
+}
+
 /** The planner with its way to choose between waiting and rebuilding. */
 export class Planner {
   private readonly _repair: RepairPolicy;
@@ -78,7 +93,11 @@
     this._configuration = configuration;
     this._repair = repair;
     this._instances = new Map(facts.instances.map((instance) => [instance.id, instance]));
-    this._pool = new FreePool(this._getFreeInstances(), configuration.stagesFirst);
+    this._pool = new FreePool(
+      this._getFreeInstances(),
+      configuration.stagesFirst,
+      configuration.modelByDomain,
+    );
     this._views = this._createViews();
   }
 
@@ -87,8 +106,10 @@
     this._retireUndeclared();
     for (const view of this._views) this._retireUnwanted(view);
     for (const view of this._views) this._repairLost(view);
-    if (this._configuration.stagesFirst) this._completeHolders();
-    for (const view of this._views) this._formMissing(view);
+    if (this._configuration.stagesFirst) {
+      this._completeHolders();
+      this._formEvenly();
+    } else for (const view of this._views) this._formMissing(view);
     for (const view of this._views) this._rollOut(view);
     this._warmSpares(this._loadForming());
     return this._actions;
@@ -279,6 +300,28 @@
       .map((other) => other.candidate);
   }
 
+  /** Forms one replica at a time, of the group that is shortest of its size. */
+  private _formEvenly(): void {
+    const open = this._views.map((view) => ({ view, count: this._countStaying(view) }));
+    for (;;) {
+      const short = open.filter(({ view, count }) => count < view.group.replicas);
+      const next = short.sort((a, b) => a.count / a.view.group.replicas - b.count / b.view.group.replicas)[0];
+      if (next === undefined) return;
+      const { group, model } = next.view;
+      const members = this._pool.takeMembers(group, model, this._configuration.planning.reserve);
+      if (members === undefined) {
+        open.splice(open.indexOf(next), 1);
+        continue;
+      }
+      next.count += 1;
+      this._actions.push({ kind: "formReplica", group: group.name, members, reason: REASON.shortage });
+    }
+  }
+
+  private _countStaying({ serving, forming }: GroupView): number {
+    return [...serving, ...forming].filter((replica) => !this._retiring.has(replica.id)).length;
+  }
+
   private _formMissing(view: GroupView): void {
     const { group, model } = view;
     const staying = [...view.serving, ...view.forming].filter((replica) => !this._retiring.has(replica.id));
@@ -340,7 +383,7 @@
       .flatMap((view) => view.forming.map((replica) => ({ replica, view })))
       .filter(({ replica }) => !this._retiring.has(replica.id))
       .map((item) => ({ ...item, missing: this._getMissingShare(item.replica) }))
-      .sort((a, b) => b.view.group.value - a.view.group.value || a.missing - b.missing);
+      .sort((a, b) => b.view.group.value - a.view.group.value || this._compareLoads(a, b));
     for (const { replica, view } of forming) {
       for (const { instance, rank } of this._getUnjoined(replica)) {
         if (instance.isLoading) continue;
@@ -374,11 +417,13 @@
 
   /**
    * Loads a model onto as many spares as its free holders in a fabric domain lack for a
-   * replica. Fewest first: loads are scarce, and each of these brings a replica the soonest.
+   * replica. Loads are scarce: where few lack, of a group that is short, comes first.
    */
   private _completeHolders(): void {
     let budget = this._configuration.weightStore.concurrentLoads - this._countLoading();
-    const lacks = this._getLacks().sort((a, b) => a.missing - b.missing);
+    const getOrder = ({ view, missing }: Lack) =>
+      missing / view.group.instancesPerReplica + this._countStaying(view) / view.group.replicas;
+    const lacks = this._getLacks().sort((a, b) => getOrder(a) - getOrder(b));
     for (const { view, fabricDomain, missing } of lacks) {
       const cold = this._getColdSpares(fabricDomain);
       if (missing > cold.length || missing > budget) continue;
@@ -387,7 +432,7 @@
     }
   }
 
-  private _getLacks(): { view: GroupView; fabricDomain: string; missing: number }[] {
+  private _getLacks(): Lack[] {
     const domains = [...new Set(this._facts.instances.map((instance) => instance.fabricDomain))];
     const short = this._views.filter((view) => this._isShort(view));
     return short.flatMap((view) =>
@@ -399,9 +444,8 @@
     );
   }
 
-  private _isShort({ group, serving, forming }: GroupView): boolean {
-    const staying = [...serving, ...forming].filter((replica) => !this._retiring.has(replica.id));
-    return staying.length < group.replicas;
+  private _isShort(view: GroupView): boolean {
+    return this._countStaying(view) < view.group.replicas;
   }
 
   /** Counts free instances that hold a model, or will soon. */
@@ -466,6 +510,16 @@
     return this._facts.instances.filter((instance) => instance.isLoading).length;
   }
 
+  /** Nearly whole replicas first; of those not begun, the ones that bring their group the furthest. */
+  private _compareLoads(a: LoadCandidate, b: LoadCandidate): number {
+    if (!this._configuration.stagesFirst) return a.missing - b.missing;
+    const getOrder = ({ replica, view, missing }: LoadCandidate) => {
+      const place = view.serving.length + view.forming.indexOf(replica) + 1;
+      return missing < 1 ? 0 : place / Math.max(1, view.group.replicas);
+    };
+    return getOrder(a) - getOrder(b) || a.missing - b.missing;
+  }
+
   private _getMissingShare(replica: Replica): number {
     return this._getUnjoined(replica).length / replica.members.length;
   }
--- a/src/planner/facts.ts
+++ b/src/planner/facts.ts
@@ -11,6 +11,8 @@
    * replica, so that they stay free for one that can be formed sooner.
    */
   readonly stagesFirst?: boolean;
+  /** With it: the only model that instances of a fabric domain load when none of them holds one. */
+  readonly modelByDomain?: ReadonlyMap<string, string>;
 };
 
 /** One engine instance as the planner sees it. Times are monotonic milliseconds. */
--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -149,20 +149,10 @@
   private async _step(): Promise<void> {
     const now = this._options.clock.getMonotonicMs();
     this._registry.removeSilent(now);
-    if (this._isWarm(now)) await this._plan();
+    await this._plan();
     if (!this._isEnded) this._publish();
   }
 
-  /** What has not been heard yet says nothing of an instance while the term is young. */
-  private _isWarm(now: number): boolean {
-    if (now - this._startedAt > this._options.getTimes().presenceMs) return true;
-    return this._options.driver.machine
-      .getReplicas()
-      .every((replica) =>
-        replica.members.every((member) => this._registry.getInstance(member.instanceId) !== undefined),
-      );
-  }
-
   private async _plan(): Promise<void> {
     await this._controller.step().catch((cause: unknown) => {
       this._options.logger.warn({ event: "planning_failed", reason: String(cause) });
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -55,6 +55,7 @@
 const RESEND_MS = 700;
 /** A load ordered ahead of need is taken as held from its order on, for so long at most. */
 const STAGING_MS = 40_000;
+const NEVER = Number.NEGATIVE_INFINITY;
 const LOADED_VERSION = "1";
 /** Some loads more than run at full speed, so that the weight store is not idle between two. */
 const LOAD_OVERLAP = 4 / 3;
@@ -84,6 +85,8 @@
   private readonly _staging = new Map<string, Staging>();
   private readonly _doubts = new PresenceDoubts();
   private readonly _probedAt = new Map<string, number>();
+  private readonly _startedAt: number;
+  private _sizing = "";
   private _isStepping = false;
 
   /**
@@ -91,6 +94,7 @@
    */
   constructor(options: ReplicaControllerOptions) {
     this._options = options;
+    this._startedAt = options.clock.getMonotonicMs();
     this._closer = new ReplicaCloser(options.registry);
   }
 
@@ -176,6 +180,7 @@
       .getInstances()
       .filter((instance) => instance.report.service === service.name)
       .map((instance) => this._createInstanceFacts(now, instance, replicas));
+    instances.push(...this._createUnheardFacts(replicas));
     return {
       instances,
       replicas,
@@ -187,6 +192,36 @@
     };
   }
 
+  /**
+   * Members that have not reported in this term are taken for there, as they were agreed
+   * on, until they have been silent for as long as any other.
+   */
+  private _createUnheardFacts(replicas: readonly Replica[]): InstanceFacts[] {
+    const { registry, driver } = this._options;
+    return replicas.flatMap((replica) => {
+      const unheard = replica.members.filter((member) => {
+        const { instanceId } = member;
+        return registry.getInstance(instanceId) === undefined && !registry.isGone(instanceId);
+      });
+      return unheard.map((member) => ({
+        id: InstanceId(member.instanceId),
+        address: member.address,
+        failureDomain: member.failureDomain,
+        fabricDomain: replica.fabricDomain,
+        isLeaving: driver.machine.hasDeparted(member.instanceId),
+        checksOrders: true,
+        answeredAt: this._doubts.isDoubted(member.instanceId, this._startedAt) ? NEVER : this._startedAt,
+        epoch: replica.epoch,
+        // Only what served was seen whole.
+        isReady: replica.phase === ReplicaPhase.SERVING,
+        model: replica.model,
+        modelVersion: LOADED_VERSION,
+        isLoading: true,
+        losses: [],
+      }));
+    });
+  }
+
   private _createInstanceFacts(
     now: number,
     { report, reportedAt }: RegisteredInstance,
@@ -206,7 +241,7 @@
       fabricDomain: report.fabricDomain,
       isLeaving: report.leaving || this._options.driver.machine.hasDeparted(instanceId),
       checksOrders: true,
-      answeredAt: this._doubts.isDoubted(instanceId, reportedAt) ? Number.NEGATIVE_INFINITY : reportedAt,
+      answeredAt: this._doubts.isDoubted(instanceId, reportedAt) ? NEVER : reportedAt,
       epoch: place?.epoch ?? 0,
       isReady: place !== undefined && READY_STATES.has(place.state),
       model,
@@ -235,7 +270,19 @@
       servingByModel.set(replica.model, (servingByModel.get(replica.model) ?? 0) + 1);
     }
     const warmModels = getWarmModels(now, engine, facts, presenceMs);
-    const groups = sizeGroups({ engine, instancesByDomain, reserve, servingByModel, warmModels });
+    const { groups, modelByDomain } = sizeGroups({
+      engine,
+      presentModels: getPresentModels(facts.replicas),
+      instancesByDomain,
+      reserve,
+      servingByModel,
+      warmModels,
+    });
+    this._logSizing({
+      replicas: Object.fromEntries(groups.map((group) => [group.model, group.replicas])),
+      instances: Object.fromEntries(instancesByDomain),
+      models: Object.fromEntries(modelByDomain),
+    });
     return {
       models: engine.models.map((model) => ({
         name: model.name,
@@ -253,9 +300,18 @@
       weightStore: { concurrentLoads: Math.ceil(engine.concurrentLoads * LOAD_OVERLAP) },
       timing: { presenceWindow: presenceMs, lease: 0 },
       stagesFirst: true,
+      modelByDomain,
     };
   }
 
+  /** One line for each change of what is wanted. */
+  private _logSizing(sizing: object): void {
+    const text = JSON.stringify(sizing);
+    if (text === this._sizing) return;
+    this._sizing = text;
+    this._options.logger.info({ event: "groups_sized", ...sizing });
+  }
+
   private async _act(now: number, action: Action): Promise<void> {
     switch (action.kind) {
       case "formReplica":
@@ -417,6 +473,18 @@
   }
 }
 
+/** Gets the model of most replicas in each fabric domain that are not retiring. */
+function getPresentModels(replicas: readonly Replica[]): Map<string, string> {
+  const counts = new Map<string, Map<string, number>>();
+  for (const { fabricDomain, model, phase } of replicas) {
+    if (phase === ReplicaPhase.RETIRING) continue;
+    const models = counts.get(fabricDomain) ?? new Map<string, number>();
+    counts.set(fabricDomain, models.set(model, (models.get(model) ?? 0) + 1));
+  }
+  const getMost = (models: ReadonlyMap<string, number>) => [...models].sort((a, b) => b[1] - a[1])[0]![0];
+  return new Map([...counts].map(([domain, models]) => [domain, getMost(models)]));
+}
+
 /** Gets models that enough free instances of one fabric domain hold. */
 function getWarmModels(
   now: number,
--- a/src/registration/sizeGroups.ts
+++ b/src/registration/sizeGroups.ts
@@ -1,4 +1,10 @@
-/** Decides how many replicas of each model the registered instances are to form. Pure. */
+/**
+ * Decides how many replicas of each model the registered instances are to form, and in
+ * which fabric domains. Pure.
+ *
+ * Where there are domains enough, each has replicas of one model: what is left of a
+ * replica that lost an instance then completes the next one without a load.
+ */
 import type { Group } from "../configuration";
 import type { DeclaredModel, EngineProfile } from "../declaration";
 
@@ -9,72 +15,82 @@
   readonly instancesByDomain: ReadonlyMap<string, number>;
   /** Instances to keep free in each fabric domain for repairs. */
   readonly reserve: number;
+  /** The model that most replicas of a fabric domain have now, or soon. */
+  readonly presentModels: ReadonlyMap<string, string>;
   /** Replicas that each model has now, or soon. */
   readonly servingByModel: ReadonlyMap<string, number>;
   /** Models of which a replica could be formed now without a load. */
   readonly warmModels: ReadonlySet<string>;
 }
 
-/**
- * Sizes one group for each model, so that each has capacity in proportion to its work.
- * @returns Groups: first those that can grow without a load, then the one that is shortest of its size.
- */
-export function sizeGroups(facts: SizingFacts): Group[] {
+/** What was decided. */
+export interface Sizing {
+  /** Groups: first those that can grow without a load, then the one that is shortest of its size. */
+  readonly groups: readonly Group[];
+  /** The model of each fabric domain; empty where there are too few domains for that. */
+  readonly modelByDomain: ReadonlyMap<string, string>;
+}
+
+/** Sizes one group for each model, so that each has instances in proportion to its work. */
+export function sizeGroups(facts: SizingFacts): Sizing {
   const { engine, servingByModel, warmModels } = facts;
-  const domains = [...facts.instancesByDomain].map(([name, count]) => ({
-    name,
-    free: count - facts.reserve,
-    models: new Set<string>(),
-  }));
-  const counts = new Map<string, number>(engine.models.map((model) => [model.name, 0]));
-  for (;;) {
-    const next = getNeediest(engine.models, counts, domains);
-    if (next === undefined) break;
-    takeInstances(domains, next);
-    counts.set(next.name, counts.get(next.name)! + 1);
-  }
-  return engine.models
-    .map((model) => createGroup(model, counts.get(model.name)!))
+  const modelByDomain = assignDomains(facts);
+  const counts = modelByDomain.size > 0 ? countByDomain(facts, modelByDomain) : countMixed(facts);
+  const groups = engine.models
+    .map((model) => createGroup(model, counts.get(model.name) ?? 0))
     .sort(
       (a, b) =>
         Number(warmModels.has(b.model)) - Number(warmModels.has(a.model)) ||
         getFilled(a, servingByModel) - getFilled(b, servingByModel),
     );
+  return { groups, modelByDomain };
+}
+
+/** Leaves each domain its model; gives the others to the model with the most work for each domain it has. */
+function assignDomains({ engine, instancesByDomain, presentModels }: SizingFacts): Map<string, string> {
+  const { models } = engine;
+  const assigned = new Map<string, string>();
+  const counts = new Map<string, number>(models.map((model) => [model.name, 0]));
+  const assign = (domain: string, model: string) => {
+    assigned.set(domain, model);
+    counts.set(model, counts.get(model)! + 1);
+  };
+  const domains = [...instancesByDomain.keys()].sort();
+  for (const domain of domains) {
+    const present = presentModels.get(domain);
+    if (present !== undefined && counts.has(present)) assign(domain, present);
+  }
+  const getLoad = (model: DeclaredModel) => model.share / (counts.get(model.name)! + 1);
+  for (const domain of domains.filter((candidate) => !assigned.has(candidate))) {
+    assign(domain, [...models].sort((a, b) => getLoad(b) - getLoad(a))[0]!.name);
+  }
+  const isComplete = [...counts.values()].every((count) => count > 0);
+  return isComplete ? assigned : new Map();
 }
 
-/** A fabric domain while it is being filled. */
-interface SizedDomain {
-  readonly name: string;
-  free: number;
-  readonly models: Set<string>;
+function countByDomain(facts: SizingFacts, modelByDomain: ReadonlyMap<string, string>): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const [domain, name] of modelByDomain) {
+    const size = facts.engine.models.find((model) => model.name === name)!.instancesPerReplica;
+    const free = Math.max(0, facts.instancesByDomain.get(domain)! - facts.reserve);
+    counts.set(name, (counts.get(name) ?? 0) + Math.floor(free / size));
+  }
+  return counts;
 }
 
-/** A model's share is its part of the instances' work: the model with the most work an instance is next. */
-function getNeediest(
-  models: readonly DeclaredModel[],
-  counts: ReadonlyMap<string, number>,
-  domains: readonly SizedDomain[],
-): DeclaredModel | undefined {
-  const largest = Math.max(0, ...domains.map((domain) => domain.free));
-  const fitting = models.filter((model) => model.instancesPerReplica <= largest);
+/** With fewer domains than models would need, domains have replicas of several models. */
+function countMixed({ engine, instancesByDomain, reserve }: SizingFacts): Map<string, number> {
+  const free = [...instancesByDomain.values()].map((count) => count - reserve);
+  const counts = new Map<string, number>(engine.models.map((model) => [model.name, 0]));
   const getLoad = (model: DeclaredModel) =>
     model.share / ((counts.get(model.name)! + 1) * model.instancesPerReplica);
-  return fitting.sort((a, b) => getLoad(b) - getLoad(a))[0];
-}
-
-/** Fills fabric domains with replicas of one model each, as far as that goes. */
-function takeInstances(domains: readonly SizedDomain[], model: DeclaredModel): void {
-  const getOthers = (domain: SizedDomain) => domain.models.size - Number(domain.models.has(model.name));
-  const candidates = domains.filter((domain) => domain.free >= model.instancesPerReplica);
-  candidates.sort(
-    (a, b) =>
-      getOthers(a) - getOthers(b) ||
-      Number(b.models.has(model.name)) - Number(a.models.has(model.name)) ||
-      b.free - a.free,
-  );
-  const domain = candidates[0]!;
-  domain.free -= model.instancesPerReplica;
-  domain.models.add(model.name);
+  for (;;) {
+    const fitting = engine.models.filter((model) => model.instancesPerReplica <= Math.max(0, ...free));
+    const next = fitting.sort((a, b) => getLoad(b) - getLoad(a))[0];
+    if (next === undefined) return counts;
+    counts.set(next.name, counts.get(next.name)! + 1);
+    free[free.indexOf(Math.max(...free))]! -= next.instancesPerReplica;
+  }
 }
 
 function createGroup(model: DeclaredModel, replicas: number): Group {
