--- a/src/consensus/ConsensusDriver.ts
+++ b/src/consensus/ConsensusDriver.ts
@@ -44,6 +44,8 @@
    */
   readonly getAddress: (memberId: MemberId) => string | undefined;
   readonly clock: Clock;
+  /** Voters wanted at the most; without a bound every joiner votes. */
+  readonly maxVoters?: number;
   /** Called once when storage or an invariant fails: the process must stop. */
   readonly onFatal: (cause: unknown) => void;
 }
@@ -67,6 +69,8 @@
 const SNAPSHOT_ENTRIES = 2_000;
 /** Entries kept in memory behind a snapshot for members that lag a little. */
 const KEPT_ENTRIES = 500;
+/** A member silent for so long gives its place to one that has caught up. */
+const GONE_MS = 5_000;
 /** A joiner that lacks no more entries than this may vote. */
 const CAUGHT_UP_ENTRIES = 50;
 
@@ -78,6 +82,7 @@
   private readonly _transport: Transport;
   private readonly _getAddress: (memberId: MemberId) => string | undefined;
   private readonly _clock: Clock;
+  private readonly _maxVoters: number | undefined;
   private readonly _onFatal: (cause: unknown) => void;
   private readonly _appliedListeners: ((entry: LogEntry) => void)[] = [];
   private _machine: StateMachine;
@@ -99,6 +104,7 @@
     this._transport = options.transport;
     this._getAddress = options.getAddress;
     this._clock = options.clock;
+    this._maxVoters = options.maxVoters;
     this._onFatal = options.onFatal;
     this._hardState = options.hardState;
     this._snapshotIndex = options.snapshot?.index ?? 0;
@@ -202,7 +208,11 @@
     if (!this.isLeader()) throw this._createAbsentLeader();
     const progress = this.node.getProgress(joiner.id);
     const isCaughtUp = progress !== undefined && this._isCaughtUp(progress);
-    const next = getNextMembership(this.node.membership, joiner, isCaughtUp);
+    const next = getNextMembership(this.node.membership, joiner, {
+      isCaughtUp,
+      maxVoters: this._maxVoters,
+      isGone: (memberId) => this._isGone(memberId),
+    });
     if (next !== undefined) this.node.addMembership(this._clock.getMonotonicMs(), next);
     this._pump();
     const present = getMember(this.node.membership, joiner.id);
@@ -214,6 +224,12 @@
     return matchIndex > 0 && matchIndex >= this.node.commitIndex - CAUGHT_UP_ENTRIES;
   }
 
+  private _isGone(memberId: string): boolean {
+    const progress = this.node.getProgress(memberId);
+    if (memberId === this.node.id || progress === undefined) return false;
+    return this._clock.getMonotonicMs() - progress.answeredAt > GONE_MS;
+  }
+
   private _createAbsentLeader(): AbsentLeader {
     return new AbsentLeader({ leaderAddress: this.getLeaderAddress() });
   }
--- a/src/consensus/index.ts
+++ b/src/consensus/index.ts
@@ -8,6 +8,7 @@
   getQuorumSize,
   getVoters,
   isVoter,
+  type JoiningFacts,
 } from "./membership";
 export type { Progress } from "./Progress";
 export { RaftNode, type RaftNodeOptions, type Role } from "./RaftNode";
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -27,29 +27,53 @@
   return create(MembershipSchema, { members: [...members] });
 }
 
+/** What is known of the members when one joins. */
+export interface JoiningFacts {
+  /** Whether the joiner holds nearly the whole log. */
+  readonly isCaughtUp: boolean;
+  /** Voters wanted at the most; without a bound every joiner votes. */
+  readonly maxVoters?: number;
+  /** Whether a member has been silent for so long that it is taken for gone. */
+  readonly isGone?: (memberId: string) => boolean;
+}
+
 /**
- * Gets the next membership on the way to letting a joiner replace its namesake.
+ * Gets the next membership on the way to letting a joiner vote.
  *
- * One member changes a step, so that any two successive majorities share a voter:
- * the joiner is added as a learner, its dead namesake is removed, and once it has
- * caught up it votes.
- * @param isCaughtUp - Whether the joiner holds nearly the whole log.
- * @returns `undefined` when there is nothing left to change.
+ * One member changes a step, so that any two successive majorities share a voter: the
+ * joiner is added as a learner, its dead namesake is removed, and once it has caught up
+ * it votes. Where there are voters enough, it takes the place of one that is gone, and
+ * learns on until there is such a one.
+ * @returns `undefined` when there is nothing left to change now.
  */
 export function getNextMembership(
   current: Membership,
   joiner: Member,
-  isCaughtUp: boolean,
+  facts: JoiningFacts,
 ): Membership | undefined {
   const present = getMember(current, joiner.id);
-  if (present === undefined) return createMembership([...current.members, { ...joiner, learner: true }]);
-  if (!present.learner) return undefined;
-  if (!isCaughtUp) return undefined;
+  if (present === undefined) {
+    const forgotten = findGoneLearner(current, facts);
+    if (forgotten !== undefined) return removeMember(current, forgotten);
+    return createMembership([...current.members, { ...joiner, learner: true }]);
+  }
+  if (!present.learner || !facts.isCaughtUp) return undefined;
   const namesake = current.members.find((member) => member.name === joiner.name && member.id !== joiner.id);
-  if (namesake !== undefined) {
-    return createMembership(current.members.filter((member) => member.id !== namesake.id));
+  if (namesake !== undefined) return removeMember(current, namesake);
+  if (getVoters(current).length >= (facts.maxVoters ?? Number.POSITIVE_INFINITY)) {
+    const gone = getVoters(current).find((member) => facts.isGone?.(member.id));
+    return gone === undefined ? undefined : removeMember(current, gone);
   }
   return createMembership(
     current.members.map((member) => (member.id === joiner.id ? { ...member, learner: false } : member)),
   );
 }
+
+/** Learners that are gone would be sent the log for good. */
+function findGoneLearner(current: Membership, facts: JoiningFacts): Member | undefined {
+  return current.members.find((member) => member.learner && facts.isGone?.(member.id));
+}
+
+function removeMember(current: Membership, removed: Member): Membership {
+  return createMembership(current.members.filter((member) => member.id !== removed.id));
+}
--- a/src/control/member.ts
+++ b/src/control/member.ts
@@ -18,7 +18,7 @@
 import { createSecretGuard, LeaderClient, RpcServer } from "../rpc";
 
 const JOIN_MS = 2_000;
-const JOIN_PAUSE_MS = 200;
+const JOIN_PAUSE_MS = 300;
 
 /** Gets the id of a member that is there from the first start. */
 export function getFirstId(name: string): MemberId {
@@ -47,12 +47,13 @@
   readonly transport: Transport;
   readonly getAddress: (memberId: MemberId) => string | undefined;
   readonly clock: Clock;
+  readonly maxVoters?: number;
   readonly onFatal: (cause: unknown) => void;
 }
 
 /** Makes the driver of a member from what its disk held. */
 export function createMemberDriver(options: MemberDriverOptions): ConsensusDriver {
-  const { storage, stored, transport, getAddress, clock, onFatal } = options;
+  const { storage, stored, transport, getAddress, clock, maxVoters, onFatal } = options;
   const node = new RaftNode({
     id: stored.memberId,
     membership: createMembership([]),
@@ -64,7 +65,17 @@
     now: clock.getMonotonicMs(),
   });
   const { hardState, snapshot } = stored;
-  return new ConsensusDriver({ node, hardState, snapshot, storage, transport, getAddress, clock, onFatal });
+  return new ConsensusDriver({
+    node,
+    hardState,
+    snapshot,
+    storage,
+    transport,
+    getAddress,
+    clock,
+    maxVoters,
+    onFatal,
+  });
 }
 
 /** Serves interfaces of our own protocol for as long as the scope is open. */
@@ -97,20 +108,22 @@
   readonly logger: Logger;
 }
 
-/** Asks the leader to let this member in, until it votes. */
-export function joinMembership(options: JoinOptions): Effect.Effect<unknown> {
+/**
+ * Asks the leader to let this member in, until it votes; and again whenever it hears of no
+ * leader: it may have been taken for gone and its place given to another.
+ */
+export function joinMembership(options: JoinOptions): Effect.Effect<never> {
   const { driver, member, addresses, followsHints, secret, clock, logger } = options;
-  if (addresses.length === 0) return Effect.void;
+  if (addresses.length === 0) return Effect.never;
   const client = new LeaderClient(ConsensusService, { addresses, followsHints, secret, clock });
   const step = Effect.promise(async () => {
-    if (isVoter(driver.node.membership, driver.node.id)) return true;
-    const answer = await client
+    if (isVoter(driver.node.membership, driver.node.id) && driver.node.leaderId !== "") return;
+    await client
       .call((leader, timeoutMs) => leader.join({ member }, { timeoutMs }), JOIN_MS)
       .catch((cause: unknown) => logger.warn({ event: "join_failed", reason: String(cause) }));
-    return answer?.voting ?? false;
   });
   return step.pipe(
-    Effect.tap((isVoting) => (isVoting ? Effect.void : Effect.sleep(JOIN_PAUSE_MS))),
-    Effect.repeat({ until: (isVoting) => isVoting }),
+    Effect.tap(() => Effect.sleep(JOIN_PAUSE_MS)),
+    Effect.forever,
   );
 }
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -75,6 +75,7 @@
       transport,
       getAddress: (memberId) => getRpcAddress(settings, getMemberName(memberId)),
       clock,
+      maxVoters: control.voters,
       onFatal: options.onFatal,
     });
     const getRoutes = createRouteCache(() => driver.machine.getDeclaration(), options.format);
--- a/test/consensus/ConsensusModel.ts
+++ b/test/consensus/ConsensusModel.ts
@@ -377,7 +377,7 @@
       const member = createMember(host.name, host.incarnation);
       const progress = leader.node.getProgress(member.id);
       const isCaughtUp = progress !== undefined && progress.matchIndex >= leader.node.commitIndex;
-      const next = getNextMembership(leader.node.membership, member, isCaughtUp);
+      const next = getNextMembership(leader.node.membership, member, { isCaughtUp });
       if (next !== undefined) leader.node.addMembership(this._now, next);
       this._pump(leader);
     }
--- /dev/null
+++ b/test/consensus/membership.test.ts
@@ -0,0 +1,68 @@
+import { describe, expect, it } from "vitest";
+import { createMembership, getNextMembership, getVoters, type JoiningFacts } from "../../src/consensus";
+import type { Member, Membership } from "../../src/gen/ploverstage/v1/consensus_pb";
+
+function createMember(name: string, learner = false, incarnation = "0"): Member {
+  return {
+    $typeName: "ploverstage.v1.Member",
+    id: `${name}.${incarnation}`,
+    name,
+    address: `${name}:1`,
+    learner,
+    failureDomain: "",
+  };
+}
+
+const CURRENT = createMembership(["a", "b", "c"].map((name) => createMember(name)));
+
+/** Takes steps until nothing is left to change. */
+function join(current: Membership, joiner: Member, facts: JoiningFacts): Membership[] {
+  const steps: Membership[] = [];
+  for (let now = current; ; ) {
+    const next = getNextMembership(now, joiner, facts);
+    if (next === undefined) return steps;
+    steps.push(next);
+    now = next;
+  }
+}
+
+function getVoterIds(membership: Membership | undefined): string[] {
+  return getVoters(membership!).map((member) => member.id);
+}
+
+describe("getNextMembership", () => {
+  it("lets a joiner vote that has caught up, where there is no bound", () => {
+    expect(getVoterIds(join(CURRENT, createMember("d"), { isCaughtUp: true }).at(-1))).toEqual([
+      "a.0",
+      "b.0",
+      "c.0",
+      "d.0",
+    ]);
+  });
+
+  it("keeps a joiner as a learner while voters enough are there, or it lags", () => {
+    const facts = { isCaughtUp: true, maxVoters: 3, isGone: () => false };
+    expect(getVoterIds(join(CURRENT, createMember("d"), facts).at(-1))).toEqual(["a.0", "b.0", "c.0"]);
+    const lagging = { isCaughtUp: false, maxVoters: 3, isGone: (id: string) => id === "b.0" };
+    expect(getVoterIds(join(CURRENT, createMember("d"), lagging).at(-1))).toEqual(["a.0", "b.0", "c.0"]);
+  });
+
+  it("gives a joiner the place of a voter that is gone, one member a step", () => {
+    const facts = { isCaughtUp: true, maxVoters: 3, isGone: (id: string) => id === "b.0" };
+    const steps = join(CURRENT, createMember("d"), facts);
+    expect(steps.map((step) => step.members.length)).toEqual([4, 3, 3]);
+    expect(getVoterIds(steps.at(-1))).toEqual(["a.0", "c.0", "d.0"]);
+  });
+
+  it("replaces a namesake with an emptied disk, whatever the bound", () => {
+    const steps = join(CURRENT, createMember("b", true, "1"), { isCaughtUp: true, maxVoters: 3 });
+    expect(getVoterIds(steps.at(-1))).toEqual(["a.0", "c.0", "b.1"]);
+  });
+
+  it("forgets learners that are gone before it takes another one", () => {
+    const current = createMembership([...CURRENT.members, createMember("x", true)]);
+    const facts = { isCaughtUp: false, maxVoters: 3, isGone: (id: string) => id === "x.0" };
+    const steps = join(current, createMember("d"), facts);
+    expect(steps.at(-1)?.members.map((member) => member.id)).toEqual(["a.0", "b.0", "c.0", "d.0"]);
+  });
+});
