--- /dev/null
+++ b/test/platform/PlatformCluster.ts
@@ -0,0 +1,142 @@
+/** The system as it runs on the platform: real processes, with workers in this one. */
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { ProcessHandle } from "../support/ProcessHandle";
+import { getFreeAddresses } from "../support/ports";
+import { renderTemplate } from "./renderTemplate";
+import { WorkerStandin } from "./WorkerStandin";
+
+const BINARY = "dist/test/platform.cjs";
+const TEMPLATE = readFileSync("deploy/settings.template", "utf8");
+const CONTROL_IPS = ["127.0.0.11", "127.0.0.12", "127.0.0.13"];
+/** A dead worker is missed after some reports of this length. */
+const HEARTBEAT_MS = 400;
+
+/** A caller's view of an answer. */
+export interface PlatformAnswer {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** A running system. */
+export class PlatformCluster {
+  readonly controls: ProcessHandle[] = [];
+  readonly workers: WorkerStandin[] = [];
+  private readonly _folder = mkdtempSync(join(tmpdir(), "platform-"));
+  private _ports: number[] = [];
+  private _entry: ProcessHandle | undefined;
+  private _requests = 0;
+
+  /** Starts three control processes, an entry, and workers: one plain, the others for replicas. */
+  static async start(engines: number): Promise<PlatformCluster> {
+    const cluster = new PlatformCluster();
+    const addresses = await getFreeAddresses(5);
+    cluster._ports = addresses.map((address) => Number(address.split(":")[1]));
+    for (const ip of CONTROL_IPS) cluster.controls.push(cluster._createProcess("control", ip));
+    cluster._entry = cluster._createProcess("entry", "127.0.0.1");
+    for (const handle of [...cluster.controls, cluster._entry]) handle.start();
+    await cluster.addWorker("app-0", "app", "");
+    for (let i = 0; i < engines; i++) await cluster.addWorker(`llm-${i}`, "llm", "d0");
+    return cluster;
+  }
+
+  /** Gets the addresses at which operators and workers reach control. */
+  get controlAddresses(): string[] {
+    return CONTROL_IPS.map((ip) => `${ip}:${this._ports[1]}`);
+  }
+
+  /** Gets the entry's process. */
+  get entry(): ProcessHandle {
+    return this._entry!;
+  }
+
+  /** Gets the directory's address at one control process. */
+  getDirectory(index: number): string {
+    return `${CONTROL_IPS[index]}:${this._ports[2]}`;
+  }
+
+  /** Starts one more worker. */
+  async addWorker(id: string, service: string, domain: string): Promise<WorkerStandin> {
+    const worker = new WorkerStandin({ id, service, domain, controls: this.controlAddresses });
+    this.workers.push(worker);
+    await worker.start();
+    return worker;
+  }
+
+  /** Sends a configuration to one control process; gives the status. */
+  async putConfig(index: number, document: unknown): Promise<number> {
+    const answer = await fetch(`http://${this.controlAddresses[index]}/-/Config.Put`, {
+      method: "POST",
+      body: typeof document === "string" ? document : JSON.stringify(document),
+      signal: AbortSignal.timeout(5_000),
+    });
+    return answer.status;
+  }
+
+  /** Reads the configuration back at one control process. */
+  async getConfig(index: number): Promise<{ status: number; body: string }> {
+    const answer = await fetch(`http://${this.controlAddresses[index]}/-/Config.Get`, {
+      signal: AbortSignal.timeout(5_000),
+    });
+    return { status: answer.status, body: await answer.text() };
+  }
+
+  /** Calls the entry as a client does. */
+  async call(path: string, headers: Record<string, string> = {}): Promise<PlatformAnswer> {
+    const answer = await fetch(`http://127.0.0.1:${this._ports[3]}${path}`, {
+      method: "POST",
+      body: "hello",
+      headers: {
+        // fetch sets the host itself; the entry takes the port off.
+        "x-ploverstage-request-id": `call-${this._requests++}`,
+        "x-ploverstage-deadline-ms": "5000",
+        "api-key": "k1",
+        ...headers,
+      },
+      signal: AbortSignal.timeout(8_000),
+    });
+    return { status: answer.status, body: await answer.text() };
+  }
+
+  /** Ends what it started. */
+  async stop(): Promise<void> {
+    for (const worker of this.workers) worker.crash();
+    await Promise.all([...this.controls, this.entry].map((handle) => handle.kill()));
+    rmSync(this._folder, { recursive: true, force: true });
+  }
+
+  private _createProcess(role: "entry" | "control", ip: string): ProcessHandle {
+    const name = `${role}-${ip.split(".").at(-1)}`;
+    const [rpc, control, directory, front, ready] = this._ports;
+    const dataDir = join(this._folder, name);
+    mkdirSync(dataDir, { recursive: true });
+    const listen =
+      role === "entry"
+        ? { front: `${ip}:${front}`, ready: `${ip}:${ready}` }
+        : { control: `${ip}:${control}`, directory: `${ip}:${directory}` };
+    const fields = {
+      node: name,
+      zone: "zone-a",
+      ip,
+      internalPorts: [rpc, rpc! + 1],
+      seeds: this.controlAddresses,
+      bootstrap: true,
+      dataDir,
+      heartbeatMs: HEARTBEAT_MS,
+      listen,
+      bounds: {
+        graceS: 4,
+        retryBudgetRatio: 0.2,
+        budgetExtra: 100,
+        budgetWindowS: 10,
+        stallMs: 500,
+        ceilingWindowS: 5,
+        ceilingOver: 1.1,
+      },
+    };
+    const file = join(this._folder, `${name}.toml`);
+    writeFileSync(file, renderTemplate(TEMPLATE, fields));
+    return new ProcessHandle(name, [BINARY, role, file], join(this._folder, `${name}.log`));
+  }
+}
--- /dev/null
+++ b/test/platform/WorkerStandin.ts
@@ -0,0 +1,168 @@
+/** A worker as the platform's pages describe it: reports itself, takes orders, serves. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** What a worker is started with. */
+export interface WorkerOptions {
+  readonly id: string;
+  readonly service: string;
+  /** "" for a plain service. */
+  readonly domain: string;
+  /** Addresses of control, any of which takes reports. */
+  readonly controls: readonly string[];
+}
+
+interface Place {
+  readonly name: string;
+  readonly epoch: number;
+  readonly rank: number;
+  state: "joining" | "ready" | "open" | "closing" | "broken";
+}
+
+const REPORT_MS = 150;
+const JOIN_MS = 20;
+const EVENTS = 5;
+const EVENT_MS = 10;
+
+/** One worker. */
+export class WorkerStandin {
+  readonly id: string;
+  /** Ids of requests that it ran, in order. */
+  readonly ran: string[] = [];
+  private readonly _options: WorkerOptions;
+  private readonly _server: Server;
+  private _place: Place | undefined;
+  private _staged: string[] = [];
+  private _sequence = 0;
+  private _target: string | undefined;
+  private _next = 0;
+  private _timer: NodeJS.Timeout | undefined;
+
+  constructor(options: WorkerOptions) {
+    this.id = options.id;
+    this._options = options;
+    this._server = createServer((request, response) => void this._handle(request, response));
+  }
+
+  /** Gets its place in a group. */
+  get place(): Readonly<Place> | undefined {
+    return this._place;
+  }
+
+  /** Starts serving and reporting. */
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) => this._server.listen(0, "127.0.0.1", resolve));
+    const report = async () => {
+      await this._report("ready");
+      this._timer = setTimeout(report, REPORT_MS);
+    };
+    void report();
+  }
+
+  /** Ends without a word, as a crash does. */
+  crash(): void {
+    clearTimeout(this._timer);
+    this._server.closeAllConnections();
+    this._server.close();
+  }
+
+  /** Says that it leaves; resolves with whether that was acknowledged. */
+  async drain(): Promise<boolean> {
+    clearTimeout(this._timer);
+    return this._report("draining");
+  }
+
+  private async _report(state: string): Promise<boolean> {
+    const { service, domain, controls } = this._options;
+    const { port } = this._server.address() as AddressInfo;
+    const body = JSON.stringify({
+      service,
+      address: `127.0.0.1:${port}`,
+      zone: "zone-a",
+      version: "v1",
+      slots: 4,
+      state,
+      coldRemainingMs: 0,
+      seqNo: ++this._sequence,
+      models: this._staged.map((name) => ({ name, version: 1, adapters: [] })),
+      ...(domain === "" ? {} : { domain, staged: this._staged, group: this._place }),
+    });
+    const address = this._target ?? controls[this._next++ % controls.length]!;
+    const url = `http://${address}/-/Instances.Heartbeat/${this.id}`;
+    try {
+      const answer = await fetch(url, { method: "POST", body, signal: AbortSignal.timeout(1_000) });
+      this._target = answer.ok ? ((await answer.json()) as { beatTarget?: string }).beatTarget : undefined;
+      return answer.ok;
+    } catch {
+      this._target = undefined;
+      return false;
+    }
+  }
+
+  private async _handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
+    const expected = request.headers["x-ploverstage-expect-instance"];
+    if (expected !== undefined && expected !== this.id) {
+      response.writeHead(421, { "x-ploverstage-instance-id": this.id }).end();
+    } else if (request.url === "/-/report") response.end(JSON.stringify({ seqNo: this._sequence }));
+    else if (request.url === "/-/order") this._order(JSON.parse(Buffer.concat(chunks).toString()), response);
+    else this._serve(request, Buffer.concat(chunks).toString(), response);
+  }
+
+  private _order(
+    order: { op: string; group: string; epoch: number; model: string; members: string[] },
+    response: ServerResponse,
+  ): void {
+    const { _place: place } = this;
+    const isOwn = place !== undefined && place.name === order.group && place.epoch === order.epoch;
+    if (order.op === "join") {
+      if (this._place !== undefined && order.epoch < this._place.epoch)
+        return void response.writeHead(412).end();
+      this._join(order);
+    } else if (order.op === "stage") this._staged = [order.model];
+    else if (!isOwn) return void response.writeHead(409).end();
+    else if (order.op === "open") this._place!.state = "open";
+    else if (order.op === "close") this._place!.state = "ready";
+    else if (order.op === "leave") this._place = undefined;
+    response.writeHead(202).end();
+  }
+
+  private _join(order: { group: string; epoch: number; model: string; members: string[] }): void {
+    const place: Place = {
+      name: order.group,
+      epoch: order.epoch,
+      rank: order.members.indexOf(this.id),
+      state: "joining",
+    };
+    this._place = place;
+    setTimeout(() => {
+      this._staged = [order.model];
+      place.state = "ready";
+    }, JOIN_MS);
+  }
+
+  private _serve(request: IncomingMessage, body: string, response: ServerResponse): void {
+    const isOpen = this._options.domain === "" || this._place?.state === "open";
+    if (!isOpen) return void response.writeHead(421, { "x-ploverstage-instance-id": this.id }).end();
+    const id = String(request.headers["x-ploverstage-request-id"]);
+    this.ran.push(id);
+    const headers = { "x-ploverstage-request-id": id, "x-ploverstage-response-seal": `seal-${id}` };
+    if (this._options.domain === "") {
+      response.writeHead(200, headers);
+      response.end(`${request.headers["x-ploverstage-tenant"]} ${request.method} ${request.url} ${body}`);
+      return;
+    }
+    response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
+    this._stream(Number(request.headers["last-event-id"] ?? 0), response);
+  }
+
+  private _stream(last: number, response: ServerResponse): void {
+    if (last >= EVENTS) {
+      response.end();
+      return;
+    }
+    response.write(`id: ${last + 1}\ndata: token\n\n`);
+    setTimeout(() => this._stream(last + 1, response), EVENT_MS);
+  }
+}
--- /dev/null
+++ b/test/system/platform.test.ts
@@ -0,0 +1,176 @@
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { PlatformCluster } from "../platform/PlatformCluster";
+import { waitUntil } from "../support/waitUntil";
+
+const ENGINE = {
+  slots: 4,
+  models: [{ name: "Model1", size: 2, share: 1, pace: 1, loadS: 0.1, warmS: 0.05 }],
+  loadsPerS: 100,
+  loads_at_once: 10,
+};
+
+function createConfig(version: number, changes: object = {}) {
+  const base = {
+    host: "127.0.0.1",
+    timeoutMs: 5_000,
+    targetLatencyMs: 300,
+    priority: 1,
+    allowAnonymous: false,
+  };
+  return {
+    version,
+    routes: [
+      {
+        ...base,
+        name: "r-llm",
+        pathPrefix: "/llm/",
+        routeType: "streaming",
+        service: "llm",
+        maxAttempts: 2,
+        resumable: true,
+        targetGapMs: 300,
+      },
+      {
+        ...base,
+        name: "r-app",
+        pathPrefix: "/app/",
+        routeType: "non_idempotent",
+        service: "app",
+        maxAttempts: 1,
+      },
+    ],
+    services: [
+      { name: "llm", maxConnections: 100, engine: ENGINE },
+      { name: "app", maxConnections: 100 },
+    ],
+    tenants: [{ name: "tenant-a", apiKeys: ["k1"], priority: 1 }],
+    ...changes,
+  };
+}
+
+const MODEL = { "x-ploverstage-model": "Model1" };
+const STREAM = [1, 2, 3, 4, 5].map((id) => `id: ${id}\ndata: token\n\n`).join("");
+
+describe("the system on the platform", () => {
+  let cluster: PlatformCluster;
+  beforeAll(async () => {
+    cluster = await PlatformCluster.start(5);
+  });
+  afterAll(() => cluster.stop());
+
+  async function waitForStream(): Promise<void> {
+    await waitUntil("a stream is served", async () => {
+      const answer = await cluster.call("/llm/draft", MODEL);
+      return answer.status === 200 && answer.body === STREAM;
+    });
+  }
+
+  it("answers 503 without a configuration, takes the first one, and serves both kinds of service", async () => {
+    await waitUntil("the entry answers", async () => (await cluster.call("/app/x")).status === 503);
+    await waitUntil(
+      "the configuration is taken",
+      async () => (await cluster.putConfig(0, createConfig(3))) === 200,
+    );
+    await waitForStream();
+    const plain = await cluster.call("/app/x?y=1");
+    expect(plain).toEqual({ status: 200, body: "tenant-a POST /app/x?y=1 hello" });
+    expect((await cluster.call("/other/")).status).toBe(404);
+    expect((await cluster.call("/app/x", { "api-key": "unknown" })).status).toBe(401);
+  });
+
+  it("forms whole replicas only, and gives no worker two places", () => {
+    const open = cluster.workers.filter((worker) => worker.place?.state === "open");
+    expect(open.length).toBeGreaterThan(0);
+    for (const head of open) {
+      const { name, epoch } = head.place!;
+      const members = cluster.workers.filter((worker) => worker.place?.name === name);
+      expect(members.map((worker) => worker.place?.epoch)).toEqual([epoch, epoch]);
+      expect(members.map((worker) => worker.place?.state).sort()).toEqual(["open", "ready"]);
+    }
+  });
+
+  it("gives the entry's address out at every control process", async () => {
+    for (const index of [0, 1, 2]) {
+      await waitUntil("the directory answers", async () => {
+        const answer = await fetch(
+          `http://${cluster.getDirectory(index)}/-/resolve?name=n&region=r&zone=zone-a`,
+        );
+        if (!answer.ok) return false;
+        const { addresses, ttlS } = (await answer.json()) as { addresses: string[]; ttlS: number };
+        return addresses.length === 1 && ttlS > 0;
+      });
+    }
+  });
+
+  it("holds the highest version, acknowledges a resend, and refuses what is invalid", async () => {
+    expect(await cluster.putConfig(1, createConfig(9))).toBe(200);
+    expect(await cluster.putConfig(2, createConfig(9))).toBe(200);
+    expect(await cluster.putConfig(2, createConfig(5, { tenants: [] }))).toBe(200);
+    expect(await cluster.putConfig(0, JSON.stringify(createConfig(20)).slice(0, 200))).toBe(400);
+    expect(await cluster.putConfig(0, createConfig(21, { services: [] }))).toBe(400);
+    const read = await waitUntil("it is read back", async () => {
+      const answer = await cluster.getConfig(1);
+      return answer.status === 200 ? answer.body : undefined;
+    });
+    expect(read).toBe(JSON.stringify(createConfig(9)));
+  });
+
+  it("repairs a replica that lost a worker", async () => {
+    const head = cluster.workers.find((worker) => worker.place?.state === "open")!;
+    const member = cluster.workers.find(
+      (worker) => worker !== head && worker.place?.name === head.place?.name,
+    )!;
+    const { name } = head.place!;
+    member.crash();
+    await waitUntil("its replica is given up", () => head.place?.name !== name);
+    await waitForStream();
+  });
+
+  it("sends nothing to a plain worker that said that it leaves", async () => {
+    const [leaving] = cluster.workers;
+    const next = await cluster.addWorker("app-1", "app", "");
+    await waitUntil("the next one serves", async () => {
+      await cluster.call("/app/x");
+      return next.ran.length > 0;
+    });
+    expect(await leaving!.drain()).toBe(true);
+    const before = await waitUntil("the last one is over", async () => {
+      const count = leaving!.ran.length;
+      await cluster.call("/app/x");
+      return leaving!.ran.length === count ? count : undefined;
+    });
+    for (let i = 0; i < 10; i++) expect((await cluster.call("/app/x")).status).toBe(200);
+    expect(leaving!.ran.length).toBe(before);
+  });
+
+  it("serves on, keeps what was acknowledged and takes changes when any control process dies", async () => {
+    for (const [index, control] of cluster.controls.entries()) {
+      await control.kill();
+      const other = (index + 1) % 3;
+      const version = 30 + index;
+      await waitUntil(
+        "a change is taken",
+        async () => (await cluster.putConfig(other, createConfig(version))) === 200,
+      );
+      expect((await cluster.call("/app/x")).status).toBe(200);
+      await waitForStream();
+      control.start();
+      await waitUntil("it is read at the one that is back", async () => {
+        const answer = await cluster.getConfig(index);
+        return answer.status === 200 && answer.body === JSON.stringify(createConfig(version));
+      });
+    }
+  });
+
+  it("ends a planned stop with every answer out", async () => {
+    const calls = Array.from({ length: 5 }, () => cluster.call("/llm/draft", MODEL));
+    const served = Promise.all(calls);
+    await waitUntil("they have begun", () =>
+      cluster.workers.some((worker) => worker.place?.state === "open"),
+    );
+    const [code, answers] = await Promise.all([cluster.entry.stop(), served]);
+    expect(code).toBe(0);
+    expect(answers.map((answer) => answer.status)).toEqual([200, 200, 200, 200, 200]);
+    expect(answers.every((answer) => answer.body === STREAM)).toBe(true);
+  });
+});
