--- /dev/null
+++ b/src/planner/GroupView.ts
@@ -0,0 +1,11 @@
+/** A group as one run of the planner sees it. */
+import type { Group, Model } from "../configuration";
+import type { Replica } from "../gen/ploverstage/v1/state_pb";
+
+/** A group with its model, and its replicas by what they do. */
+export interface GroupView {
+  readonly group: Group;
+  readonly model: Model;
+  readonly serving: readonly Replica[];
+  readonly forming: readonly Replica[];
+}
--- a/src/planner/Planner.ts
+++ b/src/planner/Planner.ts
@@ -5,11 +5,13 @@
  * it decided is seen in the next facts. It never takes an instance that the agreed
  * state gives to a replica, nor frees one that may still be in use.
  */
-import type { Group, Model } from "../configuration";
+import type { Model } from "../configuration";
 import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
 import { FreePool, getLoads } from "./FreePool";
 import type { Action, InstanceFacts, PlanningConfiguration, PlanningFacts } from "./facts";
+import type { GroupView } from "./GroupView";
 import { ExpectedRepair, type RepairPolicy } from "./RepairPolicy";
+import { StagePlanner } from "./StagePlanner";
 
 /** Reasons told with a change of a replica; also the causes of downtime in reports. */
 export const REASON = {
@@ -30,21 +32,6 @@
 /** Time in which instances that hold their model take their places in a new replica. */
 const REJOIN_MS = 1_000;
 
-/** A group with its model, and its replicas by what they do. */
-interface GroupView {
-  readonly group: Group;
-  readonly model: Model;
-  readonly serving: readonly Replica[];
-  readonly forming: readonly Replica[];
-}
-
-/** Free holders of a model in a fabric domain that are too few for a replica. */
-interface Lack {
-  readonly view: GroupView;
-  readonly fabricDomain: string;
-  readonly missing: number;
-}
-
 /** A forming replica whose instances may have to load. */
 interface LoadCandidate {
   readonly replica: Replica;
@@ -85,6 +72,7 @@
   private readonly _pool: FreePool;
   private readonly _views: readonly GroupView[];
   private readonly _retiring = new Set<string>();
+  private readonly _stages: StagePlanner;
   private readonly _actions: Action[] = [];
 
   constructor(now: number, facts: PlanningFacts, configuration: PlanningConfiguration, repair: RepairPolicy) {
@@ -99,6 +87,14 @@
       configuration.modelByDomain,
     );
     this._views = this._createViews();
+    this._stages = new StagePlanner({
+      views: this._views,
+      pool: this._pool,
+      instances: facts.instances,
+      isPresent: (instance) => this._isPresent(instance),
+      countStaying: (view) => this._countStaying(view),
+      onStage: (action) => this._actions.push(action),
+    });
   }
 
   run(): Action[] {
@@ -107,7 +103,7 @@
     for (const view of this._views) this._retireUnwanted(view);
     for (const view of this._views) this._repairLost(view);
     if (this._configuration.stagesFirst) {
-      this._completeHolders();
+      this._stages.completeHolders(this._configuration.weightStore.concurrentLoads - this._countLoading());
       this._formEvenly();
     } else for (const view of this._views) this._formMissing(view);
     for (const view of this._views) this._rollOut(view);
@@ -400,7 +396,7 @@
   /** Loads onto spares what their fabric domain would need most, once no replica waits for it. */
   private _warmSpares(budget: number): void {
     if (this._configuration.stagesFirst) {
-      this._stageSpares(budget);
+      this._stages.stageSpares(budget);
       return;
     }
     const busy = this._getRetiringDomains();
@@ -415,80 +411,6 @@
     }
   }
 
-  /**
-   * Loads a model onto as many spares as its free holders in a fabric domain lack for a
-   * replica. Loads are scarce: where few lack, of a group that is short, comes first.
-   */
-  private _completeHolders(): void {
-    let budget = this._configuration.weightStore.concurrentLoads - this._countLoading();
-    const getOrder = ({ view, missing }: Lack) =>
-      missing / view.group.instancesPerReplica + this._countStaying(view) / view.group.replicas;
-    const lacks = this._getLacks().sort((a, b) => getOrder(a) - getOrder(b));
-    for (const { view, fabricDomain, missing } of lacks) {
-      const cold = this._getColdSpares(fabricDomain);
-      if (missing > cold.length || missing > budget) continue;
-      budget -= missing;
-      for (const instance of cold.slice(0, missing)) this._stage(instance, view.model);
-    }
-  }
-
-  private _getLacks(): Lack[] {
-    const domains = [...new Set(this._facts.instances.map((instance) => instance.fabricDomain))];
-    const short = this._views.filter((view) => this._isShort(view));
-    return short.flatMap((view) =>
-      domains.flatMap((fabricDomain) => {
-        const holders = this._countHolders(fabricDomain, view.model);
-        const missing = view.group.instancesPerReplica - holders;
-        return holders > 0 && missing > 0 ? [{ view, fabricDomain, missing }] : [];
-      }),
-    );
-  }
-
-  private _isShort(view: GroupView): boolean {
-    return this._countStaying(view) < view.group.replicas;
-  }
-
-  /** Counts free instances that hold a model, or will soon. */
-  private _countHolders(fabricDomain: string, model: Model): number {
-    const isHere = (instance: InstanceFacts) => instance.fabricDomain === fabricDomain;
-    const free = this._pool.getInstances().filter((instance) => getLoads(instance, model) === 0);
-    const staging = this._facts.instances.filter(
-      (instance) => instance.stagingModel === model.name && this._isPresent(instance) && !instance.isLeaving,
-    );
-    return free.filter(isHere).length + staging.filter(isHere).length;
-  }
-
-  private _getColdSpares(fabricDomain: string): InstanceFacts[] {
-    return this._pool
-      .getInstances()
-      .filter((instance) => instance.fabricDomain === fabricDomain && !this._holdsWanted(instance));
-  }
-
-  private _stage(instance: InstanceFacts, { name: model, version: modelVersion, adapters }: Model): void {
-    this._pool.removeInstance(instance);
-    this._actions.push({ kind: "warmInstance", instance, model, modelVersion, adapters });
-  }
-
-  /** Loads onto spares that hold no wanted model the one whose replicas in their domain they would repair. */
-  private _stageSpares(budget: number): void {
-    const spares = this._pool.getInstances().filter((instance) => !this._holdsWanted(instance));
-    for (const instance of spares.slice(0, Math.max(0, budget))) {
-      const view = this._getLeastInsured(instance.fabricDomain);
-      if (view !== undefined) this._stage(instance, view.model);
-    }
-  }
-
-  private _getLeastInsured(fabricDomain: string): GroupView | undefined {
-    const insured = this._views.flatMap((view) => {
-      const replicas = [...view.serving, ...view.forming].filter(
-        (replica) => replica.fabricDomain === fabricDomain,
-      ).length;
-      const holders = this._countHolders(fabricDomain, view.model);
-      return replicas === 0 ? [] : [{ view, share: holders / replicas }];
-    });
-    return insured.sort((a, b) => a.share - b.share)[0]?.view;
-  }
-
   /** Where a replica is being rebuilt, its spares are about to be taken and must not be busy loading. */
   private _getRetiringDomains(): Set<string> {
     const retiring = this._facts.replicas.filter(
--- /dev/null
+++ b/src/registration/OrderDispatcher.ts
@@ -0,0 +1,106 @@
+/**
+ * Sends orders, one at a time to each instance, again after a while where no clear answer
+ * came, and no more loads than the weight store bears.
+ */
+import type { Clock } from "../clock";
+import type { Logger } from "../metrics";
+import type { InstanceOrder, InstanceOrders, OrderOutcome, OrderReceiver } from "./InstanceOrders";
+import { type LoadLimit, LoadLimiter } from "./LoadLimiter";
+
+/** What a dispatcher works with. */
+export interface OrderDispatcherOptions {
+  readonly orders: InstanceOrders;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly getLoadLimit: () => LoadLimit;
+}
+
+/** A load ordered ahead of need, that goes on as far as is known. */
+interface Staging {
+  readonly model: string;
+  readonly until: number;
+}
+
+/** An order without a clear answer is sent again after this time. */
+const RESEND_MS = 700;
+/** A load ordered ahead of need is taken as going on from its order on, for so long at most. */
+const STAGING_MS = 40_000;
+
+/** Sends the orders of one term. */
+export class OrderDispatcher {
+  private readonly _options: OrderDispatcherOptions;
+  private readonly _limiter = new LoadLimiter();
+  /** When an order of this content was sent to this instance last. */
+  private readonly _sentAt = new Map<string, number>();
+  private readonly _busy = new Set<string>();
+  private readonly _staging = new Map<string, Staging>();
+
+  /**
+   * @param options - Orders, clock and the limit on loads.
+   */
+  constructor(options: OrderDispatcherOptions) {
+    this._options = options;
+  }
+
+  /** Checks whether an order to an instance is under way. */
+  isBusy(instanceId: string): boolean {
+    return this._busy.has(instanceId);
+  }
+
+  /**
+   * Gets the model that an instance is loading ahead of need.
+   * @param staged - Models that it says it holds.
+   */
+  getStagingModel(now: number, instanceId: string, staged: readonly string[]): string | undefined {
+    const staging = this._staging.get(instanceId);
+    if (staging === undefined || staging.until <= now || staged.includes(staging.model)) return undefined;
+    return staging.model;
+  }
+
+  /**
+   * Sends an order unless one is under way, or the same was sent a moment ago.
+   * @returns `undefined` when it was not sent.
+   */
+  async send(receiver: OrderReceiver, order: InstanceOrder): Promise<OrderOutcome | undefined> {
+    const now = this._options.clock.getMonotonicMs();
+    if (!this._isDue(now, receiver.instanceId, order)) return undefined;
+    return this._send(now, receiver, order);
+  }
+
+  /** Sends an order that makes its receiver load, if the weight store bears one more. */
+  async sendLoad(receiver: OrderReceiver, order: InstanceOrder): Promise<void> {
+    const now = this._options.clock.getMonotonicMs();
+    if (!this._isDue(now, receiver.instanceId, order)) return;
+    if (!this._limiter.takeLoad(now, this._options.getLoadLimit())) return;
+    if (order.kind !== "stage") {
+      await this._send(now, receiver, order);
+      return;
+    }
+    this._staging.set(receiver.instanceId, { model: order.model, until: now + STAGING_MS });
+    const outcome = await this._send(now, receiver, order);
+    if (outcome !== "begun" && outcome !== "done") this._staging.delete(receiver.instanceId);
+  }
+
+  private _isDue(now: number, instanceId: string, order: InstanceOrder): boolean {
+    if (this._busy.has(instanceId)) return false;
+    const sentAt = this._sentAt.get(getOrderKey(instanceId, order));
+    return sentAt === undefined || now - sentAt >= RESEND_MS;
+  }
+
+  private async _send(now: number, receiver: OrderReceiver, order: InstanceOrder): Promise<OrderOutcome> {
+    const { clock, orders, logger } = this._options;
+    const { instanceId } = receiver;
+    this._busy.add(instanceId);
+    this._sentAt.set(getOrderKey(instanceId, order), now);
+    const outcome = await orders.send(receiver, order);
+    this._busy.delete(instanceId);
+    const tookMs = Math.round(clock.getMonotonicMs() - now);
+    logger.info({ event: "order_sent", instance: instanceId, order, outcome, took_ms: tookMs });
+    return outcome;
+  }
+}
+
+function getOrderKey(instanceId: string, order: InstanceOrder): string {
+  const about = order.kind === "stage" ? order.model : `${order.replicaId}/${order.epoch}`;
+  return `${instanceId}/${order.kind}/${about}`;
+}
--- /dev/null
+++ b/src/registration/PlanningFactsSource.ts
@@ -0,0 +1,121 @@
+/** Makes the planner's facts out of what instances say of themselves and what was agreed on. */
+import { PlaceState } from "../gen/ploverstage/v1/fleet_pb";
+import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
+import { InstanceId } from "../ids";
+import type { InstanceFacts, PlanningFacts } from "../planner";
+import type { StateMachine } from "../state";
+import type { InstanceRegistry, RegisteredInstance } from "./InstanceRegistry";
+import type { OrderDispatcher } from "./OrderDispatcher";
+import type { PresenceDoubts } from "./PresenceDoubts";
+import { LOADED_VERSION } from "./planningConfiguration";
+
+/** What facts are made of. */
+export interface PlanningFactsOptions {
+  readonly machine: () => StateMachine;
+  readonly registry: InstanceRegistry;
+  readonly dispatcher: OrderDispatcher;
+  readonly doubts: PresenceDoubts;
+  /** When the term began, monotonic milliseconds. */
+  readonly startedAt: number;
+}
+
+const NEVER = Number.NEGATIVE_INFINITY;
+
+/** States of a member that has taken its place. */
+export const READY_STATES: ReadonlySet<PlaceState> = new Set([PlaceState.READY, PlaceState.OPEN]);
+
+/** Makes facts. */
+export class PlanningFactsSource {
+  private readonly _options: PlanningFactsOptions;
+
+  /**
+   * @param options - Agreed state, reports, orders and doubts.
+   */
+  constructor(options: PlanningFactsOptions) {
+    this._options = options;
+  }
+
+  /** Gets the facts of this moment. */
+  createFacts(
+    now: number,
+    serviceName: string,
+    replicas: readonly Replica[],
+    over: ReadonlySet<string>,
+  ): PlanningFacts {
+    const instances = this._options.registry
+      .getInstances()
+      .filter((instance) => instance.report.service === serviceName)
+      .map((instance) => this._createInstanceFacts(now, instance, replicas));
+    instances.push(...this._createUnheardFacts(replicas));
+    return {
+      instances,
+      replicas,
+      isClear: true,
+      retiredInForce: over,
+      drained: over,
+      inFlight: new Map(),
+      absences: [],
+    };
+  }
+
+  /**
+   * Members that have not reported in this term are taken for there, as they were agreed
+   * on, until they have been silent for as long as any other.
+   */
+  private _createUnheardFacts(replicas: readonly Replica[]): InstanceFacts[] {
+    const { registry, machine } = this._options;
+    return replicas.flatMap((replica) => {
+      const unheard = replica.members.filter((member) => {
+        const { instanceId } = member;
+        return registry.getInstance(instanceId) === undefined && !registry.isGone(instanceId);
+      });
+      return unheard.map((member) => ({
+        id: InstanceId(member.instanceId),
+        address: member.address,
+        failureDomain: member.failureDomain,
+        fabricDomain: replica.fabricDomain,
+        isLeaving: machine().hasDeparted(member.instanceId),
+        checksOrders: true,
+        answeredAt: this._options.doubts.isDoubted(member.instanceId, this._options.startedAt)
+          ? NEVER
+          : this._options.startedAt,
+        epoch: replica.epoch,
+        // Only what served was seen whole.
+        isReady: replica.phase === ReplicaPhase.SERVING,
+        model: replica.model,
+        modelVersion: LOADED_VERSION,
+        isLoading: true,
+        losses: [],
+      }));
+    });
+  }
+
+  private _createInstanceFacts(
+    now: number,
+    { report, reportedAt }: RegisteredInstance,
+    replicas: readonly Replica[],
+  ): InstanceFacts {
+    const { instanceId, place } = report;
+    const { dispatcher } = this._options;
+    const stagingModel = dispatcher.getStagingModel(now, instanceId, report.stagedModels);
+    const model = report.stagedModels[0] ?? "";
+    const isJoining =
+      place?.state === PlaceState.JOINING && replicas.some((replica) => replica.id === place.replicaId);
+    return {
+      id: InstanceId(instanceId),
+      address: report.address,
+      failureDomain: report.failureDomain,
+      fabricDomain: report.fabricDomain,
+      isLeaving: report.leaving || this._options.machine().hasDeparted(instanceId),
+      checksOrders: true,
+      answeredAt: this._options.doubts.isDoubted(instanceId, reportedAt) ? NEVER : reportedAt,
+      epoch: place?.epoch ?? 0,
+      isReady: place !== undefined && READY_STATES.has(place.state),
+      model,
+      modelVersion: model === "" ? "" : LOADED_VERSION,
+      isLoading: dispatcher.isBusy(instanceId) || isJoining || stagingModel !== undefined,
+      stagingModel,
+      losses: [],
+    };
+  }
+}
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -6,26 +6,19 @@
  */
 import type { Clock, LoopLag } from "../clock";
 import type { ConsensusDriver } from "../consensus";
-import type { DeclaredService, EngineProfile, RouteTable } from "../declaration";
+import type { DeclaredService, RouteTable } from "../declaration";
 import { PlaceState } from "../gen/ploverstage/v1/fleet_pb";
 import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
-import { InstanceId } from "../ids";
 import type { Logger } from "../metrics";
-import {
-  type Action,
-  ImmediateRepair,
-  type InstanceFacts,
-  Planner,
-  type PlanningConfiguration,
-  type PlanningFacts,
-  REASON,
-} from "../planner";
-import type { InstanceOrder, InstanceOrders, OrderOutcome, OrderReceiver } from "./InstanceOrders";
-import type { InstanceRegistry, RegisteredInstance } from "./InstanceRegistry";
-import { LoadLimiter } from "./LoadLimiter";
+import { type Action, ImmediateRepair, type InstanceFacts, Planner, REASON } from "../planner";
+import type { InstanceOrder, InstanceOrders, OrderReceiver } from "./InstanceOrders";
+import type { InstanceRegistry } from "./InstanceRegistry";
+import type { LoadLimit } from "./LoadLimiter";
+import { OrderDispatcher } from "./OrderDispatcher";
+import { PlanningFactsSource, READY_STATES } from "./PlanningFactsSource";
 import { PresenceDoubts } from "./PresenceDoubts";
+import { createPlanningConfiguration, LOADED_VERSION, type SizingSummary } from "./planningConfiguration";
 import { type ClosingTimes, ReplicaCloser } from "./ReplicaCloser";
-import { sizeGroups } from "./sizeGroups";
 
 /** Times and bounds of the replicas' control, milliseconds. */
 export interface ReplicaTimes extends ClosingTimes {
@@ -51,14 +44,6 @@
   readonly getRoutes: () => RouteTable | undefined;
 }
 
-/** An order without a clear answer is sent again after this time. */
-const RESEND_MS = 700;
-/** A load ordered ahead of need is taken as held from its order on, for so long at most. */
-const STAGING_MS = 40_000;
-const NEVER = Number.NEGATIVE_INFINITY;
-const LOADED_VERSION = "1";
-/** Some loads more than run at full speed, so that the weight store is not idle between two. */
-const LOAD_OVERLAP = 4 / 3;
 /** A replica's members are asked for a sign of life no more often than this. */
 const PROBE_PAUSE_MS = 1_000;
 const PROBE_TIMEOUT_MS = 400;
@@ -66,26 +51,16 @@
 const MIN_SILENCE_MS = 900;
 /** A process that runs its timers so late can't tell who is silent. */
 const MAX_LAG_MS = 120;
-const READY_STATES: ReadonlySet<PlaceState> = new Set([PlaceState.READY, PlaceState.OPEN]);
-
-interface Staging {
-  readonly model: string;
-  readonly until: number;
-}
 
 /** Controls the replicas of one term. */
 export class ReplicaController {
   private readonly _options: ReplicaControllerOptions;
   private readonly _planner = new Planner(new ImmediateRepair(true));
   private readonly _closer: ReplicaCloser;
-  private readonly _limiter = new LoadLimiter();
-  /** When an order of this content was sent to this instance last. */
-  private readonly _sentAt = new Map<string, number>();
-  private readonly _busy = new Set<string>();
-  private readonly _staging = new Map<string, Staging>();
+  private readonly _dispatcher: OrderDispatcher;
+  private readonly _facts: PlanningFactsSource;
   private readonly _doubts = new PresenceDoubts();
   private readonly _probedAt = new Map<string, number>();
-  private readonly _startedAt: number;
   private _sizing = "";
   private _isStepping = false;
 
@@ -94,8 +69,16 @@
    */
   constructor(options: ReplicaControllerOptions) {
     this._options = options;
-    this._startedAt = options.clock.getMonotonicMs();
-    this._closer = new ReplicaCloser(options.registry);
+    const { registry, clock, driver } = options;
+    this._closer = new ReplicaCloser(registry);
+    this._dispatcher = new OrderDispatcher({ ...options, getLoadLimit: () => this._getLoadLimit() });
+    this._facts = new PlanningFactsSource({
+      machine: () => driver.machine,
+      registry,
+      dispatcher: this._dispatcher,
+      doubts: this._doubts,
+      startedAt: clock.getMonotonicMs(),
+    });
   }
 
   /** Plans once and begins what was decided; a run while another goes on does nothing. */
@@ -154,15 +137,17 @@
     const retiring = replicas.filter((replica) => replica.phase === ReplicaPhase.RETIRING);
     this._closer.setRetiring(now, retiring, (replica) => replica.reason !== REASON.lost);
     for (const replica of retiring) this._closeReplica(now, replica);
-    for (const replica of replicas) this._openIfReady(now, replica);
+    for (const replica of replicas) this._openIfReady(replica);
     const over = new Set(
       retiring
         .filter((replica) => this._wasNeverOpened(replica) || this._closer.isOver(now, replica, times))
         .map((replica) => replica.id),
     );
-    const facts = this._createFacts(now, service, replicas, over);
-    const actions = this._planner.plan(now, facts, this._createConfiguration(now, service.engine, facts));
-    await Promise.all(actions.map((action) => this._act(now, action)));
+    const facts = this._facts.createFacts(now, service.name, replicas, over);
+    const { configuration, summary } = createPlanningConfiguration(now, service.engine, facts, times);
+    this._logSizing(summary);
+    const actions = this._planner.plan(now, facts, configuration);
+    await Promise.all(actions.map((action) => this._act(action)));
   }
 
   /** One service of a declaration has engines whose instances form replicas. */
@@ -170,157 +155,26 @@
     return this._options.getRoutes()?.declaration.services.find((service) => service.engine !== undefined);
   }
 
-  private _createFacts(
-    now: number,
-    service: DeclaredService,
-    replicas: readonly Replica[],
-    over: ReadonlySet<string>,
-  ): PlanningFacts {
-    const instances = this._options.registry
-      .getInstances()
-      .filter((instance) => instance.report.service === service.name)
-      .map((instance) => this._createInstanceFacts(now, instance, replicas));
-    instances.push(...this._createUnheardFacts(replicas));
-    return {
-      instances,
-      replicas,
-      isClear: true,
-      retiredInForce: over,
-      drained: over,
-      inFlight: new Map(),
-      absences: [],
-    };
-  }
-
-  /**
-   * Members that have not reported in this term are taken for there, as they were agreed
-   * on, until they have been silent for as long as any other.
-   */
-  private _createUnheardFacts(replicas: readonly Replica[]): InstanceFacts[] {
-    const { registry, driver } = this._options;
-    return replicas.flatMap((replica) => {
-      const unheard = replica.members.filter((member) => {
-        const { instanceId } = member;
-        return registry.getInstance(instanceId) === undefined && !registry.isGone(instanceId);
-      });
-      return unheard.map((member) => ({
-        id: InstanceId(member.instanceId),
-        address: member.address,
-        failureDomain: member.failureDomain,
-        fabricDomain: replica.fabricDomain,
-        isLeaving: driver.machine.hasDeparted(member.instanceId),
-        checksOrders: true,
-        answeredAt: this._doubts.isDoubted(member.instanceId, this._startedAt) ? NEVER : this._startedAt,
-        epoch: replica.epoch,
-        // Only what served was seen whole.
-        isReady: replica.phase === ReplicaPhase.SERVING,
-        model: replica.model,
-        modelVersion: LOADED_VERSION,
-        isLoading: true,
-        losses: [],
-      }));
-    });
-  }
-
-  private _createInstanceFacts(
-    now: number,
-    { report, reportedAt }: RegisteredInstance,
-    replicas: readonly Replica[],
-  ): InstanceFacts {
-    const { instanceId, place } = report;
-    const staging = this._staging.get(instanceId);
-    const isStaging =
-      staging !== undefined && staging.until > now && !report.stagedModels.includes(staging.model);
-    const model = report.stagedModels[0] ?? "";
-    const isJoining =
-      place?.state === PlaceState.JOINING && replicas.some((replica) => replica.id === place.replicaId);
-    return {
-      id: InstanceId(instanceId),
-      address: report.address,
-      failureDomain: report.failureDomain,
-      fabricDomain: report.fabricDomain,
-      isLeaving: report.leaving || this._options.driver.machine.hasDeparted(instanceId),
-      checksOrders: true,
-      answeredAt: this._doubts.isDoubted(instanceId, reportedAt) ? NEVER : reportedAt,
-      epoch: place?.epoch ?? 0,
-      isReady: place !== undefined && READY_STATES.has(place.state),
-      model,
-      modelVersion: model === "" ? "" : LOADED_VERSION,
-      isLoading: this._busy.has(instanceId) || isJoining || isStaging,
-      stagingModel: isStaging ? staging.model : undefined,
-      losses: [],
-    };
-  }
-
-  private _createConfiguration(
-    now: number,
-    engine: EngineProfile,
-    facts: PlanningFacts,
-  ): PlanningConfiguration {
-    const { presenceMs, reserve } = this._options.getTimes();
-    const instancesByDomain = new Map<string, number>();
-    for (const instance of facts.instances) {
-      if (instance.isLeaving || now - instance.answeredAt > presenceMs) continue;
-      const count = instancesByDomain.get(instance.fabricDomain) ?? 0;
-      instancesByDomain.set(instance.fabricDomain, count + 1);
-    }
-    const servingByModel = new Map<string, number>();
-    for (const replica of facts.replicas) {
-      if (replica.phase === ReplicaPhase.RETIRING) continue;
-      servingByModel.set(replica.model, (servingByModel.get(replica.model) ?? 0) + 1);
-    }
-    const warmModels = getWarmModels(now, engine, facts, presenceMs);
-    const { groups, modelByDomain } = sizeGroups({
-      engine,
-      presentModels: getPresentModels(facts.replicas),
-      instancesByDomain,
-      reserve,
-      servingByModel,
-      warmModels,
-    });
-    this._logSizing({
-      replicas: Object.fromEntries(groups.map((group) => [group.model, group.replicas])),
-      instances: Object.fromEntries(instancesByDomain),
-      models: Object.fromEntries(modelByDomain),
-    });
-    return {
-      models: engine.models.map((model) => ({
-        name: model.name,
-        version: LOADED_VERSION,
-        adapters: [],
-        load: model.loadMs,
-        acceleratorsPerInstance: 1,
-      })),
-      // Instances come and go: a replica that serves is kept although fewer are wanted now.
-      groups: groups.map((group) => ({
-        ...group,
-        replicas: Math.max(group.replicas, servingByModel.get(group.model) ?? 0),
-      })),
-      planning: { reserve: 0, maxWait: 1, flapLosses: Number.MAX_SAFE_INTEGER, flapWindow: 1 },
-      weightStore: { concurrentLoads: Math.ceil(engine.concurrentLoads * LOAD_OVERLAP) },
-      timing: { presenceWindow: presenceMs, lease: 0 },
-      stagesFirst: true,
-      modelByDomain,
-    };
-  }
-
   /** One line for each change of what is wanted. */
-  private _logSizing(sizing: object): void {
+  private _logSizing(sizing: SizingSummary): void {
     const text = JSON.stringify(sizing);
     if (text === this._sizing) return;
     this._sizing = text;
     this._options.logger.info({ event: "groups_sized", ...sizing });
   }
 
-  private async _act(now: number, action: Action): Promise<void> {
+  private async _act(action: Action): Promise<void> {
     switch (action.kind) {
       case "formReplica":
         return this._formReplica(action.group, action.members, action.reason);
       case "loadInstance":
-        return this._joinInstance(now, action.replica, action.instance);
+        this._joinInstance(action.replica, action.instance);
+        return;
       case "warmInstance":
-        // Its answer may take long, and nothing else waits for it.
-        void this._stageInstance(now, action.instance, action.model);
+        void this._dispatcher.sendLoad(
+          { instanceId: action.instance.id, address: action.instance.address },
+          { kind: "stage", model: action.model },
+        );
         return;
       case "serveReplica":
         return this._moveReplica(action.replica, ReplicaPhase.SERVING, REASON.whole);
@@ -393,26 +247,17 @@
     return `${instanceId}: ${state}, reported ${Math.round(now - instance.reportedAt)} ms ago`;
   }
 
-  private async _joinInstance(now: number, replica: Replica, instance: InstanceFacts): Promise<void> {
+  private _joinInstance(replica: Replica, instance: InstanceFacts): void {
     const members = replica.members.map((member) => member.instanceId);
     const { id: replicaId, epoch, model } = replica;
-    const isHeld = instance.model === model;
     const order: InstanceOrder = { kind: "join", replicaId, epoch, model, members };
-    if (!this._isDue(now, instance.id, order)) return;
-    if (!isHeld && !this._takeLoad(now)) return;
-    this._sendLater({ instanceId: instance.id, address: instance.address }, order);
-  }
-
-  private async _stageInstance(now: number, instance: InstanceFacts, model: string): Promise<void> {
-    const order: InstanceOrder = { kind: "stage", model };
-    if (!this._isDue(now, instance.id, order) || !this._takeLoad(now)) return;
-    this._staging.set(instance.id, { model, until: now + STAGING_MS });
-    const outcome = await this._send({ instanceId: instance.id, address: instance.address }, order);
-    if (outcome !== "begun" && outcome !== "done") this._staging.delete(instance.id);
+    const receiver = { instanceId: instance.id, address: instance.address };
+    if (instance.model === model) void this._dispatcher.send(receiver, order);
+    else void this._dispatcher.sendLoad(receiver, order);
   }
 
   /** The head is opened only after every member was seen ready in this epoch. */
-  private _openIfReady(now: number, replica: Replica): void {
+  private _openIfReady(replica: Replica): void {
     if (replica.phase !== ReplicaPhase.SERVING) return;
     const head = replica.members[0]!;
     if (this._getPlace(replica, head.instanceId) !== PlaceState.READY) return;
@@ -421,7 +266,7 @@
       return place !== undefined && READY_STATES.has(place);
     });
     const order: InstanceOrder = { kind: "open", replicaId: replica.id, epoch: replica.epoch };
-    if (isWhole && this._isDue(now, head.instanceId, order)) this._sendLater(head, order);
+    if (isWhole) void this._dispatcher.send(head, order);
   }
 
   /** A replica that never served was never ordered to open. */
@@ -432,84 +277,23 @@
   private _closeReplica(now: number, replica: Replica): void {
     if (this._wasNeverOpened(replica)) return;
     const due = this._closer.getDueOrder(now, replica, this._options.getTimes());
-    if (due === undefined || !this._isDue(now, due.receiver.instanceId, due.order)) return;
-    void this._send(due.receiver, due.order).then((outcome) =>
-      this._closer.addOutcome(this._options.clock.getMonotonicMs(), replica, due, outcome),
-    );
-  }
-
-  private _getPlace(replica: Replica, instanceId: string): PlaceState | undefined {
-    const place = this._options.registry.getInstance(instanceId)?.report.place;
-    const isOwn = place?.replicaId === replica.id && place.epoch === replica.epoch;
-    return isOwn ? place.state : undefined;
-  }
-
-  private _isDue(now: number, instanceId: string, order: InstanceOrder): boolean {
-    if (this._busy.has(instanceId)) return false;
-    return now - (this._sentAt.get(getOrderKey(instanceId, order)) ?? Number.NEGATIVE_INFINITY) >= RESEND_MS;
+    if (due === undefined) return;
+    void this._dispatcher.send(due.receiver, due.order).then((outcome) => {
+      if (outcome === undefined) return;
+      this._closer.addOutcome(this._options.clock.getMonotonicMs(), replica, due, outcome);
+    });
   }
 
-  private _takeLoad(now: number): boolean {
+  private _getLoadLimit(): LoadLimit {
     const { loadWindowMs, loadOverrun } = this._options.getTimes();
     const perSecond = this._getEngineService()?.engine?.loadsPerSecond ?? 0;
     const loads = Math.max(1, Math.floor((perSecond * loadWindowMs * loadOverrun) / 1_000));
-    return this._limiter.takeLoad(now, { loads, windowMs: loadWindowMs });
-  }
-
-  private _sendLater(receiver: OrderReceiver, order: InstanceOrder): void {
-    void this._send(receiver, order);
-  }
-
-  private async _send(receiver: OrderReceiver, order: InstanceOrder): Promise<OrderOutcome> {
-    const { clock, orders, logger } = this._options;
-    this._busy.add(receiver.instanceId);
-    const sentAt = clock.getMonotonicMs();
-    this._sentAt.set(getOrderKey(receiver.instanceId, order), sentAt);
-    const outcome = await orders.send(receiver, order);
-    this._busy.delete(receiver.instanceId);
-    const tookMs = Math.round(clock.getMonotonicMs() - sentAt);
-    logger.info({ event: "order_sent", instance: receiver.instanceId, order, outcome, took_ms: tookMs });
-    return outcome;
-  }
-}
-
-/** Gets the model of most replicas in each fabric domain that are not retiring. */
-function getPresentModels(replicas: readonly Replica[]): Map<string, string> {
-  const counts = new Map<string, Map<string, number>>();
-  for (const { fabricDomain, model, phase } of replicas) {
-    if (phase === ReplicaPhase.RETIRING) continue;
-    const models = counts.get(fabricDomain) ?? new Map<string, number>();
-    counts.set(fabricDomain, models.set(model, (models.get(model) ?? 0) + 1));
+    return { loads, windowMs: loadWindowMs };
   }
-  const getMost = (models: ReadonlyMap<string, number>) => [...models].sort((a, b) => b[1] - a[1])[0]![0];
-  return new Map([...counts].map(([domain, models]) => [domain, getMost(models)]));
-}
 
-/** Gets models that enough free instances of one fabric domain hold. */
-function getWarmModels(
-  now: number,
-  engine: EngineProfile,
-  facts: PlanningFacts,
-  presenceMs: number,
-): Set<string> {
-  const held = new Set(
-    facts.replicas.flatMap((replica) => replica.members.map((member) => member.instanceId)),
-  );
-  const counts = new Map<string, number>();
-  for (const instance of facts.instances) {
-    const isAway = now - instance.answeredAt > presenceMs || instance.isLeaving || instance.isLoading;
-    if (held.has(instance.id) || isAway) continue;
-    const key = `${instance.fabricDomain}/${instance.model}`;
-    counts.set(key, (counts.get(key) ?? 0) + 1);
+  private _getPlace(replica: Replica, instanceId: string): PlaceState | undefined {
+    const place = this._options.registry.getInstance(instanceId)?.report.place;
+    const isOwn = place?.replicaId === replica.id && place.epoch === replica.epoch;
+    return isOwn ? place.state : undefined;
   }
-  const sizes = new Map(engine.models.map((model) => [model.name, model.instancesPerReplica]));
-  const warm = [...counts]
-    .map(([key, count]) => ({ model: key.slice(key.indexOf("/") + 1), count }))
-    .filter(({ model, count }) => count >= (sizes.get(model) ?? Number.POSITIVE_INFINITY));
-  return new Set(warm.map(({ model }) => model));
-}
-
-function getOrderKey(instanceId: string, order: InstanceOrder): string {
-  const about = order.kind === "stage" ? order.model : `${order.replicaId}/${order.epoch}`;
-  return `${instanceId}/${order.kind}/${about}`;
 }
