--- a/src/registration/ReplicaCloser.ts
+++ b/src/registration/ReplicaCloser.ts
@@ -38,7 +38,7 @@
 /** Orders to leave that a head may miss before a member is taken out instead. */
 const HEAD_PATIENCE_ASKS = 1;
 /** Clocks of instances differ a little in rate. */
-const BREAK_MARGIN_MS = 1_500;
+const BREAK_MARGIN_MS = 700;
 
 /** Outcomes after which the instance is certainly not in the replica that the order named. */
 const ENDED: ReadonlySet<OrderOutcome> = new Set(["done", "begun", "unfit", "stale", "elsewhere", "absent"]);
@@ -88,24 +88,31 @@
     return closing.memberLeftAt !== undefined && now - closing.memberLeftAt > times.stallMs + BREAK_MARGIN_MS;
   }
 
-  /** Gets the next order for a retiring replica that is not over. */
-  getDueOrder(now: number, replica: Replica, times: ClosingTimes): DueOrder | undefined {
+  /**
+   * Gets the orders that a retiring replica needs now, if it is not over.
+   * @param isSilent - Whether an instance is taken for absent; a member is taken out at once
+   * where that is the head, since the wait until it breaks is long.
+   */
+  getDueOrders(
+    now: number,
+    replica: Replica,
+    times: ClosingTimes,
+    isSilent: (instanceId: string) => boolean,
+  ): DueOrder[] {
     const closing = this._closings.get(replica.id);
-    if (closing === undefined || this.isOver(now, replica, times)) return undefined;
+    if (closing === undefined || this.isOver(now, replica, times)) return [];
     const { id: replicaId, epoch } = replica;
     const head = replica.members[0]!;
     if (closing.drains && !closing.isClosed) {
-      return { receiver: head, order: { kind: "close", replicaId, epoch } };
+      return [{ receiver: head, order: { kind: "close", replicaId, epoch } }];
     }
-    if (this._isDraining(now, replica, closing, times)) return undefined;
     // Once a member has left, the head breaks by itself.
-    if (closing.memberLeftAt !== undefined) return undefined;
-    if (closing.leaveAsks < HEAD_PATIENCE_ASKS) {
-      return { receiver: head, order: { kind: "leave", replicaId, epoch } };
-    }
-    const member = this._getReachableMember(replica);
-    closing.leaveAsks = 0;
-    return { receiver: member ?? head, order: { kind: "leave", replicaId, epoch } };
+    if (this._isDraining(now, replica, closing, times) || closing.memberLeftAt !== undefined) return [];
+    const receivers: OrderReceiver[] = [head];
+    const isHeadLost = isSilent(head.instanceId) || closing.leaveAsks >= HEAD_PATIENCE_ASKS;
+    const member = isHeadLost ? this._getReachableMember(replica) : undefined;
+    if (member !== undefined) receivers.push(member);
+    return receivers.map((receiver) => ({ receiver, order: { kind: "leave", replicaId, epoch } }));
   }
 
   /** Notes what an order came to. */
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -276,12 +276,13 @@
 
   private _closeReplica(now: number, replica: Replica): void {
     if (this._wasNeverOpened(replica)) return;
-    const due = this._closer.getDueOrder(now, replica, this._options.getTimes());
-    if (due === undefined) return;
-    void this._dispatcher.send(due.receiver, due.order).then((outcome) => {
-      if (outcome === undefined) return;
-      this._closer.addOutcome(this._options.clock.getMonotonicMs(), replica, due, outcome);
-    });
+    const isSilent = (instanceId: string) => !this._isPresent(now, instanceId);
+    for (const due of this._closer.getDueOrders(now, replica, this._options.getTimes(), isSilent)) {
+      void this._dispatcher.send(due.receiver, due.order).then((outcome) => {
+        if (outcome === undefined) return;
+        this._closer.addOutcome(this._options.clock.getMonotonicMs(), replica, due, outcome);
+      });
+    }
   }
 
   private _getLoadLimit(): LoadLimit {
