--- a/src/control/LeadershipWatch.ts
+++ b/src/control/LeadershipWatch.ts
@@ -53,7 +53,7 @@
   }
 
   private _update(): void {
-    const { driver, createLeadership, logger } = this._options;
+    const { driver, createLeadership, logger, metrics } = this._options;
     const leads = driver.isLeader();
     if (leads && this._current?.term === driver.node.term) return;
     if (!leads && this._current === undefined) return;
@@ -63,6 +63,7 @@
     if (!leads) return;
     this._current = createLeadership();
     this._current.start();
+    metrics.increment("leaderships", 1);
     logger.info({ event: "leadership_began", term: this._current.term });
   }
 
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -12,7 +12,7 @@
 import { SeededRandom } from "../consensus";
 import { type DeclarationFormat, RouteTable } from "../declaration";
 import { HttpClient, splitAddress } from "../http";
-import type { Logger } from "../metrics";
+import type { Logger, Metrics } from "../metrics";
 import { FollowedView, ViewWatcher } from "../registration";
 import { type RetryBound, SharedRetryBudget } from "../routing";
 import type { GatewaySettings, LiveSettings } from "../settings";
@@ -29,6 +29,7 @@
   readonly format: DeclarationFormat;
   readonly dialect: Dialect;
   readonly logger: Logger;
+  readonly metrics: Metrics;
 }
 
 const IDLE_ENDPOINT_MS = 30_000;
@@ -53,7 +54,7 @@
   });
 }
 
-function createParts({ settings: live, secret, format, dialect, logger }: GatewayOptions) {
+function createParts({ settings: live, secret, format, dialect, logger, metrics }: GatewayOptions) {
   const { gateway, process } = live.current;
   const clock = new SystemClock();
   const random = new SeededRandom(randomBytes(4).readInt32LE());
@@ -71,12 +72,14 @@
     if (held === undefined || held.version === routes?.declaration.version) return;
     routes = new RouteTable(format.parse(held.document));
     server.updateLimits();
+    metrics.gauge("declaration_version", held.version);
   };
   const server = new GatewayServer({
     listen: gateway.listen,
     clock,
     random,
     logger,
+    metrics,
     tools: {
       clock,
       client,
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -5,7 +5,7 @@
 import type { RandomSource } from "../consensus";
 import type { DeclaredOrganisation, Route, RouteTable } from "../declaration";
 import { splitAddress } from "../http";
-import type { Logger } from "../metrics";
+import type { Logger, Metrics } from "../metrics";
 import type { CallFacts } from "./Dialect";
 import { Exchange, type ExchangeRequest, type ExchangeTools } from "./Exchange";
 import { endWithConnection } from "./endWithConnection";
@@ -21,6 +21,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly tools: ExchangeTools;
   /** Gets the declaration in force here. */
   readonly getRoutes: () => RouteTable | undefined;
@@ -230,6 +231,9 @@
     const stream = new StreamExchange(exchange, response);
     const result = await stream.run();
     this._log(progress, result.isWhole ? "done" : "cut", { ...result });
+    if (result.firstEventMs === undefined) return;
+    this._options.metrics.timing("gateway_first_event_ms", result.firstEventMs);
+    this._options.metrics.timing("gateway_gap_ms", result.longestGapMs);
   }
 
   private _sendWhole(response: ServerResponse, progress: Progress, answer: WholeAnswer): void {
@@ -265,18 +269,26 @@
     if (response.headersSent) response.destroy();
     else if (!isGone) writeRefusal(response, refusal);
     const code = isGone ? "caller_gone" : refusal.code;
-    this._log(progress, "refused", { code, status: refusal.status, reason: refusal.reason });
+    this._log(progress, "refused", { status: refusal.status, reason: refusal.reason }, code);
   }
 
-  private _log(progress: Progress, outcome: string, details: object): void {
+  private _log(progress: Progress, outcome: string, details: object, code = ""): void {
     const { call, route, exchange, receivedAt } = progress;
+    const { metrics, clock } = this._options;
+    const tookMs = Math.round(clock.getMonotonicMs() - receivedAt);
+    const kind = route?.kind ?? "none";
+    metrics.increment("gateway_requests", 1, { kind, outcome, code });
+    metrics.timing("gateway_answer_ms", tookMs, { kind });
+    if (exchange !== undefined)
+      metrics.increment("gateway_failed_attempts", exchange.failures.length, { kind });
     this._options.logger.info({
       event: "request_ended",
       request: call?.requestId ?? "",
       route: route?.name ?? "",
       declaration: this._options.getRoutes()?.declaration.version ?? 0,
       outcome,
-      took_ms: Math.round(this._options.clock.getMonotonicMs() - receivedAt),
+      code,
+      took_ms: tookMs,
       sent: exchange?.sentCount ?? 0,
       failures: exchange?.failures,
       ...details,
--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -18,7 +18,17 @@
   | "consensus_term"
   | "consensus_commit_index"
   | "consensus_leader"
-  | "resident_bytes";
+  | "resident_bytes"
+  | "gateway_requests"
+  | "gateway_first_event_ms"
+  | "gateway_gap_ms"
+  | "gateway_answer_ms"
+  | "gateway_failed_attempts"
+  | "instance_orders"
+  | "replica_moves"
+  | "leaderships"
+  | "declaration_version"
+  | "log_lines_dropped";
 
 /** Tags of a metric. */
 export type MetricTags = Readonly<Record<string, string>>;
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -1,7 +1,9 @@
 /** Logs and metrics. */
 import { type Logger, pino } from "pino";
 
+export { BoundedLog, type LossyDestination } from "./BoundedLog";
 export { type MetricName, type Metrics, type MetricTags, SilentMetrics, StatsdMetrics } from "./Metrics";
+export { startMetricsServer, TextMetrics } from "./TextMetrics";
 export type { Logger };
 
 /** Levels of logs, least first. */
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -86,6 +86,7 @@
     const createLeadership = () =>
       new FleetLeadership({
         lag,
+        metrics: options.metrics,
         driver,
         orders: options.orders,
         clock,
--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -12,7 +12,7 @@
   TargetSchema,
 } from "../gen/ploverstage/v1/fleet_pb";
 import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
-import type { Logger } from "../metrics";
+import type { Logger, Metrics } from "../metrics";
 import { FleetView } from "./FleetView";
 import type { InstanceOrders } from "./InstanceOrders";
 import { InstanceRegistry, type RegisteredInstance } from "./InstanceRegistry";
@@ -24,6 +24,7 @@
   readonly orders: InstanceOrders;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   /** How late this process runs. */
   readonly lag: LoopLag;
   readonly getTimes: () => ReplicaTimes;
--- a/src/registration/OrderDispatcher.ts
+++ b/src/registration/OrderDispatcher.ts
@@ -3,7 +3,7 @@
  * came, and no more loads than the weight store bears.
  */
 import type { Clock } from "../clock";
-import type { Logger } from "../metrics";
+import type { Logger, Metrics } from "../metrics";
 import type { InstanceOrder, InstanceOrders, OrderOutcome, OrderReceiver } from "./InstanceOrders";
 import { type LoadLimit, LoadLimiter } from "./LoadLimiter";
 
@@ -12,6 +12,7 @@
   readonly orders: InstanceOrders;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly getLoadLimit: () => LoadLimit;
 }
 
@@ -88,13 +89,14 @@
   }
 
   private async _send(now: number, receiver: OrderReceiver, order: InstanceOrder): Promise<OrderOutcome> {
-    const { clock, orders, logger } = this._options;
+    const { clock, orders, logger, metrics } = this._options;
     const { instanceId } = receiver;
     this._busy.add(instanceId);
     this._sentAt.set(getOrderKey(instanceId, order), now);
     const outcome = await orders.send(receiver, order);
     this._busy.delete(instanceId);
     const tookMs = Math.round(clock.getMonotonicMs() - now);
+    metrics.increment("instance_orders", 1, { order: order.kind, outcome });
     logger.info({ event: "order_sent", instance: instanceId, order, outcome, took_ms: tookMs });
     return outcome;
   }
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -9,7 +9,7 @@
 import type { DeclaredService, RouteTable } from "../declaration";
 import { PlaceState } from "../gen/ploverstage/v1/fleet_pb";
 import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
-import type { Logger } from "../metrics";
+import type { Logger, Metrics } from "../metrics";
 import { type Action, ImmediateRepair, type InstanceFacts, Planner, REASON } from "../planner";
 import type { InstanceOrder, InstanceOrders, OrderReceiver } from "./InstanceOrders";
 import type { InstanceRegistry } from "./InstanceRegistry";
@@ -38,6 +38,7 @@
   readonly orders: InstanceOrders;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   /** How late this process runs. */
   readonly lag: LoopLag;
   readonly getTimes: () => ReplicaTimes;
@@ -230,6 +231,7 @@
       },
     });
     const places = replica.members.map((member) => this._describePlace(replica, member.instanceId));
+    this._options.metrics.increment("replica_moves", 1, { phase: ReplicaPhase[phase], reason });
     this._options.logger.info({
       event: "replica_moved",
       replica: replica.id,
--- a/src/settings/Settings.ts
+++ b/src/settings/Settings.ts
@@ -140,15 +140,22 @@
 /** Settings of an entry process. */
 export const EntrySettingsSchema = Schema.Struct({ ...shared, secrets: Secrets, entry: Entry });
 
+const fleetShared = {
+  process: Process,
+  log: withDefault(Log, { level: "info" }),
+  /** Where metrics are fetched as text. */
+  metricsListen: Schema.optionalKey(Address),
+};
+
 /** Settings of a control process whose instances register themselves. */
 export const FleetControlSettingsSchema = Schema.Struct({
-  ...shared,
+  ...fleetShared,
   secrets: Schema.optionalKey(Schema.Struct({ clusterFile: Schema.String })),
   control: FleetControl,
 });
 /** Settings of an entry that routes by declarations. */
 export const GatewaySettingsSchema = Schema.Struct({
-  ...shared,
+  ...fleetShared,
   secrets: Schema.optionalKey(Schema.Struct({ clusterFile: Schema.String })),
   gateway: Gateway,
 });
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -11,7 +11,7 @@
 import { TargetPool } from "../../src/gateway/TargetPool";
 import { type Target, TargetSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { HttpClient } from "../../src/http";
-import { createLogger } from "../../src/metrics";
+import { createLogger, SilentMetrics } from "../../src/metrics";
 
 /** What an endpoint saw of a request. */
 export interface SeenRequest {
@@ -186,6 +186,7 @@
       clock,
       random,
       logger: createLogger("silent", { role: "entry", name: "test" }),
+      metrics: new SilentMetrics(),
       tools: {
         clock,
         client: this._client,
--- a/test/platform/PlatformCluster.ts
+++ b/test/platform/PlatformCluster.ts
@@ -31,7 +31,7 @@
   /** Starts three control processes, an entry, and workers: one plain, the others for replicas. */
   static async start(engines: number): Promise<PlatformCluster> {
     const cluster = new PlatformCluster();
-    const addresses = await getFreeAddresses(5);
+    const addresses = await getFreeAddresses(6);
     cluster._ports = addresses.map((address) => Number(address.split(":")[1]));
     for (const ip of CONTROL_IPS) cluster.controls.push(cluster._createProcess("control", ip));
     cluster._entry = cluster._createProcess("entry", "127.0.0.1");
@@ -51,6 +51,11 @@
     return this._entry!;
   }
 
+  /** Gets the entry's metrics as text. */
+  async getMetrics(): Promise<string> {
+    return (await fetch(`http://127.0.0.1:${this._ports[5]}/metrics`)).text();
+  }
+
   /** Gets the directory's address at one control process. */
   getDirectory(index: number): string {
     return `${CONTROL_IPS[index]}:${this._ports[2]}`;
@@ -136,7 +141,9 @@
       },
     };
     const file = join(this._folder, `${name}.toml`);
-    writeFileSync(file, renderTemplate(TEMPLATE, fields));
+    // The deployment's port for metrics is fixed; this machine's may be taken.
+    const text = renderTemplate(TEMPLATE, fields).replace(":9464", `:${this._ports[5]}`);
+    writeFileSync(file, text);
     return new ProcessHandle(name, [BINARY, role, file], join(this._folder, `${name}.log`));
   }
 }
--- a/test/system/platform.test.ts
+++ b/test/system/platform.test.ts
@@ -126,6 +126,12 @@
     await waitForStream();
   });
 
+  it("counts what it did", async () => {
+    const text = await cluster.getMetrics();
+    expect(text).toMatch(/ploverstage_gateway_requests_total\{kind="stream",outcome="done"[^}]*\} \d+/);
+    expect(text).toMatch(/ploverstage_gateway_first_event_ms_bucket/);
+  });
+
   it("sends nothing to a plain worker that said that it leaves", async () => {
     const [leaving] = cluster.workers;
     const next = await cluster.addWorker("app-1", "app", "");
