--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -69,8 +69,10 @@
 };
 
 const CONNECT_MS = 300;
-const NO_TARGET_RETRY_MS = 1_000;
-const REFUSED_RETRY_MS = 1_200;
+/** Part of the time left after which a refused caller has the best chance: replicas are repaired in seconds. */
+const RETRY_SHARE = 0.3;
+const MIN_RETRY_MS = 50;
+const MAX_RETRY_MS = 3_000;
 /** Silence is looked for this often. */
 const WATCH_MS = 50;
 /** Less time than this is not worth an attempt. */
@@ -217,10 +219,14 @@
     if (last === undefined) {
       const { service, call } = this.request;
       const what = call.model === "" ? service : `${service}/${call.model}`;
-      return createNotRun("no_target", `nothing serves ${what} now`, NO_TARGET_RETRY_MS);
+      return createNotRun("no_target", `nothing serves ${what} now`, this._getRetryMs());
     }
     const code = this._sent === 0 ? "endpoint_unreachable" : "endpoint_refused";
-    return createNotRun(code, last.reason, REFUSED_RETRY_MS);
+    return createNotRun(code, last.reason, this._getRetryMs());
+  }
+
+  private _getRetryMs(): number {
+    return Math.round(Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, this.getLeftMs() * RETRY_SHARE)));
   }
 
   private _watchSilence(
