--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -72,7 +72,9 @@
       response.writeContinue();
       void this._handle(request, response);
     });
-    this._server.on("clientError", (_error, socket) => refuseMalformed(socket as Socket));
+    this._server.on("clientError", (error: NodeJS.ErrnoException, socket) =>
+      refuseMalformed(socket as Socket, error.code),
+    );
   }
 
   /** Gets how many requests are being worked on. */
@@ -329,11 +331,18 @@
   response.end(body);
 }
 
+/** Answers to what is no whole request, by the parser's error. */
+const MALFORMED_ANSWERS: Readonly<Record<string, string>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+};
+
 /** What can't be parsed is answered and the connection ended: where the next request begins is unknown. */
-function refuseMalformed(socket: Socket): void {
+function refuseMalformed(socket: Socket, errorCode: string | undefined): void {
   if (!socket.writable) {
     socket.destroy();
     return;
   }
-  socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+  const answer = MALFORMED_ANSWERS[errorCode ?? ""] ?? "400 Bad Request";
+  socket.end(`HTTP/1.1 ${answer}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 }
--- a/test/gateway/GatewayServer.test.ts
+++ b/test/gateway/GatewayServer.test.ts
@@ -101,6 +101,13 @@
     });
   });
 
+  it("tells a caller whose headers are too large", async () => {
+    harness = await GatewayHarness.start([answer(200, "")]);
+    const text = `GET /a HTTP/1.1\r\nHost: api.example\r\nx-large: ${"x".repeat(20_000)}\r\n\r\n`;
+    expect(await sendRaw(text)).toMatch(/^HTTP\/1\.1 431 /);
+    expect(harness.seen).toEqual([]);
+  });
+
   describe("trying again", () => {
     it("sends what did not run to another endpoint", async () => {
       harness = await GatewayHarness.start([notRun, answer(200, "second")], { kind: "notRepeatable" });
