--- a/src/metrics/BoundedLog.ts
+++ b/src/metrics/BoundedLog.ts
@@ -14,7 +14,7 @@
 
 /** Where a log goes, as far as its lines may be lost. */
 export interface LossyDestination extends DestinationStream {
-  on(event: "drop", listener: (line: string) => void): unknown;
+  on(name: "drop", listener: (line: string) => void): unknown;
   flushSync(): void;
 }
 
