--- /dev/null
+++ b/test/platform/WorkerStandin.test.ts
@@ -0,0 +1,83 @@
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { waitUntil } from "../support/waitUntil";
+import { WorkerStandin } from "./WorkerStandin";
+
+describe("the stand-in of a worker", () => {
+  let control: Server;
+  let answers: (() => void)[] = [];
+  let reports = 0;
+
+  beforeEach(async () => {
+    answers = [];
+    reports = 0;
+    control = createServer((_request, response) => {
+      reports += 1;
+      answers.push(() => response.end("{}"));
+    });
+    await new Promise<void>((resolve) => control.listen(0, "127.0.0.1", resolve));
+  });
+
+  afterEach(() => {
+    control.closeAllConnections();
+    control.close();
+  });
+
+  async function startWorker(): Promise<WorkerStandin> {
+    const { port } = control.address() as AddressInfo;
+    const worker = new WorkerStandin({
+      id: "app-0",
+      service: "app",
+      domain: "",
+      controls: [`127.0.0.1:${port}`],
+    });
+    await worker.start();
+    await waitUntil("its first report is on the way", () => answers.length === 1);
+    return worker;
+  }
+
+  it("reports no more after a crash, also when a report was on the way", async () => {
+    const worker = await startWorker();
+    worker.crash();
+    answers[0]!();
+    // Two of its reports would have been due by the end of a further exchange of that length.
+    const other = await startOther();
+    await waitUntil("another one reported three times", () => other.count() === 3);
+    other.stop();
+    expect(reports - other.count()).toBe(1);
+  });
+
+  it("says nothing after it said that it leaves", async () => {
+    const worker = await startWorker();
+    const drained = worker.drain();
+    await waitUntil("both reports are there", () => answers.length === 2);
+    for (const answer of answers) answer();
+    expect(await drained).toBe(true);
+    const other = await startOther();
+    await waitUntil("another one reported three times", () => other.count() === 3);
+    other.stop();
+    worker.crash();
+    expect(reports - other.count()).toBe(2);
+  });
+
+  /** A second worker at the same control: its reports tell how much time went by. */
+  async function startOther(): Promise<{ count: () => number; stop: () => void }> {
+    let own = 0;
+    control.removeAllListeners("request");
+    control.on("request", (request, response) => {
+      reports += 1;
+      if (request.url?.endsWith("/app-1")) own += 1;
+      response.end("{}");
+    });
+    const { port } = control.address() as AddressInfo;
+    const other = new WorkerStandin({
+      id: "app-1",
+      service: "app",
+      domain: "",
+      controls: [`127.0.0.1:${port}`],
+    });
+    await other.start();
+    return { count: () => own, stop: () => other.crash() };
+  }
+});
--- a/test/platform/WorkerStandin.ts
+++ b/test/platform/WorkerStandin.ts
@@ -37,6 +37,8 @@
   private _target: string | undefined;
   private _next = 0;
   private _timer: NodeJS.Timeout | undefined;
+  private _port = 0;
+  private _reports = true;
 
   constructor(options: WorkerOptions) {
     this.id = options.id;
@@ -52,32 +54,38 @@
   /** Starts serving and reporting. */
   async start(): Promise<void> {
     await new Promise<void>((resolve) => this._server.listen(0, "127.0.0.1", resolve));
+    this._port = (this._server.address() as AddressInfo).port;
     const report = async () => {
       await this._report("ready");
-      this._timer = setTimeout(report, REPORT_MS);
+      // It may have crashed or begun to leave while its report was on the way.
+      if (this._reports) this._timer = setTimeout(report, REPORT_MS);
     };
     void report();
   }
 
   /** Ends without a word, as a crash does. */
   crash(): void {
-    clearTimeout(this._timer);
+    this._stopReports();
     this._server.closeAllConnections();
     this._server.close();
   }
 
   /** Says that it leaves; resolves with whether that was acknowledged. */
   async drain(): Promise<boolean> {
-    clearTimeout(this._timer);
+    this._stopReports();
     return this._report("draining");
   }
 
+  private _stopReports(): void {
+    this._reports = false;
+    clearTimeout(this._timer);
+  }
+
   private async _report(state: string): Promise<boolean> {
     const { service, domain, controls } = this._options;
-    const { port } = this._server.address() as AddressInfo;
     const body = JSON.stringify({
       service,
-      address: `127.0.0.1:${port}`,
+      address: `127.0.0.1:${this._port}`,
       zone: "zone-a",
       version: "v1",
       slots: 4,
