--- a/src/entry/LeaseKeeper.ts
+++ b/src/entry/LeaseKeeper.ts
@@ -31,6 +31,11 @@
 const DEFAULT_RENEW_MS = 500;
 /** One renewal is tried for so long before the next one is made with fresh knowledge. */
 const RENEWAL_MS = 1_500;
+/** Pause after a renewal that failed: what is left of the lease must not be spent on waiting. */
+const FAILED_RENEWAL_PAUSE_MS = 50;
+
+/** What a renewal came to. */
+type RenewalOutcome = "changed" | "unchanged" | "failed";
 
 /** The lease of one entry. */
 export class LeaseKeeper {
@@ -73,16 +78,20 @@
 
   private async _run(): Promise<void> {
     while (!this._isEnded) {
-      const hasChanged = await this._renew();
+      const outcome = await this._renew();
       // A change is acknowledged at once, so that it is soon known to be in force.
-      if (!hasChanged && !this._isEnded) await this._pause();
+      if (outcome !== "changed" && !this._isEnded) await this._pause(this._getPauseMs(outcome));
     }
   }
 
-  private _pause(): Promise<void> {
+  private _getPauseMs(outcome: RenewalOutcome): number {
     const renewMs = this._options.view.configuration?.declared.timing.renew ?? DEFAULT_RENEW_MS;
+    return outcome === "failed" ? Math.min(FAILED_RENEWAL_PAUSE_MS, renewMs) : renewMs;
+  }
+
+  private _pause(pauseMs: number): Promise<void> {
     return new Promise((resolve) => {
-      const timer = setTimeout(resolve, renewMs);
+      const timer = setTimeout(resolve, pauseMs);
       this._wake = () => {
         clearTimeout(timer);
         resolve();
@@ -90,7 +99,7 @@
     });
   }
 
-  private async _renew(): Promise<boolean> {
+  private async _renew(): Promise<RenewalOutcome> {
     const { client, clock, view, logger, onChange } = this._options;
     let sentAt = clock.getMonotonicMs();
     try {
@@ -100,16 +109,16 @@
       }, RENEWAL_MS);
       const before = { configuration: view.configuration?.version, assignment: view.assignmentIndex };
       // What could not be taken over gives no lease; a missing text is asked for at once.
-      if (!view.apply(response)) return view.needsText;
+      if (!view.apply(response)) return view.needsText ? "changed" : "unchanged";
       this._sentTerm = response.term;
       if (!this._isEnded) this.lease.renew(sentAt, response.leaseMs);
       onChange();
-      return (
-        before.configuration !== view.configuration?.version || before.assignment !== view.assignmentIndex
-      );
+      const hasChanged =
+        before.configuration !== view.configuration?.version || before.assignment !== view.assignmentIndex;
+      return hasChanged ? "changed" : "unchanged";
     } catch (cause) {
       logger.warn({ event: "renewal_failed", reason: String(cause) });
-      return false;
+      return "failed";
     }
   }
 
--- a/src/planner/Planner.ts
+++ b/src/planner/Planner.ts
@@ -428,8 +428,10 @@
     return this._views.find((view) => view.serving.some((replica) => replica.fabricDomain === fabricDomain));
   }
 
+  /** What is gone, or only takes its place with weights that it holds, keeps nobody from the weight store. */
   private _countLoading(): number {
-    return this._facts.instances.filter((instance) => instance.isLoading).length;
+    const reading = this._facts.instances.filter((instance) => instance.readsWeights ?? instance.isLoading);
+    return reading.filter((instance) => this._isPresent(instance)).length;
   }
 
   /** Nearly whole replicas first; of those not begun, the ones that bring their group the furthest. */
--- a/src/planner/facts.ts
+++ b/src/planner/facts.ts
@@ -34,6 +34,8 @@
   readonly modelVersion: string;
   /** Whether an order to load is on its way or being carried out. */
   readonly isLoading: boolean;
+  /** Whether it takes up a part of the weight store's rate; by default whenever it is loading. */
+  readonly readsWeights?: boolean;
   /** Model that it loads ahead of need, if it does. */
   readonly stagingModel?: string;
   /** When it was lost lately, ascending. */
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -91,6 +91,7 @@
         orders: options.orders,
         clock,
         logger,
+        isFirstStart: control.isFirstStart,
         getTimes: () => getReplicaTimes(options.settings.current),
         getRoutes,
       });
--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -27,6 +27,8 @@
   readonly metrics: Metrics;
   /** How late this process runs. */
   readonly lag: LoopLag;
+  /** Whether this process was started with the whole system, for the first time. */
+  readonly isFirstStart: boolean;
   readonly getTimes: () => ReplicaTimes;
   readonly getRoutes: () => RouteTable | undefined;
 }
--- a/src/registration/OrderDispatcher.ts
+++ b/src/registration/OrderDispatcher.ts
@@ -13,7 +13,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  readonly getLoadLimit: () => LoadLimit;
+  /** Gives the limit in force; `undefined` while the weight store counts no loads. */
+  readonly getLoadLimit: () => LoadLimit | undefined;
 }
 
 /** A load ordered ahead of need, that goes on as far as is known. */
@@ -24,6 +25,8 @@
 
 /** An order without a clear answer is sent again after this time. */
 const RESEND_MS = 700;
+/** An instance says that it loads by then, if it took the order. */
+const LOAD_REPORTED_MS = 1_500;
 /** A load ordered ahead of need is taken as going on from its order on, for so long at most. */
 const STAGING_MS = 40_000;
 
@@ -35,6 +38,8 @@
   private readonly _sentAt = new Map<string, number>();
   private readonly _busy = new Set<string>();
   private readonly _staging = new Map<string, Staging>();
+  /** When an instance was last told to load. */
+  private readonly _toldToLoadAt = new Map<string, number>();
 
   /**
    * @param options - Orders, clock and the limit on loads.
@@ -48,6 +53,11 @@
     return this._busy.has(instanceId);
   }
 
+  /** Checks whether an instance was told to load so lately that it may not have said so yet. */
+  isToldToLoad(now: number, instanceId: string): boolean {
+    return now - (this._toldToLoadAt.get(instanceId) ?? Number.NEGATIVE_INFINITY) < LOAD_REPORTED_MS;
+  }
+
   /**
    * Gets the model that an instance is loading ahead of need.
    * @param staged - Models that it says it holds.
@@ -72,7 +82,9 @@
   async sendLoad(receiver: OrderReceiver, order: InstanceOrder): Promise<void> {
     const now = this._options.clock.getMonotonicMs();
     if (!this._isDue(now, receiver.instanceId, order)) return;
-    if (!this._limiter.takeLoad(now, this._options.getLoadLimit())) return;
+    const limit = this._options.getLoadLimit();
+    if (limit !== undefined && !this._limiter.takeLoad(now, limit)) return;
+    this._toldToLoadAt.set(receiver.instanceId, now);
     if (order.kind !== "stage") {
       await this._send(now, receiver, order);
       return;
--- a/src/registration/PlanningFactsSource.ts
+++ b/src/registration/PlanningFactsSource.ts
@@ -85,6 +85,7 @@
         model: replica.model,
         modelVersion: LOADED_VERSION,
         isLoading: true,
+        readsWeights: false,
         losses: [],
       }));
     });
@@ -99,8 +100,11 @@
     const { dispatcher } = this._options;
     const stagingModel = dispatcher.getStagingModel(now, instanceId, report.stagedModels);
     const model = report.stagedModels[0] ?? "";
-    const isJoining =
-      place?.state === PlaceState.JOINING && replicas.some((replica) => replica.id === place.replicaId);
+    const joined =
+      place?.state === PlaceState.JOINING
+        ? replicas.find((replica) => replica.id === place.replicaId)
+        : undefined;
+    const joinsCold = joined !== undefined && !report.stagedModels.includes(joined.model);
     return {
       id: InstanceId(instanceId),
       address: report.address,
@@ -113,7 +117,8 @@
       isReady: place !== undefined && READY_STATES.has(place.state),
       model,
       modelVersion: model === "" ? "" : LOADED_VERSION,
-      isLoading: dispatcher.isBusy(instanceId) || isJoining || stagingModel !== undefined,
+      isLoading: dispatcher.isBusy(instanceId) || joined !== undefined || stagingModel !== undefined,
+      readsWeights: joinsCold || stagingModel !== undefined || dispatcher.isToldToLoad(now, instanceId),
       stagingModel,
       losses: [],
     };
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -11,6 +11,7 @@
 import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
 import type { Logger, Metrics } from "../metrics";
 import { type Action, ImmediateRepair, type InstanceFacts, Planner, REASON } from "../planner";
+import { FirstFormation } from "./FirstFormation";
 import type { InstanceOrder, InstanceOrders, OrderReceiver } from "./InstanceOrders";
 import type { InstanceRegistry } from "./InstanceRegistry";
 import type { LoadLimit } from "./LoadLimiter";
@@ -41,6 +42,8 @@
   readonly metrics: Metrics;
   /** How late this process runs. */
   readonly lag: LoopLag;
+  /** Whether this process was started with the whole system, for the first time. */
+  readonly isFirstStart: boolean;
   readonly getTimes: () => ReplicaTimes;
   readonly getRoutes: () => RouteTable | undefined;
 }
@@ -48,6 +51,8 @@
 /** A replica's members are asked for a sign of life no more often than this. */
 const PROBE_PAUSE_MS = 1_000;
 const PROBE_TIMEOUT_MS = 400;
+/** Probes, one after the other, until an instance has been silent for long enough. */
+const MAX_PROBES = 3;
 /** An instance that reported so lately is there, whatever a probe came to. */
 const MIN_SILENCE_MS = 900;
 /** A process that runs its timers so late can't tell who is silent. */
@@ -61,6 +66,7 @@
   private readonly _dispatcher: OrderDispatcher;
   private readonly _facts: PlanningFactsSource;
   private readonly _doubts = new PresenceDoubts();
+  private readonly _firstFormation: FirstFormation;
   private readonly _probedAt = new Map<string, number>();
   private _sizing = "";
   private _isStepping = false;
@@ -72,6 +78,7 @@
     this._options = options;
     const { registry, clock, driver } = options;
     this._closer = new ReplicaCloser(registry);
+    this._firstFormation = new FirstFormation(options.isFirstStart);
     this._dispatcher = new OrderDispatcher({ ...options, getLoadLimit: () => this._getLoadLimit() });
     this._facts = new PlanningFactsSource({
       machine: () => driver.machine,
@@ -111,16 +118,24 @@
   }
 
   private async _probeMember(replica: Replica, member: OrderReceiver): Promise<void> {
-    const { orders, clock, logger } = this._options;
-    const sentAt = clock.getMonotonicMs();
-    const outcome = await orders.probe(member, PROBE_TIMEOUT_MS);
-    if (outcome === "present") return;
-    const reportedAt = this._options.registry.getInstance(member.instanceId)?.reportedAt;
-    const silentMs = clock.getMonotonicMs() - (reportedAt ?? Number.NEGATIVE_INFINITY);
-    const isCertain = outcome === "absent" || this._options.lag.getWorstMs() < MAX_LAG_MS;
-    if (!isCertain || silentMs < MIN_SILENCE_MS) return;
-    this._doubts.addDoubt(sentAt, member.instanceId);
-    logger.info({ event: "instance_doubted", instance: member.instanceId, replica: replica.id, outcome });
+    const { orders, clock, logger, lag } = this._options;
+    for (let probe = 0; probe < MAX_PROBES; probe++) {
+      const sentAt = clock.getMonotonicMs();
+      const outcome = await orders.probe(member, PROBE_TIMEOUT_MS);
+      if (outcome === "present") return;
+      const isCertain = outcome === "absent" || lag.getWorstMs() < MAX_LAG_MS;
+      if (!isCertain) return;
+      // Too soon after its last report: it is asked once more instead of after the next suspicion.
+      if (this._getSilentMs(member.instanceId) < MIN_SILENCE_MS) continue;
+      this._doubts.addDoubt(sentAt, member.instanceId);
+      logger.info({ event: "instance_doubted", instance: member.instanceId, replica: replica.id, outcome });
+      return;
+    }
+  }
+
+  private _getSilentMs(instanceId: string): number {
+    const reportedAt = this._options.registry.getInstance(instanceId)?.reportedAt;
+    return this._options.clock.getMonotonicMs() - (reportedAt ?? Number.NEGATIVE_INFINITY);
   }
 
   private _isPresent(now: number, instanceId: string): boolean {
@@ -145,7 +160,9 @@
         .map((replica) => replica.id),
     );
     const facts = this._facts.createFacts(now, service.name, replicas, over);
-    const { configuration, summary } = createPlanningConfiguration(now, service.engine, facts, times);
+    this._firstFormation.update(facts);
+    const bounds = { ...times, isFirstFormation: this._firstFormation.isUnderWay };
+    const { configuration, summary } = createPlanningConfiguration(now, service.engine, facts, bounds);
     this._logSizing(summary);
     const actions = this._planner.plan(now, facts, configuration);
     await Promise.all(actions.map((action) => this._act(action)));
@@ -287,7 +304,8 @@
     }
   }
 
-  private _getLoadLimit(): LoadLimit {
+  private _getLoadLimit(): LoadLimit | undefined {
+    if (this._firstFormation.isUnderWay) return undefined;
     const { loadWindowMs, loadOverrun } = this._options.getTimes();
     const perSecond = this._getEngineService()?.engine?.loadsPerSecond ?? 0;
     const loads = Math.max(1, Math.floor((perSecond * loadWindowMs * loadOverrun) / 1_000));
--- a/src/registration/planningConfiguration.ts
+++ b/src/registration/planningConfiguration.ts
@@ -10,6 +10,8 @@
   readonly presenceMs: number;
   /** Instances kept free in each fabric domain for repairs. */
   readonly reserve: number;
+  /** Whether the system forms its first replicas. */
+  readonly isFirstFormation: boolean;
 }
 
 /** What is wanted, in short, for the log. */
@@ -23,13 +25,15 @@
 export const LOADED_VERSION = "1";
 /** Some loads more than run at full speed, so that the weight store is not idle between two. */
 const LOAD_OVERLAP = 4 / 3;
+/** The same while the first replicas form: loads are short then, and each must begin before there is work. */
+const FIRST_LOAD_OVERLAP = 2;
 
 /** Makes the configuration of this moment. */
 export function createPlanningConfiguration(
   now: number,
   engine: EngineProfile,
   facts: PlanningFacts,
-  { presenceMs, reserve }: PlanningBounds,
+  { presenceMs, reserve, isFirstFormation }: PlanningBounds,
 ): { configuration: PlanningConfiguration; summary: SizingSummary } {
   const instancesByDomain = new Map<string, number>();
   for (const instance of facts.instances) {
@@ -51,6 +55,7 @@
     servingByModel,
     warmModels,
   });
+  const overlap = isFirstFormation ? FIRST_LOAD_OVERLAP : LOAD_OVERLAP;
   const configuration: PlanningConfiguration = {
     models: engine.models.map((model) => ({
       name: model.name,
@@ -65,7 +70,7 @@
       replicas: Math.max(group.replicas, servingByModel.get(group.model) ?? 0),
     })),
     planning: { reserve: 0, maxWait: 1, flapLosses: Number.MAX_SAFE_INTEGER, flapWindow: 1 },
-    weightStore: { concurrentLoads: Math.ceil(engine.concurrentLoads * LOAD_OVERLAP) },
+    weightStore: { concurrentLoads: Math.ceil(engine.concurrentLoads * overlap) },
     timing: { presenceWindow: presenceMs, lease: 0 },
     stagesFirst: true,
     modelByDomain,
--- a/test/planner/staging.test.ts
+++ b/test/planner/staging.test.ts
@@ -66,4 +66,24 @@
     const actions = plan([...members, ...busy], 1, { replicas: [replica] });
     expect(actions.filter((action) => action.kind === "loadInstance").length).toBe(4);
   });
+
+  it("counts only instances that are there and read weights against the weight store", () => {
+    const gone = createInstances(6, { fabricDomain: "x", isLoading: true, answeredAt: NOW - 60_000 });
+    const rejoining = createInstances(6, { fabricDomain: "y", isLoading: true, readsWeights: false });
+    const [cold] = createInstances(1, { fabricDomain: "z" });
+    const actions = plan(
+      [...createInstances(3, { ...HELD, fabricDomain: "z" }), cold!, ...gone, ...rejoining].map(
+        (instance, i) => ({ ...instance, id: `i${i}` as InstanceFacts["id"] }),
+      ),
+    );
+    expect(actions).toEqual([expect.objectContaining({ kind: "warmInstance", model: "m" })]);
+    const busy = createInstances(6, { fabricDomain: "x", isLoading: true });
+    const none = plan(
+      [...createInstances(3, { ...HELD, fabricDomain: "z" }), cold!, ...busy].map((instance, i) => ({
+        ...instance,
+        id: `i${i}` as InstanceFacts["id"],
+      })),
+    );
+    expect(none).toEqual([]);
+  });
 });
--- /dev/null
+++ b/test/registration/PlanningFactsSource.test.ts
@@ -0,0 +1,70 @@
+import { create } from "@bufbuild/protobuf";
+import { beforeEach, describe, expect, it } from "vitest";
+import { InstanceReportSchema, PlaceState, ReplicaPlaceSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
+import { ReplicaPhase } from "../../src/gen/ploverstage/v1/state_pb";
+import { InstanceRegistry } from "../../src/registration/InstanceRegistry";
+import { OrderDispatcher } from "../../src/registration/OrderDispatcher";
+import { PlanningFactsSource } from "../../src/registration/PlanningFactsSource";
+import { PresenceDoubts } from "../../src/registration/PresenceDoubts";
+import type { StateMachine } from "../../src/state";
+import { createInstances, createReplica } from "../support/planning";
+
+const NOW = 5_000;
+const SERVICE = "llm";
+
+describe("PlanningFactsSource", () => {
+  let registry: InstanceRegistry;
+  let dispatcher: OrderDispatcher;
+  let source: PlanningFactsSource;
+  const { replica } = createReplica(3, createInstances(2), { phase: ReplicaPhase.FORMING });
+
+  beforeEach(() => {
+    registry = new InstanceRegistry();
+    dispatcher = new OrderDispatcher({
+      orders: { send: () => Promise.resolve("begun"), probe: () => Promise.resolve("present") },
+      clock: { getMonotonicMs: () => NOW, getWallMs: () => NOW },
+      logger: { info: () => {} } as never,
+      metrics: { increment: () => {} } as never,
+      getLoadLimit: () => undefined,
+    });
+    source = new PlanningFactsSource({
+      machine: () => ({ hasDeparted: () => false }) as unknown as StateMachine,
+      registry,
+      dispatcher,
+      doubts: new PresenceDoubts(),
+      startedAt: 0,
+    });
+  });
+
+  function addReport(instanceId: string, staged: string[], state: PlaceState): void {
+    const place = create(ReplicaPlaceSchema, { replicaId: replica.id, epoch: replica.epoch, state });
+    const init = { instanceId, service: SERVICE, sequence: 1, address: `${instanceId}:1` };
+    registry.addReport(NOW, create(InstanceReportSchema, { ...init, stagedModels: staged, place }));
+  }
+
+  function getReadsWeights(now = NOW): Record<string, boolean | undefined> {
+    const { instances } = source.createFacts(now, SERVICE, [replica], new Set());
+    return Object.fromEntries(instances.map((instance) => [instance.id, instance.readsWeights]));
+  }
+
+  it("takes a member that joins for one that reads weights only where it holds none", () => {
+    addReport("f0", [replica.model], PlaceState.JOINING);
+    addReport("f1", [], PlaceState.JOINING);
+    expect(getReadsWeights()).toEqual({ f0: false, f1: true });
+  });
+
+  it("takes no member that was never heard of for one that reads weights", () => {
+    expect(getReadsWeights()).toEqual({ f0: false, f1: false });
+  });
+
+  it("counts an instance that was just told to load, though it hasn't said so yet", async () => {
+    addReport("f0", [], PlaceState.UNSPECIFIED);
+    addReport("f1", [], PlaceState.UNSPECIFIED);
+    await dispatcher.sendLoad(
+      { instanceId: "f0", address: "f0:1" },
+      { kind: "join", replicaId: replica.id, epoch: replica.epoch, model: replica.model, members: [] },
+    );
+    expect(getReadsWeights()).toEqual({ f0: true, f1: false });
+    expect(getReadsWeights(NOW + 2_000)).toEqual({ f0: false, f1: false });
+  });
+});
