--- a/src/consensus/index.ts
+++ b/src/consensus/index.ts
@@ -6,6 +6,7 @@
   getMember,
   getNextMembership,
   getQuorumSize,
+  getVoterCount,
   getVoters,
   isVoter,
   type JoiningFacts,
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -77,3 +77,11 @@
 function removeMember(current: Membership, removed: Member): Membership {
   return createMembership(current.members.filter((member) => member.id !== removed.id));
 }
+
+/**
+ * Gets how many voters leave a majority after some are lost at once.
+ * @param lossesBorne - At least one loss is borne, whatever was asked for.
+ */
+export function getVoterCount(lossesBorne: number): number {
+  return 2 * Math.max(1, lossesBorne) + 1;
+}
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -7,7 +7,7 @@
  */
 import { Effect, type Scope } from "effect";
 import { LoopLag, SystemClock } from "../clock";
-import { createMembership } from "../consensus";
+import { createMembership, getVoterCount } from "../consensus";
 import {
   addConsensusRoutes,
   createInitialSnapshot,
@@ -75,7 +75,7 @@
       transport,
       getAddress: (memberId) => getRpcAddress(settings, getMemberName(memberId)),
       clock,
-      maxVoters: control.voters,
+      maxVoters: getVoterCount(control.lossesBorne),
       onFatal: options.onFatal,
     });
     const getRoutes = createRouteCache(() => driver.machine.getDeclaration(), options.format);
--- a/src/settings/Settings.ts
+++ b/src/settings/Settings.ts
@@ -104,8 +104,8 @@
   dataFolder: Schema.String,
   /** Public addresses of a few control processes. */
   seeds: Schema.Array(Address).check(Schema.isMinLength(1)),
-  /** Voters of the agreed state at the most; other members stand by. */
-  voters: withDefault(Schema.Int.check(Schema.isBetween({ minimum: 1, maximum: 9 })), 3),
+  /** Members that may be lost at once; twice as many and one more vote, others stand by. */
+  lossesBorne: withDefault(Schema.Int.check(Schema.isBetween({ minimum: 0, maximum: 4 })), 1),
   /** Whether this is the first start of the whole system, so that the seeds are its founders. */
   isFirstStart: withDefault(Schema.Boolean, false),
   /** How long callers may keep an answer with addresses. */
--- a/test/consensus/membership.test.ts
+++ b/test/consensus/membership.test.ts
@@ -1,5 +1,11 @@
 import { describe, expect, it } from "vitest";
-import { createMembership, getNextMembership, getVoters, type JoiningFacts } from "../../src/consensus";
+import {
+  createMembership,
+  getNextMembership,
+  getVoterCount,
+  getVoters,
+  type JoiningFacts,
+} from "../../src/consensus";
 import type { Member, Membership } from "../../src/gen/ploverstage/v1/consensus_pb";
 
 function createMember(name: string, learner = false, incarnation = "0"): Member {
@@ -65,4 +71,12 @@
     const steps = join(current, createMember("d"), facts);
     expect(steps.at(-1)?.members.map((member) => member.id)).toEqual(["a.0", "b.0", "c.0", "d.0"]);
   });
+
+  it("wants voters enough that a majority is left after the declared losses", () => {
+    expect([0, 1, 2, 3].map(getVoterCount)).toEqual([3, 3, 5, 7]);
+    for (const losses of [1, 2, 3, 4]) {
+      const voters = getVoterCount(losses);
+      expect(voters - losses).toBeGreaterThan(voters / 2);
+    }
+  });
 });
