--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -50,11 +50,11 @@
 
 /** A replica's members are asked for a sign of life no more often than this. */
 const PROBE_PAUSE_MS = 1_000;
-const PROBE_TIMEOUT_MS = 400;
+const PROBE_TIMEOUT_MS = 250;
 /** Probes, one after the other, until an instance has been silent for long enough. */
-const MAX_PROBES = 3;
+const MAX_PROBES = 4;
 /** An instance that reported so lately is there, whatever a probe came to. */
-const MIN_SILENCE_MS = 900;
+const MIN_SILENCE_MS = 600;
 /** A process that runs its timers so late can't tell who is silent. */
 const MAX_LAG_MS = 120;
 
--- a/src/registration/planningConfiguration.ts
+++ b/src/registration/planningConfiguration.ts
@@ -1,6 +1,6 @@
 /** Makes the planner's configuration out of a service's declaration and the instances that are there. Pure. */
 import type { EngineProfile } from "../declaration";
-import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
+import { ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
 import type { PlanningConfiguration, PlanningFacts } from "../planner";
 import { sizeGroups } from "./sizeGroups";
 
@@ -23,9 +23,10 @@
 
 /** Declared models have one version as far as the planner is concerned. */
 export const LOADED_VERSION = "1";
-/** Some loads more than run at full speed, so that the weight store is not idle between two. */
-const LOAD_OVERLAP = 4 / 3;
-/** The same while the first replicas form: loads are short then, and each must begin before there is work. */
+/**
+ * Loads at a time while the first replicas form, against those that run at full speed: they are
+ * short then, and each must begin before there is work. Later ones would only slow each other.
+ */
 const FIRST_LOAD_OVERLAP = 2;
 
 /** Makes the configuration of this moment. */
@@ -49,13 +50,13 @@
   const warmModels = getWarmModels(now, engine, facts, presenceMs);
   const { groups, modelByDomain } = sizeGroups({
     engine,
-    presentModels: getPresentModels(facts.replicas),
+    presentModels: getPresentModels(now, facts, presenceMs),
     instancesByDomain,
     reserve,
     servingByModel,
     warmModels,
   });
-  const overlap = isFirstFormation ? FIRST_LOAD_OVERLAP : LOAD_OVERLAP;
+  const overlap = isFirstFormation ? FIRST_LOAD_OVERLAP : 1;
   const configuration: PlanningConfiguration = {
     models: engine.models.map((model) => ({
       name: model.name,
@@ -83,13 +84,30 @@
   return { configuration, summary };
 }
 
-/** Gets the model of most replicas in each fabric domain that are not retiring. */
-function getPresentModels(replicas: readonly Replica[]): Map<string, string> {
+/**
+ * Gets the model that most instances of each fabric domain hold or are about to.
+ *
+ * Free holders count as well: what is left of lost replicas waits for few loads, and another
+ * model would need as many as it has instances.
+ */
+function getPresentModels(now: number, facts: PlanningFacts, presenceMs: number): Map<string, string> {
   const counts = new Map<string, Map<string, number>>();
-  for (const { fabricDomain, model, phase } of replicas) {
+  const addHolder = (domain: string, model: string) => {
+    const models = counts.get(domain) ?? new Map<string, number>();
+    counts.set(domain, models.set(model, (models.get(model) ?? 0) + 1));
+  };
+  const placed = new Set<string>();
+  for (const { fabricDomain, model, phase, members } of facts.replicas) {
     if (phase === ReplicaPhase.RETIRING) continue;
-    const models = counts.get(fabricDomain) ?? new Map<string, number>();
-    counts.set(fabricDomain, models.set(model, (models.get(model) ?? 0) + 1));
+    for (const { instanceId } of members) {
+      placed.add(instanceId);
+      addHolder(fabricDomain, model);
+    }
+  }
+  for (const instance of facts.instances) {
+    const isAway = instance.isLeaving || now - instance.answeredAt > presenceMs;
+    const model = instance.stagingModel ?? instance.model;
+    if (!isAway && !placed.has(instance.id) && model !== "") addHolder(instance.fabricDomain, model);
   }
   const getMost = (models: ReadonlyMap<string, number>) => [...models].sort((a, b) => b[1] - a[1])[0]![0];
   return new Map([...counts].map(([domain, models]) => [domain, getMost(models)]));
--- a/test/registration/ReplicaController.test.ts
+++ b/test/registration/ReplicaController.test.ts
@@ -9,7 +9,7 @@
 import { waitUntil } from "../support/waitUntil";
 
 /** How long the stand-in's probes take; both are silent for that long. */
-const PROBE_MS = 400;
+const PROBE_MS = 250;
 
 describe("ReplicaController", () => {
   const { replica } = createReplica(1, createInstances(2));
--- /dev/null
+++ b/test/registration/planningConfiguration.test.ts
@@ -0,0 +1,60 @@
+import { describe, expect, it } from "vitest";
+import type { DeclaredModel, EngineProfile } from "../../src/declaration";
+import { ReplicaPhase } from "../../src/gen/ploverstage/v1/state_pb";
+import type { InstanceFacts } from "../../src/planner";
+import { createPlanningConfiguration } from "../../src/registration/planningConfiguration";
+import { createFacts, createInstances, createReplica, NOW } from "../support/planning";
+
+const PRESENCE_MS = 3_000;
+
+function createModel(name: string, instancesPerReplica: number): DeclaredModel {
+  return { name, instancesPerReplica, share: 0.5, pace: 1, loadMs: 16_000, warmMs: 1_600 };
+}
+
+const ENGINE: EngineProfile = {
+  slots: 18,
+  models: [createModel("m", 4), createModel("n", 3)],
+  loadsPerSecond: 4,
+  concurrentLoads: 6,
+};
+
+function getModels(instances: readonly InstanceFacts[], isFirstFormation = false, replicas = {}) {
+  const facts = createFacts({ instances, ...replicas });
+  const bounds = { presenceMs: PRESENCE_MS, reserve: 0, isFirstFormation };
+  const { configuration } = createPlanningConfiguration(NOW, ENGINE, facts, bounds);
+  return {
+    models: Object.fromEntries(configuration.modelByDomain ?? []),
+    concurrentLoads: configuration.weightStore.concurrentLoads,
+  };
+}
+
+describe("createPlanningConfiguration", () => {
+  it("leaves a domain that lost all its replicas the model that its instances hold", () => {
+    const left = createInstances(3, { fabricDomain: "a", model: "m", modelVersion: "1" });
+    const cold = createInstances(5, { fabricDomain: "a" }).map((instance, i) => ({
+      ...instance,
+      id: `cold${i}` as InstanceFacts["id"],
+    }));
+    const other = createInstances(8, { fabricDomain: "b", model: "n", modelVersion: "1" });
+    expect(getModels([...left, ...cold, ...other]).models).toEqual({ a: "m", b: "n" });
+    const swapped = [...left, ...cold].map((instance) =>
+      instance.model === "m" ? { ...instance, model: "n" } : instance,
+    );
+    const held = other.map((instance) => ({ ...instance, model: "m" }));
+    expect(getModels([...swapped, ...held]).models).toEqual({ a: "n", b: "m" });
+  });
+
+  it("counts what loads ahead of need, and nobody who is gone or whose replica retires", () => {
+    const gone = createInstances(5, { fabricDomain: "a", model: "n", answeredAt: NOW - 60_000 });
+    const staging = createInstances(1, { fabricDomain: "a", stagingModel: "m", isLoading: true });
+    const other = createInstances(3, { fabricDomain: "b", model: "n", modelVersion: "1" });
+    const { replica } = createReplica(1, gone, { phase: ReplicaPhase.RETIRING });
+    const instances = [...gone, { ...staging[0]!, id: "s" as InstanceFacts["id"] }, ...other];
+    expect(getModels(instances, false, { replicas: [replica] }).models).toEqual({ a: "m", b: "n" });
+  });
+
+  it("keeps to the loads that run at full speed, but for the first formation", () => {
+    expect(getModels(createInstances(4)).concurrentLoads).toBe(6);
+    expect(getModels(createInstances(4), true).concurrentLoads).toBe(12);
+  });
+});
