--- a/test/support/ProcessHandle.ts
+++ b/test/support/ProcessHandle.ts
@@ -6,6 +6,9 @@
 /** Arguments of Node itself, for profiles: `PLOVERSTAGE_NODE_ARGS="--cpu-prof"`. */
 const NODE_ARGS = process.env.PLOVERSTAGE_NODE_ARGS?.split(" ") ?? [];
 
+/** What a process wrote last is told when it ends by itself. */
+const TAIL_CHARACTERS = 2_000;
+
 /** A process that can be killed, frozen and started again with the same arguments. */
 export class ProcessHandle {
   readonly name: string;
@@ -33,6 +36,16 @@
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
     this._child = child;
+    let tail = "";
+    for (const stream of [child.stdout, child.stderr]) {
+      stream.on("data", (chunk: Buffer) => {
+        tail = (tail + chunk.toString()).slice(-TAIL_CHARACTERS);
+      });
+    }
+    // A process that is gone makes others wait in vain: the report says why.
+    child.once("exit", (code, signal) => {
+      if (this._child === child) console.error(`${this.name} ended by itself (${code ?? signal}): ${tail}`);
+    });
   }
 
   /** Kills it without a chance to clean up. */
