--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -14,6 +14,7 @@
 import type { CallFacts, Dialect } from "./Dialect";
 import { createNotRun, createUnknown, type GatewayRefusal } from "./GatewayRefusal";
 import { isSilentTooLong, mayRepeat } from "./patience";
+import type { GatePass, StreamGate } from "./StreamGate";
 import type { TargetPool } from "./TargetPool";
 
 /** A request that was accepted. Times are monotonic milliseconds. */
@@ -38,6 +39,8 @@
   readonly client: HttpClient;
   readonly dialect: Dialect;
   readonly pool: TargetPool;
+  /** Holds streams back while endpoints are overloaded. */
+  readonly gate: StreamGate;
   /** Takes one repeat from the entries' budget, if there is one. */
   readonly takeRetry: () => boolean;
   /** Called when a target can't be reached or stands still. */
@@ -75,6 +78,10 @@
 const MAX_RETRY_MS = 3_000;
 /** Silence is looked for this often. */
 const WATCH_MS = 50;
+/** A watch that runs so late has not seen yet what arrived meanwhile: it decides nothing. */
+const MAX_WATCH_LAG_MS = 30;
+/** A request waits so long for an endpoint whose streams all stand still. */
+const STALLED_PATIENCE_MS = 100;
 /** Less time than this is not worth an attempt. */
 const MIN_LEFT_MS = 5;
 
@@ -86,7 +93,7 @@
   private readonly _tried = new Set<string>();
   private _sent = 0;
   private _mayHaveRun = false;
-  private _isOver = false;
+  private readonly _over = new AbortController();
   private _current: AbortController | undefined;
 
   /**
@@ -105,13 +112,40 @@
 
   /** Ends the attempt under way: the caller is gone, or its time is over. */
   cancel(): void {
-    this._isOver = true;
+    this._over.abort();
     this._current?.abort();
   }
 
   /** Gets whether the request was cancelled. */
   get isOver(): boolean {
-    return this._isOver;
+    return this._over.signal.aborted;
+  }
+
+  /**
+   * Waits until endpoints bear one more stream.
+   * @returns `undefined` when the request is given up on.
+   */
+  enterGate(): Promise<GatePass | undefined> {
+    const { call, route, service, receivedAt, deadlineAt } = this.request;
+    return this.tools.gate.enter(
+      {
+        service,
+        model: call.model,
+        arrivedAt: receivedAt,
+        objectiveMs: route.objectiveMs,
+        deadlineAt,
+        callerPatienceMs: Math.min(
+          deadlineAt - receivedAt,
+          route.callerPatienceMs ?? Number.POSITIVE_INFINITY,
+        ),
+      },
+      this._over.signal,
+    );
+  }
+
+  /** Makes the final answer of a request that found no room in time. */
+  createOverload(): GatewayRefusal {
+    return createNotRun("overloaded", "more is asked for than can be served now", this._getRetryMs());
   }
 
   /** Gets the present time. */
@@ -147,7 +181,7 @@
    * Decides whether to try again after a failed attempt; takes a repeat from the budget.
    */
   takeNextAttempt(): boolean {
-    if (this._isOver || !this.hasAttemptsLeft()) return false;
+    if (this.isOver || !this.hasAttemptsLeft()) return false;
     if (this._mayHaveRun && !mayRepeat(this.request.route)) return false;
     if (this.chooseTarget() === undefined) return false;
     return this._sent === 0 || this.tools.takeRetry();
@@ -235,11 +269,14 @@
     getPatienceMs: () => number,
     getHeardAt: () => number,
   ): () => void {
+    let lookedAt = this.getNow();
     const timer = setInterval(() => {
       const now = this.getNow();
+      const lagMs = now - lookedAt - WATCH_MS;
+      lookedAt = now;
+      if (lagMs > MAX_WATCH_LAG_MS) return;
       const silentMs = now - getHeardAt();
-      const targetSilentMs = now - this.tools.pool.getHeardAt(target.id);
-      if (!isSilentTooLong(silentMs, targetSilentMs, getPatienceMs()) || !this.canGoElsewhere()) return;
+      if (!this._hasLostPatience(now, target, silentMs, getPatienceMs()) || !this.canGoElsewhere()) return;
       abort.abort(
         new LostAnswer({ address: target.address, reason: `silent for ${Math.round(silentMs)} ms` }),
       );
@@ -247,6 +284,15 @@
     return () => clearInterval(timer);
   }
 
+  private _hasLostPatience(now: number, target: Target, silentMs: number, patienceMs: number): boolean {
+    const { pool, onSuspicion } = this.tools;
+    if (pool.isStalled(now, target.id)) {
+      onSuspicion(target, false);
+      if (silentMs >= STALLED_PATIENCE_MS) return true;
+    }
+    return isSilentTooLong(silentMs, now - pool.getHeardAt(target.id), patienceMs);
+  }
+
   private _call(
     target: Target,
     lastEventId: string | undefined,
@@ -291,7 +337,7 @@
       tookMs: Math.round(now - startedAt),
     });
     // A caller that left says nothing about the endpoint.
-    if (this._isOver) return;
+    if (this.isOver) return;
     this.tools.pool.addFailure(now, target.id);
     this.tools.onSuspicion(target, !failure.wasSent);
   }
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -18,6 +18,7 @@
 import type { GatewaySettings, LiveSettings } from "../settings";
 import type { Dialect } from "./Dialect";
 import { GatewayServer } from "./GatewayServer";
+import { StreamGate } from "./StreamGate";
 import { SuspicionReporter } from "./SuspicionReporter";
 import { TargetPool } from "./TargetPool";
 
@@ -85,6 +86,7 @@
       client,
       dialect,
       pool,
+      gate: new StreamGate(clock),
       takeRetry: () => budget.takeRetry(clock.getMonotonicMs(), getEntryCount()),
       onSuspicion: (target, isUnreachable) => {
         if (target.model !== "") suspicions.report(target, isUnreachable);
--- a/src/gateway/GatewayRefusal.ts
+++ b/src/gateway/GatewayRefusal.ts
@@ -10,6 +10,7 @@
   | "malformed_request"
   | "stopping"
   | "no_target"
+  | "overloaded"
   | "endpoint_unreachable"
   | "endpoint_refused"
   | "answer_lost"
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -31,6 +31,8 @@
 
 const MAX_HEADER_BYTES = 16_384;
 const REQUEST_TIMEOUT_MS = 30_000;
+/** Senders that take too long for their headers are looked for this often. */
+const SLOW_SENDER_CHECK_MS = 500;
 const UNDECLARED_RETRY_MS = 500;
 const STOPPING_RETRY_MS = 50;
 /** Callers reuse a connection up to the declared time; it is kept a little longer. */
@@ -64,6 +66,7 @@
     this._server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       requestTimeout: REQUEST_TIMEOUT_MS,
+      connectionsCheckingInterval: SLOW_SENDER_CHECK_MS,
       noDelay: true,
     });
     this._server.on("request", (request, response) => void this._handle(request, response));
@@ -112,6 +115,7 @@
   /** Refuses what comes from now on; resolves once every answer is out. */
   async finish(): Promise<void> {
     this._refusesAll = true;
+    this._options.tools.gate.refuseAll();
     await new Promise<void>((resolve) => {
       this._onIdle = resolve;
       this._endIfIdle();
@@ -167,13 +171,13 @@
   }
 
   private async _accept(incoming: IncomingMessage, progress: Progress): Promise<ExchangeRequest> {
+    const call = this._options.tools.dialect.readCall(incoming.headers);
+    progress.call = call;
     const routes = this._options.getRoutes();
     if (routes === undefined) {
       throw createNotRun("no_declaration", "no declaration is in force here yet", UNDECLARED_RETRY_MS);
     }
     if (this._refusesAll) throw createNotRun("stopping", "this entry stops", STOPPING_RETRY_MS);
-    const call = this._options.tools.dialect.readCall(incoming.headers);
-    progress.call = call;
     const route = routes.getRoute(incoming.headers.host ?? "", incoming.url ?? "");
     if (route === undefined) throw createFinal(404, "no_route", "no route has this host and path");
     progress.route = route;
--- a/src/gateway/StreamExchange.ts
+++ b/src/gateway/StreamExchange.ts
@@ -12,6 +12,7 @@
 import { endWithConnection } from "./endWithConnection";
 import { getEndToEndHeaders, isFramed } from "./headers";
 import { getAnswerPatienceMs, getGapPatienceMs, mayRepeat } from "./patience";
+import type { GatePass } from "./StreamGate";
 
 /** What a stream came to. */
 export interface StreamResult {
@@ -35,6 +36,9 @@
   private _events = 0;
   /** Whether the caller's answer ends with its connection, as the endpoint's did. */
   private _endsWithConnection = false;
+  private _pass: GatePass | undefined;
+  /** Whether the caller has not taken what it was sent: no silence of the endpoint is seen then. */
+  private _isBlocked = false;
 
   /**
    * @param exchange - The request and its attempts.
@@ -61,6 +65,16 @@
    * @throws GatewayRefusal - When nothing of an answer has gone out.
    */
   async run(): Promise<StreamResult> {
+    this._pass = await this._exchange.enterGate();
+    if (this._pass === undefined) throw this._exchange.createOverload();
+    try {
+      return await this._runAttempts();
+    } finally {
+      this._pass.end();
+    }
+  }
+
+  private async _runAttempts(): Promise<StreamResult> {
     do {
       const end = await this._attempt();
       if (end === "whole") return this.getResult(true);
@@ -111,16 +125,23 @@
   private async _relay(attempt: BegunAttempt): Promise<RelayEnd> {
     const splitter = new EventSplitter();
     let heardAt = attempt.startedAt;
+    const pace = this._exchange.tools.pool.getPace(attempt.target.id);
+    let endStream: (() => void) | undefined;
     const stopWatch = this._exchange.watchSilence(
       attempt,
       () => this._getPatienceMs(),
-      () => heardAt,
+      () => (this._isBlocked ? this._exchange.getNow() : heardAt),
     );
     try {
       for await (const chunk of attempt.incoming as AsyncIterable<Buffer>) {
-        heardAt = this._exchange.getNow();
-        this._exchange.tools.pool.addSign(heardAt, attempt.target.id);
+        const now = this._exchange.getNow();
+        if (endStream === undefined) endStream = pace?.startStream(now);
+        else pace?.addEvent(now, now - heardAt);
+        heardAt = now;
+        this._exchange.tools.pool.addSign(now, attempt.target.id);
         for (const event of splitter.addBytes(chunk)) await this._passOn(attempt, event.bytes, event.id);
+        // The caller may have been slow to take them.
+        heardAt = this._exchange.getNow();
       }
       return await this._endWhole(attempt, splitter);
     } catch (cause) {
@@ -132,6 +153,7 @@
       return "brokeOff";
     } finally {
       stopWatch();
+      endStream?.();
     }
   }
 
@@ -155,10 +177,12 @@
     if (id !== undefined) this._lastEventId = id;
     const response = this._response;
     if (response.write(bytes) || response.destroyed) return;
+    this._isBlocked = true;
     await new Promise<void>((resolve) => {
       response.once("drain", resolve);
       response.once("close", resolve);
     });
+    this._isBlocked = false;
   }
 
   private _writeHead(incoming: IncomingMessage): void {
@@ -173,10 +197,17 @@
   private _noteEvent(): void {
     const now = this._exchange.getNow();
     this._events += 1;
-    if (this._eventAt === undefined) this._firstEventMs = Math.round(now - this._exchange.request.receivedAt);
+    if (this._eventAt === undefined) this._noteFirstEvent(now);
     else this._longestGapMs = Math.max(this._longestGapMs, now - this._eventAt);
     this._eventAt = now;
   }
+
+  /** An endpoint that failed before says nothing of how long others let a request wait. */
+  private _noteFirstEvent(now: number): void {
+    this._firstEventMs = Math.round(now - this._exchange.request.receivedAt);
+    if (this._exchange.failures.length === 0) this._pass?.addFirstEvent();
+    else this._pass?.end();
+  }
 }
 
 /** A stream may be longer or shorter than its first endpoint meant, so its length is not passed on. */
--- a/src/gateway/TargetPool.ts
+++ b/src/gateway/TargetPool.ts
@@ -5,6 +5,7 @@
  */
 import type { RandomSource } from "../consensus";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
+import { AnswerPace } from "./AnswerPace";
 
 /** What a choice is made for. */
 export interface TargetRequest {
@@ -23,12 +24,19 @@
   failures: number;
   /** When any request heard anything of it. */
   heardAt: number;
+  readonly pace: AnswerPace;
 }
 
 /** How long a target is avoided after its first failure; doubled with each that follows. */
 const SUSPICION_MS = 500;
 const MAX_SUSPICION_MS = 4_000;
 const NEVER = Number.NEGATIVE_INFINITY;
+/** No stream of a target has shown its pace lately. */
+const UNKNOWN_GAP_MS = Number.POSITIVE_INFINITY;
+/** A target is taken for no slower than this against the fastest one. */
+const MAX_SLOWNESS = 8;
+/** Random part of a score, below any difference that matters. */
+const TIE_BREAK = 1e-6;
 /** Requests that a suspect counts as, against one that is not. */
 const SUSPECT_LOAD = 1_000;
 
@@ -49,8 +57,7 @@
     this._targets = new Map(
       targets.map((target) => {
         const known = this._targets.get(target.id);
-        if (known === undefined)
-          return [target.id, { target, inFlight: 0, suspectUntil: 0, failures: 0, heardAt: NEVER }];
+        if (known === undefined) return [target.id, createState(target)];
         known.target = target;
         return [target.id, known];
       }),
@@ -67,16 +74,17 @@
     return this._targets.get(id)?.inFlight ?? 0;
   }
 
-  /** Chooses the target with the fewest requests a slot. */
+  /**
+   * Chooses the target with the fewest requests a slot, where one whose streams advance
+   * slower than those of the others counts as fuller by the square of how much slower.
+   */
   chooseTarget(now: number, request: TargetRequest): Target | undefined {
+    const candidates = this._getCandidates(request);
+    const bestGapMs = Math.min(...candidates.map(({ pace }) => pace.getMeanGapMs(now) ?? UNKNOWN_GAP_MS));
     let best: TargetState | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
-    for (const state of this._targets.values()) {
-      const { target } = state;
-      if (target.service !== request.service || target.model !== request.model) continue;
-      if (request.excluded.has(target.id)) continue;
-      const load = state.inFlight / Math.max(1, target.slots);
-      const score = load + (state.suspectUntil > now ? SUSPECT_LOAD : 0) + this._random.next() * 1e-6;
+    for (const state of candidates) {
+      const score = this._getScore(now, state, bestGapMs);
       if (score < bestScore) {
         best = state;
         bestScore = score;
@@ -87,7 +95,18 @@
 
   /** Checks whether a target is avoided now. */
   isSuspect(now: number, id: string): boolean {
-    return (this._targets.get(id)?.suspectUntil ?? 0) > now;
+    const state = this._targets.get(id);
+    return state !== undefined && this._isAvoided(now, state);
+  }
+
+  /** Checks whether a target's streams all stand still. */
+  isStalled(now: number, id: string): boolean {
+    return this._targets.get(id)?.pace.isStalled(now) ?? false;
+  }
+
+  /** Gets the pace of a target's streams, if it is known. */
+  getPace(id: string): AnswerPace | undefined {
+    return this._targets.get(id)?.pace;
   }
 
   /** Notes the beginning of a request; gives what notes its end. */
@@ -130,4 +149,26 @@
     state.failures += 1;
     state.suspectUntil = Math.max(state.suspectUntil, now + span);
   }
+
+  private _getCandidates({ service, model, excluded }: TargetRequest): TargetState[] {
+    return [...this._targets.values()].filter(
+      ({ target }) => target.service === service && target.model === model && !excluded.has(target.id),
+    );
+  }
+
+  private _getScore(now: number, state: TargetState, bestGapMs: number): number {
+    const gapMs = state.pace.getMeanGapMs(now) ?? bestGapMs;
+    const slowness = Number.isFinite(gapMs) ? Math.min(MAX_SLOWNESS, gapMs / Math.max(1, bestGapMs)) : 1;
+    const load = ((state.inFlight + 1) / Math.max(1, state.target.slots)) * slowness ** 2;
+    const penalty = this._isAvoided(now, state) ? SUSPECT_LOAD : 0;
+    return load + penalty + this._random.next() * TIE_BREAK;
+  }
+
+  private _isAvoided(now: number, state: TargetState): boolean {
+    return state.suspectUntil > now || state.pace.isStalled(now);
+  }
+}
+
+function createState(target: Target): TargetState {
+  return { target, inFlight: 0, suspectUntil: 0, failures: 0, heardAt: NEVER, pace: new AnswerPace() };
 }
--- /dev/null
+++ b/test/gateway/AdmissionWindow.test.ts
@@ -0,0 +1,47 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { AdmissionWindow } from "../../src/gateway/AdmissionWindow";
+
+describe("AdmissionWindow", () => {
+  it("holds nobody back while first events come well within their objective", () => {
+    const window = new AdmissionWindow();
+    for (let now = 0; now < 10_000; now += 10) {
+      expect(window.hasRoom()).toBe(true);
+      window.addSent();
+      window.addFirstEvent(now, 0.4);
+      window.removeSent();
+    }
+    expect(window.size).toBeGreaterThan(32);
+  });
+
+  it("shrinks from what waits, once a moment, and grows again", () => {
+    const window = new AdmissionWindow();
+    for (let i = 0; i < 9; i++) window.addSent();
+    window.addFirstEvent(1_000, 1.5);
+    expect(window.size).toBe(8);
+    window.addFirstEvent(1_050, 1.5);
+    expect(window.size).toBe(8);
+    window.addFirstEvent(1_100, 1.5);
+    expect(window.size).toBeCloseTo(6.4);
+    expect(window.hasRoom()).toBe(false);
+    for (let i = 0; i < 100; i++) window.addFirstEvent(2_000, 0.1);
+    expect(window.size).toBeGreaterThan(12);
+  });
+
+  it("always lets one through when nothing waits", () => {
+    const event = fc.record({ afterMs: fc.nat(500), share: fc.double({ min: 0, max: 20, noNaN: true }) });
+    fc.assert(
+      fc.property(fc.array(event, { maxLength: 200 }), (events) => {
+        const window = new AdmissionWindow();
+        let now = 0;
+        for (const { afterMs, share } of events) {
+          now += afterMs;
+          window.addSent();
+          window.addFirstEvent(now, share);
+          window.removeSent();
+        }
+        return window.hasRoom() && window.size <= 64;
+      }),
+    );
+  });
+});
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -8,6 +8,7 @@
 import type { AttemptFacts, CallFacts, Dialect } from "../../src/gateway";
 import { dropHeaders } from "../../src/gateway";
 import { GatewayServer } from "../../src/gateway/GatewayServer";
+import { StreamGate } from "../../src/gateway/StreamGate";
 import { TargetPool } from "../../src/gateway/TargetPool";
 import { type Target, TargetSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { HttpClient } from "../../src/http";
@@ -174,7 +175,7 @@
       routes: [route],
       services: [{ name: "service", maxConnections: 10, engine: undefined }],
       organisations: [{ name: "atlas", keys: ["k1"], priority: 0 }],
-      limits: { headerBytes: 16_384, bodyBytes: 100_000, headerMs: 3_000, idleMs: 15_000 },
+      limits: { headerBytes: 16_384, bodyBytes: 100_000, headerMs: 300, idleMs: 15_000 },
     };
     const routes = new RouteTable(declaration);
     const probe = createServer();
@@ -192,6 +193,7 @@
         client: this._client,
         dialect: new TestDialect(),
         pool,
+        gate: new StreamGate(clock),
         takeRetry: () => true,
         onSuspicion: () => {},
       },
@@ -225,3 +227,21 @@
     });
   };
 }
+
+/** Streams events one at a time, then stands still with its connection open. */
+export function streamThenStall(ids: readonly number[], gapMs: number): Script {
+  return (seen, response) => {
+    response.writeHead(200, {
+      "x-seal": "s",
+      "x-id": String(seen.headers["x-id"]),
+      "content-type": "text/event-stream",
+    });
+    const left = [...ids];
+    const timer = setInterval(() => {
+      const id = left.shift();
+      if (id === undefined) clearInterval(timer);
+      else response.write(`id: ${id}\ndata: ${id}\n\n`);
+    }, gapMs);
+    response.on("close", () => clearInterval(timer));
+  };
+}
--- a/test/gateway/GatewayServer.test.ts
+++ b/test/gateway/GatewayServer.test.ts
@@ -1,6 +1,6 @@
 import { connect } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
-import { answer, GatewayHarness, type Script, streamEvents } from "./GatewayHarness";
+import { answer, GatewayHarness, type Script, streamEvents, streamThenStall } from "./GatewayHarness";
 
 const notRun: Script = (_seen, response) => {
   response.writeHead(503, { "x-not-run": "1" });
@@ -108,6 +108,12 @@
     expect(harness.seen).toEqual([]);
   });
 
+  it("tells a caller that takes too long to send its headers, and runs nothing", async () => {
+    harness = await GatewayHarness.start([answer(200, "")]);
+    expect(await sendRaw("GET /a HTTP/1.1\r\nHost: api.example\r\nx-slow: ")).toMatch(/^HTTP\/1\.1 408 /);
+    expect(harness.seen).toEqual([]);
+  });
+
   describe("trying again", () => {
     it("sends what did not run to another endpoint", async () => {
       harness = await GatewayHarness.start([notRun, answer(200, "second")], { kind: "notRepeatable" });
@@ -215,6 +221,15 @@
       expect(await harness.call()).toMatchObject({ status: 200, body: EVENTS, isWhole: true });
     });
 
+    it("leave an endpoint whose streams all stand still long before their objective says so", async () => {
+      harness = await GatewayHarness.start([streamThenStall([1, 2, 3], 20), streamEvents([4], "whole")], {
+        ...RESUMABLE,
+        gapObjectiveMs: 60_000,
+        objectiveMs: 60_000,
+      });
+      expect(await harness.call()).toMatchObject({ status: 200, body: EVENTS, isWhole: true });
+    });
+
     it("end visibly broken where they may not be resumed", async () => {
       harness = await GatewayHarness.start([streamEvents([1, 2], "cut"), streamEvents([3, 4], "whole")], {
         kind: "stream",
--- /dev/null
+++ b/test/gateway/StreamGate.test.ts
@@ -0,0 +1,87 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { type GatePass, type GateRequest, StreamGate } from "../../src/gateway/StreamGate";
+
+const OBJECTIVE_MS = 200;
+const TIME_MS = 5_000;
+
+describe("StreamGate", () => {
+  let gate: StreamGate;
+  let order: string[];
+
+  beforeEach(() => {
+    vi.useFakeTimers({ now: 0 });
+    gate = new StreamGate({ getMonotonicMs: () => Date.now(), getWallMs: () => Date.now() });
+    order = [];
+  });
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  function createRequest(model = "m"): GateRequest {
+    const now = Date.now();
+    return {
+      service: "s",
+      model,
+      arrivedAt: now,
+      objectiveMs: OBJECTIVE_MS,
+      deadlineAt: now + TIME_MS,
+      callerPatienceMs: TIME_MS,
+    };
+  }
+
+  async function enter(name: string, signal = new AbortController().signal): Promise<GatePass | undefined> {
+    const pass = await gate.enter(createRequest(), signal);
+    order.push(pass === undefined ? `${name} refused` : name);
+    return pass;
+  }
+
+  /** Makes the window one wide, with one stream in it. */
+  async function fillWindow(): Promise<GatePass> {
+    for (let i = 0; i < 30; i++) {
+      const pass = await gate.enter(createRequest(), new AbortController().signal);
+      await vi.advanceTimersByTimeAsync(OBJECTIVE_MS * 2);
+      pass!.addFirstEvent();
+    }
+    return (await gate.enter(createRequest(), new AbortController().signal))!;
+  }
+
+  it("lets the oldest out first of those that can meet their objective, then the late ones", async () => {
+    const first = await fillWindow();
+    const passes = [enter("late")];
+    await vi.advanceTimersByTimeAsync(OBJECTIVE_MS);
+    passes.push(enter("fresh 1"));
+    await vi.advanceTimersByTimeAsync(20);
+    passes.push(enter("fresh 2"));
+    await vi.advanceTimersByTimeAsync(20);
+    expect(gate.waitingCount).toBe(3);
+    first.end();
+    first.end();
+    await vi.advanceTimersByTimeAsync(0);
+    expect(order).toEqual(["fresh 1"]);
+    (await passes[1])!.end();
+    (await passes[2])!.end();
+    await passes[0];
+    expect(order).toEqual(["fresh 1", "fresh 2", "late"]);
+  });
+
+  it("gives a stream up that waited for too long, that left, or when the entry stops", async () => {
+    await fillWindow();
+    const caller = new AbortController();
+    const waiting = [enter("too long"), enter("left", caller.signal)];
+    caller.abort();
+    await waiting[1];
+    await vi.advanceTimersByTimeAsync(TIME_MS / 2);
+    expect(order).toEqual(["left refused", "too long refused"]);
+    const stopped = enter("stopped");
+    gate.refuseAll();
+    await stopped;
+    expect(order.at(-1)).toBe("stopped refused");
+    expect(gate.waitingCount).toBe(0);
+  });
+
+  it("holds no stream back for another model's sake", async () => {
+    await fillWindow();
+    const pass = await gate.enter(createRequest("other"), new AbortController().signal);
+    expect(pass).toBeDefined();
+  });
+});
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -81,6 +81,7 @@
       kind: "stream",
       isResumable: true,
       gapObjectiveMs: 250,
+      callerPatienceMs: 2_000,
       split: CONFIG.routes[0]!.trafficSplit,
     });
     expect(declaration.routes[1]).toMatchObject({
