--- a/src/consensus/Progress.ts
+++ b/src/consensus/Progress.ts
@@ -6,8 +6,13 @@
   matchIndex: number;
   /** Newest round of the leader that it answered; shows that it still follows. */
   round: number;
-  /** When its last answer arrived, monotonic milliseconds; -Infinity before the first. */
+  /**
+   * When its last answer arrived, or the term began, whichever is later; monotonic
+   * milliseconds, -Infinity before both.
+   */
   answeredAt: number;
+  /** Whether it answered in this term. */
+  hasAnswered: boolean;
   /** When a snapshot was last sent; none is sent again until it can have arrived. */
   snapshotSentAt: number;
 }
@@ -19,6 +24,7 @@
     matchIndex: 0,
     round: 0,
     answeredAt: Number.NEGATIVE_INFINITY,
+    hasAnswered: false,
     snapshotSentAt: Number.NEGATIVE_INFINITY,
   };
 }
--- a/src/consensus/RaftNode.ts
+++ b/src/consensus/RaftNode.ts
@@ -579,6 +579,7 @@
     const progress = this._progress.get(from);
     if (this._role !== "leader" || progress === undefined) return;
     progress.answeredAt = now;
+    progress.hasAnswered = true;
     progress.round = Math.max(progress.round, response.round);
     this._confirmBarriers();
     if (!response.accepted) {
--- a/src/control/routes/status.ts
+++ b/src/control/routes/status.ts
@@ -82,8 +82,8 @@
   return driver.node.membership.members.map((member) => {
     const progress = driver.node.getProgress(member.id);
     const isSelf = member.id === driver.node.id;
-    const answeredAt = progress?.answeredAt ?? Number.NEGATIVE_INFINITY;
-    const silentMs = Number.isFinite(answeredAt) ? now - answeredAt : -1;
+    // The beginning of a term is no sign of life of a member that has not answered since.
+    const silentMs = progress?.hasAnswered === true ? now - progress.answeredAt : -1;
     return {
       member,
       leader: isSelf,
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -9,7 +9,7 @@
   type ViewUpdate,
 } from "../gen/ploverstage/v1/fleet_pb";
 import type { Logger } from "../metrics";
-import { createRpcTransport, LEADER_HEADER } from "../rpc";
+import { createRpcTransport, LEADER_HEADER, SearchPause } from "../rpc";
 import type { FollowedView } from "./FollowedView";
 
 /** What a watcher works with. */
@@ -33,9 +33,6 @@
 const SILENCE_MS = 1_000;
 /** The first answer may wait for a connection to come up. */
 const FIRST_ANSWER_MS = 700;
-/** Pause after a first failure; it doubles up to the longest, so that an election is not disturbed. */
-const PAUSE_MS = 50;
-const MAX_PAUSE_MS = 500;
 const IDLE_MS = 100;
 const STOP_MS = 700;
 const SUSPICION_MS = 500;
@@ -71,7 +68,7 @@
 
   /** Follows until stopped. */
   async run(): Promise<void> {
-    let pauseMs = PAUSE_MS;
+    const search = new SearchPause();
     while (!this._isStopped) {
       if (this._options.isWanted?.() === false) {
         await pause(IDLE_MS);
@@ -81,10 +78,10 @@
       if (this._isConnected) {
         this._options.logger.warn({ event: "control_lost", leader: this._current, reason: failure.message });
       }
-      pauseMs = this._isConnected ? PAUSE_MS : Math.min(MAX_PAUSE_MS, pauseMs * 2);
+      if (this._isConnected) search.reset();
       this._isConnected = false;
       this._current = this._getNext(failure);
-      await pause(pauseMs);
+      await pause(search.addFailure(this._getCandidates().length));
     }
   }
 
@@ -164,12 +161,16 @@
   private _getNext(failure: ConnectError): string {
     const hint = failure.metadata.get(LEADER_HEADER) ?? "";
     if (hint !== "" && hint !== this._current) return hint;
-    const { getSeeds, view } = this._options;
-    const candidates = [...new Set([...view.getControlAddresses(), ...getSeeds()])];
+    const candidates = this._getCandidates();
     this._next += 1;
     return candidates[this._next % candidates.length]!;
   }
 
+  private _getCandidates(): string[] {
+    const { getSeeds, view } = this._options;
+    return [...new Set([...view.getControlAddresses(), ...getSeeds()])];
+  }
+
   private _getClient(address: string): Client<typeof FleetService> {
     const known = this._clients.get(address);
     if (known !== undefined) return known;
--- a/src/rpc/LeaderClient.ts
+++ b/src/rpc/LeaderClient.ts
@@ -10,6 +10,7 @@
 import type { Clock } from "../clock";
 import { UnreachableControl } from "../errors";
 import { createRpcTransport } from "./createRpcTransport";
+import { SearchPause } from "./SearchPause";
 
 /** Header in which a process that doesn't lead names the one that does. */
 export const LEADER_HEADER = "leader-address";
@@ -28,9 +29,6 @@
 export type LeaderCall<S extends DescService, R> = (client: Client<S>, timeoutMs: number) => Promise<R>;
 
 const ATTEMPT_MS = 700;
-/** Pause after a first failure; it doubles up to the longest. */
-const PAUSE_MS = 50;
-const MAX_PAUSE_MS = 400;
 
 /** A client of one service of the control leader. */
 export class LeaderClient<S extends DescService> {
@@ -61,7 +59,7 @@
   async call<R>(call: LeaderCall<S, R>, totalMs: number): Promise<R> {
     const endAt = this._options.clock.getMonotonicMs() + totalMs;
     let reason = "none was asked";
-    let pauseMs = PAUSE_MS;
+    const pause = new SearchPause();
     for (;;) {
       const leftMs = endAt - this._options.clock.getMonotonicMs();
       if (leftMs <= 0) throw new UnreachableControl({ tried: this._options.addresses, reason });
@@ -71,9 +69,8 @@
       } catch (cause) {
         reason = this._goOn(cause);
       }
-      const waitMs = Math.min(pauseMs, leftMs);
+      const waitMs = Math.min(pause.addFailure(this._options.addresses.length), leftMs);
       await new Promise((resolve) => setTimeout(resolve, waitMs));
-      pauseMs = Math.min(MAX_PAUSE_MS, pauseMs * 2);
     }
   }
 
--- /dev/null
+++ b/src/rpc/SearchPause.ts
@@ -0,0 +1,37 @@
+/**
+ * How long to wait before the next process is asked who leads.
+ *
+ * While there is one that was not asked yet, waiting only makes the leader be found later;
+ * after a round of all of them it keeps an election from being disturbed. Pure.
+ */
+
+/** Between two processes of one round, milliseconds. */
+const STEP_MS = 10;
+/** After a first round; doubled with each that follows, up to the longest. */
+const FIRST_ROUND_MS = 50;
+const MAX_ROUND_MS = 200;
+
+/** The pauses of one search. */
+export class SearchPause {
+  private _failures = 0;
+  private _roundMs = FIRST_ROUND_MS;
+
+  /**
+   * Notes that a process did not answer as the leader.
+   * @param processes - How many there are to ask.
+   * @returns How long to wait before the next one, milliseconds.
+   */
+  addFailure(processes: number): number {
+    this._failures += 1;
+    if (this._failures % Math.max(1, processes) !== 0) return STEP_MS;
+    const pauseMs = this._roundMs;
+    this._roundMs = Math.min(MAX_ROUND_MS, this._roundMs * 2);
+    return pauseMs;
+  }
+
+  /** Notes that the leader was found: the next search begins anew. */
+  reset(): void {
+    this._failures = 0;
+    this._roundMs = FIRST_ROUND_MS;
+  }
+}
--- a/src/rpc/index.ts
+++ b/src/rpc/index.ts
@@ -2,4 +2,5 @@
 export { createRpcTransport } from "./createRpcTransport";
 export { createLeaderRefusal, LEADER_HEADER, LeaderClient, type LeaderClientOptions } from "./LeaderClient";
 export { RpcServer, type RpcServerOptions } from "./RpcServer";
+export { SearchPause } from "./SearchPause";
 export { createSecretGuard, createSecretSender } from "./secrets";
--- /dev/null
+++ b/test/rpc/LeaderClient.test.ts
@@ -0,0 +1,68 @@
+import { Code, ConnectError } from "@connectrpc/connect";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { UnreachableControl } from "../../src/errors";
+import { FleetService } from "../../src/gen/ploverstage/v1/fleet_pb";
+import { createLeaderRefusal, LeaderClient } from "../../src/rpc";
+
+const ADDRESSES = ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"];
+const TOTAL_MS = 1_500;
+
+describe("LeaderClient", () => {
+  let client: LeaderClient<typeof FleetService>;
+  let asked: string[];
+
+  beforeEach(() => {
+    vi.useFakeTimers({ now: 0 });
+    asked = [];
+    client = new LeaderClient(FleetService, {
+      addresses: ADDRESSES,
+      secret: undefined,
+      clock: { getMonotonicMs: () => Date.now(), getWallMs: () => Date.now() },
+    });
+  });
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  /** Calls until the leader answers; gives when that was. */
+  async function findLeader(getLeader: () => string | undefined, hint = ""): Promise<number> {
+    let foundAt = Number.NaN;
+    const call = client.call(() => {
+      asked.push(client.currentAddress);
+      if (client.currentAddress !== getLeader()) return Promise.reject(createLeaderRefusal(hint));
+      foundAt = Date.now();
+      return Promise.resolve(1);
+    }, TOTAL_MS);
+    await Promise.all([call, vi.advanceTimersByTimeAsync(TOTAL_MS)]);
+    return foundAt;
+  }
+
+  it("asks all processes within a moment", async () => {
+    expect(await findLeader(() => ADDRESSES[2])).toBeLessThanOrEqual(30);
+    expect(asked).toEqual(ADDRESSES);
+  });
+
+  it("follows a hint at once", async () => {
+    expect(await findLeader(() => ADDRESSES[2], ADDRESSES[2])).toBeLessThanOrEqual(15);
+    expect(asked).toEqual([ADDRESSES[0], ADDRESSES[2]]);
+  });
+
+  it("finds a leader soon after it was elected, and asks no more often than a few times a round", async () => {
+    const ELECTED_AT = 900;
+    const foundAt = await findLeader(() => (Date.now() >= ELECTED_AT ? ADDRESSES[1] : undefined));
+    expect(foundAt - ELECTED_AT).toBeLessThanOrEqual(250);
+    expect(asked.length).toBeLessThan(30);
+  });
+
+  it("gives up in the time that it has, and at once where asking again is of no use", async () => {
+    const call = client.call(() => Promise.reject(createLeaderRefusal("")), TOTAL_MS);
+    const failed = expect(call).rejects.toBeInstanceOf(UnreachableControl);
+    await vi.advanceTimersByTimeAsync(TOTAL_MS + 1);
+    await failed;
+    const refused = client.call(
+      () => Promise.reject(new ConnectError("invalid", Code.InvalidArgument)),
+      TOTAL_MS,
+    );
+    await expect(refused).rejects.toMatchObject({ code: Code.InvalidArgument });
+  });
+});
