--- a/src/gateway/AdmissionWindow.ts
+++ b/src/gateway/AdmissionWindow.ts
@@ -9,10 +9,13 @@
 
 /** Where every window begins: wide enough to hold nobody back in a calm. */
 const FIRST_SIZE = 32;
-const MIN_SIZE = 1;
+/** With fewer, an entry with little work would wait for each answer in turn. */
+const MIN_SIZE = 3;
 const MAX_SIZE = 64;
-/** A first event after more than this part of its objective tells of a queue. */
-const SLOW_SHARE = 0.6;
+/** First events that take more than this part of their objective, in the mean, tell of a queue. */
+const SLOW_SHARE = 0.75;
+/** Weight of the newest first event in that mean: a long prompt alone is no queue. */
+const SHARE_WEIGHT = 0.2;
 const SHRINK_FACTOR = 0.8;
 /** The window shrinks no more often than this: events of one moment tell of one queue. */
 const SHRINK_PAUSE_MS = 100;
@@ -21,6 +24,7 @@
 export class AdmissionWindow {
   private _size = FIRST_SIZE;
   private _waiting = 0;
+  private _meanShare = 0;
   private _shrunkAt = Number.NEGATIVE_INFINITY;
 
   /** Gets how many may wait at endpoints. */
@@ -48,7 +52,8 @@
    * @param share - Time from sending to the first event, as a part of the objective.
    */
   addFirstEvent(now: number, share: number): void {
-    if (share <= SLOW_SHARE) {
+    this._meanShare += (share - this._meanShare) * SHARE_WEIGHT;
+    if (this._meanShare <= SLOW_SHARE) {
       this._size = Math.min(MAX_SIZE, this._size + 1 / this._size);
       return;
     }
--- a/src/gateway/AnswerPace.ts
+++ b/src/gateway/AnswerPace.ts
@@ -9,8 +9,6 @@
 const GAP_WEIGHT = 0.1;
 /** A target whose streams have all been silent for so many mean gaps stands still. */
 const STALL_GAPS = 4;
-/** What a target's streams showed that long ago says nothing of it now. */
-const PACE_MEMORY_MS = 3_000;
 /** Reading long prompts may hold a target's streams up for so long. */
 const MIN_STALL_MS = 200;
 
@@ -42,11 +40,6 @@
       this._meanGapMs === undefined ? gapMs : this._meanGapMs + (gapMs - this._meanGapMs) * GAP_WEIGHT;
   }
 
-  /** Gets the mean time between two events of a stream, if any came lately. */
-  getMeanGapMs(now: number): number | undefined {
-    return now - this._heardAt <= PACE_MEMORY_MS ? this._meanGapMs : undefined;
-  }
-
   /** Checks whether all streams under way have been silent for longer than their pace explains. */
   isStalled(now: number): boolean {
     if (this._streams === 0 || this._meanGapMs === undefined) return false;
--- a/src/gateway/TargetPool.ts
+++ b/src/gateway/TargetPool.ts
@@ -31,10 +31,6 @@
 const SUSPICION_MS = 500;
 const MAX_SUSPICION_MS = 4_000;
 const NEVER = Number.NEGATIVE_INFINITY;
-/** No stream of a target has shown its pace lately. */
-const UNKNOWN_GAP_MS = Number.POSITIVE_INFINITY;
-/** A target is taken for no slower than this against the fastest one. */
-const MAX_SLOWNESS = 8;
 /** Random part of a score, below any difference that matters. */
 const TIE_BREAK = 1e-6;
 /** Requests that a suspect counts as, against one that is not. */
@@ -74,17 +70,13 @@
     return this._targets.get(id)?.inFlight ?? 0;
   }
 
-  /**
-   * Chooses the target with the fewest requests a slot, where one whose streams advance
-   * slower than those of the others counts as fuller by the square of how much slower.
-   */
+  /** Chooses the target with the fewest requests a slot. */
   chooseTarget(now: number, request: TargetRequest): Target | undefined {
-    const candidates = this._getCandidates(request);
-    const bestGapMs = Math.min(...candidates.map(({ pace }) => pace.getMeanGapMs(now) ?? UNKNOWN_GAP_MS));
     let best: TargetState | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
-    for (const state of candidates) {
-      const score = this._getScore(now, state, bestGapMs);
+    for (const state of this._targets.values()) {
+      if (!isWanted(state.target, request)) continue;
+      const score = this._getScore(now, state);
       if (score < bestScore) {
         best = state;
         bestScore = score;
@@ -150,16 +142,8 @@
     state.suspectUntil = Math.max(state.suspectUntil, now + span);
   }
 
-  private _getCandidates({ service, model, excluded }: TargetRequest): TargetState[] {
-    return [...this._targets.values()].filter(
-      ({ target }) => target.service === service && target.model === model && !excluded.has(target.id),
-    );
-  }
-
-  private _getScore(now: number, state: TargetState, bestGapMs: number): number {
-    const gapMs = state.pace.getMeanGapMs(now) ?? bestGapMs;
-    const slowness = Number.isFinite(gapMs) ? Math.min(MAX_SLOWNESS, gapMs / Math.max(1, bestGapMs)) : 1;
-    const load = ((state.inFlight + 1) / Math.max(1, state.target.slots)) * slowness ** 2;
+  private _getScore(now: number, state: TargetState): number {
+    const load = state.inFlight / Math.max(1, state.target.slots);
     const penalty = this._isAvoided(now, state) ? SUSPECT_LOAD : 0;
     return load + penalty + this._random.next() * TIE_BREAK;
   }
@@ -172,3 +156,7 @@
 function createState(target: Target): TargetState {
   return { target, inFlight: 0, suspectUntil: 0, failures: 0, heardAt: NEVER, pace: new AnswerPace() };
 }
+
+function isWanted(target: Target, { service, model, excluded }: TargetRequest): boolean {
+  return target.service === service && target.model === model && !excluded.has(target.id);
+}
