--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, request, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { create } from "@bufbuild/protobuf";
+import { pino } from "pino";
 import { SystemClock } from "../../src/clock";
 import { SeededRandom } from "../../src/consensus";
 import { type Declaration, type Route, RouteTable } from "../../src/declaration";
@@ -12,7 +13,7 @@
 import { TargetPool } from "../../src/gateway/TargetPool";
 import { type Target, TargetSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { HttpClient } from "../../src/http";
-import { createLogger, SilentMetrics } from "../../src/metrics";
+import { TextMetrics } from "../../src/metrics";
 
 /** What an endpoint saw of a request. */
 export interface SeenRequest {
@@ -86,6 +87,10 @@
 /** A running gateway with its endpoints. */
 export class GatewayHarness {
   readonly seen: SeenRequest[] = [];
+  /** What the gateway logged, line by line. */
+  readonly logLines: string[] = [];
+  /** What the gateway counted. */
+  readonly metrics = new TextMetrics({ role: "entry", name: "test" });
   private readonly _servers: Server[] = [];
   private readonly _client = new HttpClient();
   private _gateway!: GatewayServer;
@@ -186,8 +191,8 @@
       listen: `127.0.0.1:${this._port}`,
       clock,
       random,
-      logger: createLogger("silent", { role: "entry", name: "test" }),
-      metrics: new SilentMetrics(),
+      logger: pino({ level: "info" }, { write: (line: string) => this.logLines.push(line) }),
+      metrics: this.metrics,
       tools: {
         clock,
         client: this._client,
--- /dev/null
+++ b/test/gateway/explanation.test.ts
@@ -0,0 +1,82 @@
+/** From a failed request's id to its cause, with nothing but the entry's log and metrics. */
+import { afterEach, describe, expect, it } from "vitest";
+import type { FailedAttempt } from "../../src/gateway/Exchange";
+import { waitUntil } from "../support/waitUntil";
+import { answer, GatewayHarness, type Script, streamEvents, streamThenStall } from "./GatewayHarness";
+
+/** The line that tells how a request ended. */
+interface EndedRequest {
+  readonly event: string;
+  readonly request: string;
+  readonly declaration: number;
+  readonly outcome: string;
+  readonly code: string;
+  readonly failures: readonly FailedAttempt[];
+  readonly longestGapMs: number;
+}
+
+const GAP_OBJECTIVE_MS = 50;
+const notRun: Script = (seen, response) => answer(503, "", { "x-not-run": "1" })(seen, response);
+
+describe("a failed request's cause is found from its id", () => {
+  let harness: GatewayHarness;
+  afterEach(() => harness.stop());
+
+  /** Calls with an id of its own, and reads what the log says of it. */
+  async function callAndExplain(id: string): Promise<EndedRequest> {
+    await harness.call({ headers: { "x-id": id } });
+    const lines = await waitUntil("its end is logged", () => {
+      const found = harness.logLines.filter((line) => line.includes(`"request":"${id}"`));
+      return found.length > 0 ? found : undefined;
+    });
+    expect(lines.length).toBe(1);
+    return JSON.parse(lines[0]!) as EndedRequest;
+  }
+
+  function countRequests(outcome: string, code: string): Promise<boolean> {
+    const pattern = new RegExp(
+      `gateway_requests_total\\{[^}]*outcome="${outcome}"[^}]*code="${code}"[^}]*\\} 1$`,
+      "m",
+    );
+    return harness.metrics.getText().then((text) => pattern.test(text));
+  }
+
+  it("where it was refused: which endpoints said what", async () => {
+    harness = await GatewayHarness.start([notRun, notRun], { kind: "notRepeatable" });
+    const ended = await callAndExplain("refused-1");
+    expect(ended).toMatchObject({ event: "request_ended", outcome: "refused", code: "endpoint_refused" });
+    expect(ended.declaration).toBe(1);
+    const reasons = ended.failures.map(({ reason, wasNotRun }) => ({ reason, wasNotRun }));
+    expect(reasons).toEqual(Array(2).fill({ reason: "it refused with 503", wasNotRun: true }));
+    expect(new Set(ended.failures.map((failure) => failure.target)).size).toBe(2);
+    expect(await countRequests("refused", "endpoint_refused")).toBe(true);
+  });
+
+  it("where it was cut midway: which endpoint broke off, and that it may not be resumed", async () => {
+    harness = await GatewayHarness.start([streamEvents([1, 2], "cut"), streamEvents([3], "whole")], {
+      kind: "stream",
+    });
+    const ended = await callAndExplain("cut-1");
+    expect(ended).toMatchObject({ outcome: "cut", code: "" });
+    expect(ended.failures.length).toBe(1);
+    expect(ended.failures[0]).toMatchObject({ wasNotRun: false });
+    expect(ended.failures[0]!.reason).toMatch(/^its stream broke off: /);
+    expect(await countRequests("cut", "")).toBe(true);
+  });
+
+  it("where it was late: how long the endpoint that stood still was waited for", async () => {
+    harness = await GatewayHarness.start([streamThenStall([1, 2, 3], 20), streamEvents([4], "whole")], {
+      kind: "stream",
+      isResumable: true,
+      gapObjectiveMs: GAP_OBJECTIVE_MS,
+    });
+    const ended = await callAndExplain("late-1");
+    expect(ended).toMatchObject({ outcome: "done", code: "" });
+    expect(ended.longestGapMs).toBeGreaterThan(GAP_OBJECTIVE_MS);
+    const [stalled] = ended.failures;
+    expect(stalled!.reason).toMatch(/^its stream broke off: silent for \d+ ms$/);
+    expect(stalled!.tookMs).toBeGreaterThanOrEqual(GAP_OBJECTIVE_MS);
+    expect(await harness.metrics.getText()).toMatch(/gateway_gap_ms_count\{[^}]*\} 1$/m);
+    expect(await countRequests("done", "")).toBe(true);
+  });
+});
--- a/test/platform/WorkerStandin.ts
+++ b/test/platform/WorkerStandin.ts
@@ -29,6 +29,8 @@
   readonly id: string;
   /** Ids of requests that it ran, in order. */
   readonly ran: string[] = [];
+  /** Joins of another group that it took while its own head was open. */
+  readonly wrongJoins: string[] = [];
   private readonly _options: WorkerOptions;
   private readonly _server: Server;
   private _place: Place | undefined;
@@ -51,6 +53,11 @@
     return this._place;
   }
 
+  /** Gets whether it reports itself as ready. */
+  get isRunning(): boolean {
+    return this._reports;
+  }
+
   /** Starts serving and reporting. */
   async start(): Promise<void> {
     await new Promise<void>((resolve) => this._server.listen(0, "127.0.0.1", resolve));
@@ -137,6 +144,10 @@
   }
 
   private _join(order: { group: string; epoch: number; model: string; members: string[] }): void {
+    const { _place: before } = this;
+    if (before?.state === "open" && before.name !== order.group) {
+      this.wrongJoins.push(`${this.id} joined ${order.group} while ${before.name} was open`);
+    }
     const place: Place = {
       name: order.group,
       epoch: order.epoch,
--- /dev/null
+++ b/test/soak/Soak.ts
@@ -0,0 +1,210 @@
+/**
+ * A randomised soak: the real programs as processes on this machine, faults from outside them,
+ * and the promises checked from what callers and workers see.
+ *
+ * Covered: processes killed, frozen and stopped as planned, workers that crash and leave, and
+ * configurations meanwhile. Not covered yet: connections that a relay delays or cuts, clocks
+ * and storage that misbehave.
+ */
+import { SeededRandom } from "../../src/consensus";
+import { createConfig, MODEL, STREAM } from "../platform/createConfig";
+import { PlatformCluster } from "../platform/PlatformCluster";
+import type { WorkerStandin } from "../platform/WorkerStandin";
+import { waitUntil } from "../support/waitUntil";
+import { SoakLedger } from "./SoakLedger";
+
+/** What a soak came to. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly calls: number;
+  readonly served: number;
+  readonly faults: Readonly<Record<string, number>>;
+  readonly violations: readonly string[];
+}
+
+const CALLERS = 6;
+const ENGINES = 7;
+const FIRST_VERSION = 3;
+/** Pause between two faults, milliseconds: at least, and how much more. */
+const MIN_PAUSE_MS = 300;
+const PAUSE_SPAN_MS = 1_200;
+const MAX_AWAY_MS = 1_500;
+const CALLER_PAUSE_MS = 10;
+
+/** One soak. */
+export class Soak {
+  private readonly _seed: number;
+  private readonly _random: SeededRandom;
+  private readonly _ledger = new SoakLedger();
+  private readonly _faults = new Map<string, number>();
+  private _cluster!: PlatformCluster;
+  private _version = FIRST_VERSION;
+  private _workers = ENGINES;
+  private _requests = 0;
+  private _isOver = false;
+
+  /**
+   * @param seed - Decides which faults come when; what runs beside them is not repeated exactly.
+   */
+  constructor(seed: number) {
+    this._seed = seed;
+    this._random = new SeededRandom(seed);
+  }
+
+  /** Runs for some time, then lets everything come back and checks that work goes on. */
+  async run(durationMs: number): Promise<SoakResult> {
+    this._cluster = await PlatformCluster.start(ENGINES);
+    try {
+      await waitUntil("the first configuration is taken", () => this._putConfig(FIRST_VERSION, 0));
+      await this._waitForService();
+      const callers = Array.from({ length: CALLERS }, () => this._callUntilOver());
+      const endAt = performance.now() + durationMs;
+      while (performance.now() < endAt) await this._injectFault();
+      this._isOver = true;
+      await Promise.all(callers);
+      await this._waitForService();
+      await this._readBack();
+      return this._createResult();
+    } finally {
+      this._isOver = true;
+      await this._cluster.stop();
+    }
+  }
+
+  private async _injectFault(): Promise<void> {
+    const faults: Record<string, () => Promise<unknown>> = {
+      killControl: () => this._killControl(),
+      freezeControl: () => this._freezeControl(),
+      stopControl: () => this._stopControl(),
+      killEntry: () => this._killEntry(),
+      stopEntry: () => this._stopEntry(),
+      crashWorker: () => this._replaceWorker((worker) => worker.crash()),
+      drainWorker: () => this._replaceWorker((worker) => void worker.drain().then(() => worker.crash())),
+      changeConfig: () => this._changeConfig(),
+    };
+    const names = Object.keys(faults);
+    const name = names[this._draw(names.length)]!;
+    this._faults.set(name, (this._faults.get(name) ?? 0) + 1);
+    await faults[name]!();
+    await pause(MIN_PAUSE_MS + this._draw(PAUSE_SPAN_MS));
+  }
+
+  /** One control process is away at a time: as many losses as the system bears. */
+  private async _killControl(): Promise<void> {
+    const control = this._drawControl();
+    await control.kill();
+    await pause(this._draw(MAX_AWAY_MS));
+    control.start();
+    await this._waitForControl();
+  }
+
+  private async _freezeControl(): Promise<void> {
+    const control = this._drawControl();
+    control.freeze();
+    await pause(this._draw(MAX_AWAY_MS));
+    control.thaw();
+    await this._waitForControl();
+  }
+
+  private async _stopControl(): Promise<void> {
+    const control = this._drawControl();
+    await control.stop();
+    control.start();
+    await this._waitForControl();
+  }
+
+  private async _killEntry(): Promise<void> {
+    await this._cluster.entry.kill();
+    this._cluster.entry.start();
+  }
+
+  private async _stopEntry(): Promise<void> {
+    await this._cluster.entry.stop();
+    this._cluster.entry.start();
+  }
+
+  private async _replaceWorker(end: (worker: WorkerStandin) => void): Promise<void> {
+    const engines = this._cluster.workers.filter(
+      (worker) => worker.id.startsWith("llm-") && worker.isRunning,
+    );
+    end(engines[this._draw(engines.length)]!);
+    await this._cluster.addWorker(`llm-${this._workers++}`, "llm", "d0");
+  }
+
+  private async _changeConfig(): Promise<void> {
+    this._version += 1 + this._draw(3);
+    await this._putConfig(this._version, this._draw(3)).catch(() => false);
+    await this._readBack().catch(() => {});
+  }
+
+  private async _putConfig(version: number, control: number): Promise<boolean> {
+    const isTaken = (await this._cluster.putConfig(control, createConfig(version))) === 200;
+    if (isTaken) this._ledger.addAcknowledged(version);
+    return isTaken;
+  }
+
+  /** Reads at any control process that is certain of the newest. */
+  private async _readBack(): Promise<void> {
+    const before = this._ledger.acknowledgedVersion;
+    const answer = await this._cluster.getConfig(this._draw(3));
+    if (answer.status !== 200) return;
+    this._ledger.addRead((JSON.parse(answer.body) as { version: number }).version, before);
+  }
+
+  private async _callUntilOver(): Promise<void> {
+    while (!this._isOver) {
+      await this._call(this._requests++ % 2 === 0 ? "repeatable" : "once");
+      await pause(CALLER_PAUSE_MS);
+    }
+  }
+
+  private async _call(kind: "repeatable" | "once"): Promise<number | undefined> {
+    const id = `soak-${this._requests++}`;
+    const isStream = kind === "repeatable";
+    const [path, headers] = isStream ? ["/llm/draft", MODEL] : ["/app/x", {}];
+    const expectedBody = isStream ? STREAM : "tenant-a POST /app/x hello";
+    const call = this._cluster.call(path, { ...headers, "x-ploverstage-request-id": id });
+    const answer = await call.catch(() => undefined);
+    const { status, body = "" } = answer ?? {};
+    this._ledger.addCall({ id, kind, status, body, expectedBody });
+    return status;
+  }
+
+  private async _waitForService(): Promise<void> {
+    await waitUntil("a stream is served", async () => (await this._call("repeatable")) === 200);
+    await waitUntil("a plain call is served", async () => (await this._call("once")) === 200);
+  }
+
+  private async _waitForControl(): Promise<void> {
+    await waitUntil("every control process reads the configuration", async () => {
+      const answers = await Promise.all([0, 1, 2].map((index) => this._cluster.getConfig(index)));
+      return answers.every((answer) => answer.status === 200);
+    });
+  }
+
+  private _createResult(): SoakResult {
+    const { workers } = this._cluster;
+    for (const violation of workers.flatMap((worker) => worker.wrongJoins)) {
+      this._ledger.addViolation(violation);
+    }
+    return {
+      seed: this._seed,
+      calls: this._ledger.callCount,
+      served: this._ledger.servedCount,
+      faults: Object.fromEntries(this._faults),
+      violations: this._ledger.getViolations(workers.flatMap((worker) => worker.ran)),
+    };
+  }
+
+  private _drawControl() {
+    return this._cluster.controls[this._draw(this._cluster.controls.length)]!;
+  }
+
+  private _draw(bound: number): number {
+    return Math.floor(this._random.next() * bound);
+  }
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- a/test/system/platform.test.ts
+++ b/test/system/platform.test.ts
@@ -1,56 +1,8 @@
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { createConfig, MODEL, STREAM } from "../platform/createConfig";
 import { PlatformCluster } from "../platform/PlatformCluster";
 import { waitUntil } from "../support/waitUntil";
 
-const ENGINE = {
-  slots: 4,
-  models: [{ name: "Model1", size: 2, share: 1, pace: 1, loadS: 0.1, warmS: 0.05 }],
-  loadsPerS: 100,
-  loads_at_once: 10,
-};
-
-function createConfig(version: number, changes: object = {}) {
-  const base = {
-    host: "127.0.0.1",
-    timeoutMs: 5_000,
-    targetLatencyMs: 300,
-    priority: 1,
-    allowAnonymous: false,
-  };
-  return {
-    version,
-    routes: [
-      {
-        ...base,
-        name: "r-llm",
-        pathPrefix: "/llm/",
-        routeType: "streaming",
-        service: "llm",
-        maxAttempts: 2,
-        resumable: true,
-        targetGapMs: 300,
-      },
-      {
-        ...base,
-        name: "r-app",
-        pathPrefix: "/app/",
-        routeType: "non_idempotent",
-        service: "app",
-        maxAttempts: 1,
-      },
-    ],
-    services: [
-      { name: "llm", maxConnections: 100, engine: ENGINE },
-      { name: "app", maxConnections: 100 },
-    ],
-    tenants: [{ name: "tenant-a", apiKeys: ["k1"], priority: 1 }],
-    ...changes,
-  };
-}
-
-const MODEL = { "x-ploverstage-model": "Model1" };
-const STREAM = [1, 2, 3, 4, 5].map((id) => `id: ${id}\ndata: token\n\n`).join("");
-
 describe("the system on the platform", () => {
   let cluster: PlatformCluster;
   beforeAll(async () => {
