--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -8,6 +8,7 @@
 import type { Logger } from "../metrics";
 import type { CallFacts } from "./Dialect";
 import { Exchange, type ExchangeRequest, type ExchangeTools } from "./Exchange";
+import { endWithConnection } from "./endWithConnection";
 import { createNotRun, GatewayRefusal } from "./GatewayRefusal";
 import { dropHeaders, getEndToEndHeaders } from "./headers";
 import { PlainExchange, type WholeAnswer } from "./PlainExchange";
@@ -222,7 +223,8 @@
   private _sendWhole(response: ServerResponse, progress: Progress, answer: WholeAnswer): void {
     if (response.headersSent || response.destroyed) return;
     const headers = dropHeaders(getEndToEndHeaders(answer.headers), FRAMING);
-    headers.push("Content-Length", String(answer.body.length));
+    if (answer.isFramed) headers.push("Content-Length", String(answer.body.length));
+    else endWithConnection(response);
     response.writeHead(answer.status, headers);
     response.end(answer.body);
     this._log(progress, "done", { status: answer.status });
--- a/src/gateway/PlainExchange.ts
+++ b/src/gateway/PlainExchange.ts
@@ -1,6 +1,7 @@
 /** Runs a request whose answer is one body: taken in whole before any of it goes out. */
 import type { IncomingMessage } from "node:http";
 import { type AttemptFailure, type BegunAttempt, type Exchange, hasBegun } from "./Exchange";
+import { isFramed } from "./headers";
 import { getAnswerPatienceMs, mayRepeat } from "./patience";
 
 /** A whole answer. */
@@ -9,6 +10,8 @@
   /** As received, names and values in turn. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Whether the endpoint said where it ends; else only the end of its connection did. */
+  readonly isFramed: boolean;
 }
 
 /** Larger answers are not held. */
@@ -73,7 +76,12 @@
     try {
       const body = await readBody(incoming);
       this._exchange.endAttempt(attempt);
-      return { status: incoming.statusCode ?? 0, headers: incoming.rawHeaders, body };
+      return {
+        status: incoming.statusCode ?? 0,
+        headers: incoming.rawHeaders,
+        body,
+        isFramed: isFramed(incoming),
+      };
     } catch (cause) {
       const reason = cause instanceof Error ? cause.message : String(cause);
       this._exchange.failAttempt(attempt, {
--- a/src/gateway/StreamExchange.ts
+++ b/src/gateway/StreamExchange.ts
@@ -6,9 +6,11 @@
  * was passed on, within the one answer.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { LostAnswer } from "../errors";
 import { EventSplitter } from "./EventSplitter";
 import { type AttemptFailure, type BegunAttempt, type Exchange, explainFailure, hasBegun } from "./Exchange";
-import { getEndToEndHeaders } from "./headers";
+import { endWithConnection } from "./endWithConnection";
+import { getEndToEndHeaders, isFramed } from "./headers";
 import { getAnswerPatienceMs, getGapPatienceMs, mayRepeat } from "./patience";
 
 /** What a stream came to. */
@@ -31,6 +33,8 @@
   private _eventAt: number | undefined;
   private _longestGapMs = 0;
   private _events = 0;
+  /** Whether the caller's answer ends with its connection, as the endpoint's did. */
+  private _endsWithConnection = false;
 
   /**
    * @param exchange - The request and its attempts.
@@ -133,8 +137,11 @@
 
   private async _endWhole(attempt: BegunAttempt, splitter: EventSplitter): Promise<RelayEnd> {
     const rest = splitter.takeRest();
-    // Without a length only the end of the connection ends it, and that may come within an event.
-    if (rest.length > 0 && !isFramed(attempt.incoming)) throw new Error("it ended within an event");
+    const canEnd = isFramed(attempt.incoming) || this._endsWithConnection || !this._response.headersSent;
+    // Without a length only the end of the connection ends it, and that may come too soon.
+    if (!canEnd || (rest.length > 0 && !isFramed(attempt.incoming))) {
+      throw new LostAnswer({ address: attempt.target.address, reason: "it ended without saying so" });
+    }
     if (rest.length > 0) await this._passOn(attempt, rest, undefined);
     this._writeHead(attempt.incoming);
     this._exchange.endAttempt(attempt);
@@ -156,6 +163,10 @@
 
   private _writeHead(incoming: IncomingMessage): void {
     if (this._response.headersSent) return;
+    if (!isFramed(incoming)) {
+      endWithConnection(this._response);
+      this._endsWithConnection = true;
+    }
     this._response.writeHead(incoming.statusCode ?? 0, getStreamHeaders(incoming));
   }
 
@@ -177,9 +188,3 @@
   }
   return kept;
 }
-
-function isFramed(incoming: IncomingMessage): boolean {
-  return (
-    incoming.headers["content-length"] !== undefined || incoming.headers["transfer-encoding"] !== undefined
-  );
-}
--- a/src/gateway/headers.ts
+++ b/src/gateway/headers.ts
@@ -1,4 +1,5 @@
 /** Which headers go from one side to the other. */
+import type { IncomingMessage } from "node:http";
 
 /** Headers that concern one connection only (RFC 9110, section 7.6.1), and framing that is made anew. */
 const HOP_BY_HOP = new Set([
@@ -46,3 +47,9 @@
   }
   return names;
 }
+
+/** Checks whether an answer says where it ends; else the end of its connection does, cut or not. */
+export function isFramed(incoming: IncomingMessage): boolean {
+  const { headers } = incoming;
+  return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+}
--- /dev/null
+++ b/test/declaration/declaration.test.ts
@@ -0,0 +1,93 @@
+import { describe, expect, it } from "vitest";
+import { checkDeclaration, type Declaration, type Route, RouteTable } from "../../src/declaration";
+import { InvalidDeclaration } from "../../src/errors";
+
+const route: Route = {
+  name: "drafts",
+  host: "api.example",
+  pathPrefix: "/drafts/",
+  kind: "stream",
+  isResumable: true,
+  timeoutMs: 8_000,
+  objectiveMs: 300,
+  gapObjectiveMs: 300,
+  priority: 1,
+  split: [{ service: "model", weight: 1 }],
+  maxAttempts: 2,
+  allowsAnonymous: false,
+};
+
+function createDeclaration(changes: Partial<Declaration> = {}): Declaration {
+  return {
+    version: 1,
+    routes: [route],
+    services: [{ name: "model", maxConnections: 10, engine: undefined }],
+    organisations: [{ name: "atlas", keys: ["k1", "k2"], priority: 0 }],
+    limits: { headerBytes: 16_384, bodyBytes: 1_000, headerMs: 3_000, idleMs: 15_000 },
+    ...changes,
+  };
+}
+
+describe("checkDeclaration", () => {
+  function expectRefused(changes: Partial<Declaration>, path: string) {
+    expect(() => checkDeclaration(createDeclaration(changes))).toThrowError(InvalidDeclaration);
+    try {
+      checkDeclaration(createDeclaration(changes));
+    } catch (cause) {
+      expect((cause as InvalidDeclaration).path).toBe(path);
+    }
+  }
+
+  it("takes a declaration whose parts fit", () => {
+    expect(checkDeclaration(createDeclaration()).version).toBe(1);
+  });
+
+  it("refuses an unknown service", () => {
+    expectRefused(
+      { routes: [{ ...route, split: [{ service: "other", weight: 1 }] }] },
+      "routes.drafts.split",
+    );
+  });
+
+  it("refuses two routes of one host and prefix, in any case of the host", () => {
+    expectRefused({ routes: [route, { ...route, name: "again", host: "API.example" }] }, "routes.again");
+  });
+
+  it("refuses weights that add up to 0, and no time", () => {
+    expectRefused(
+      { routes: [{ ...route, split: [{ service: "model", weight: 0 }] }] },
+      "routes.drafts.split",
+    );
+    expectRefused({ routes: [{ ...route, timeoutMs: 0 }] }, "routes.drafts.timeoutMs");
+  });
+
+  it("refuses a key that two organisations share", () => {
+    const organisations = [
+      { name: "atlas", keys: ["k1"], priority: 0 },
+      { name: "dasol", keys: ["k1"], priority: 0 },
+    ];
+    expectRefused({ organisations }, "organisations.dasol");
+  });
+});
+
+describe("RouteTable", () => {
+  const table = new RouteTable(
+    createDeclaration({ routes: [route, { ...route, name: "letters", pathPrefix: "/drafts/letters/" }] }),
+  );
+
+  it("takes the longest prefix, whatever the query, port and case of the host", () => {
+    expect(table.getRoute("api.example", "/drafts/letters/1?x=/drafts/")?.name).toBe("letters");
+    expect(table.getRoute("API.example:80", "/drafts/1")?.name).toBe("drafts");
+  });
+
+  it("knows no route for another host or path", () => {
+    expect(table.getRoute("other.example", "/drafts/1")).toBeUndefined();
+    expect(table.getRoute("api.example", "/drafts")).toBeUndefined();
+    expect(table.getRoute("api.example", "/?/drafts/")).toBeUndefined();
+  });
+
+  it("knows organisations by any of their keys", () => {
+    expect(table.getOrganisation("k2")?.name).toBe("atlas");
+    expect(table.getOrganisation("k3")).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/test/gateway/EventSplitter.test.ts
@@ -0,0 +1,58 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { EventSplitter } from "../../src/gateway/EventSplitter";
+
+function split(
+  text: string,
+  cuts: readonly number[],
+): { events: string[]; ids: (string | undefined)[]; rest: string } {
+  const splitter = new EventSplitter();
+  const bytes = Buffer.from(text);
+  const bounds = [0, ...[...cuts].sort((a, b) => a - b).map((cut) => cut % (bytes.length + 1)), bytes.length];
+  bounds.sort((a, b) => a - b);
+  const found = bounds.slice(1).flatMap((end, i) => splitter.addBytes(bytes.subarray(bounds[i]!, end)));
+  return {
+    events: found.map((event) => event.bytes.toString()),
+    ids: found.map((event) => event.id),
+    rest: splitter.takeRest().toString(),
+  };
+}
+
+const line = fc.stringMatching(/^[a-z:0-9 ]{1,12}$/);
+const newline = fc.constantFrom("\n", "\r\n");
+
+describe("EventSplitter", () => {
+  it("gives the same events however the bytes arrive", () => {
+    const anyStream = fc.tuple(
+      newline,
+      fc.array(fc.array(line, { minLength: 1, maxLength: 3 }), { maxLength: 6 }),
+      line,
+    );
+    const property = fc.property(
+      anyStream,
+      fc.array(fc.nat(500), { maxLength: 20 }),
+      ([end, blocks, rest], cuts) => {
+        const events = blocks.map((block) => block.join(end) + end + end);
+        const found = split(events.join("") + rest, cuts);
+        expect(found.events).toEqual(events);
+        expect(found.rest).toBe(rest);
+      },
+    );
+    fc.assert(property, { seed: 20_261_202, numRuns: 500 });
+  });
+
+  it("reads ids wherever they stand in an event", () => {
+    expect(split("data: x\nid: 7\n\nid:8\ndata: id: 9\n\ndata: no\n\n", []).ids).toEqual([
+      "7",
+      "8",
+      undefined,
+    ]);
+  });
+
+  it("keeps a piece of an event back", () => {
+    const splitter = new EventSplitter();
+    expect(splitter.addBytes(Buffer.from("data: a\n"))).toEqual([]);
+    expect(splitter.restLength).toBe(8);
+    expect(splitter.addBytes(Buffer.from("\n")).length).toBe(1);
+  });
+});
--- /dev/null
+++ b/test/gateway/GatewayHarness.ts
@@ -0,0 +1,226 @@
+/** A gateway server over scripted endpoints on loopback, with a dialect of its own. */
+import { createServer, type IncomingMessage, request, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { create } from "@bufbuild/protobuf";
+import { SystemClock } from "../../src/clock";
+import { SeededRandom } from "../../src/consensus";
+import { type Declaration, type Route, RouteTable } from "../../src/declaration";
+import type { AttemptFacts, CallFacts, Dialect } from "../../src/gateway";
+import { dropHeaders } from "../../src/gateway";
+import { GatewayServer } from "../../src/gateway/GatewayServer";
+import { TargetPool } from "../../src/gateway/TargetPool";
+import { type Target, TargetSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
+import { HttpClient } from "../../src/http";
+import { createLogger } from "../../src/metrics";
+
+/** What an endpoint saw of a request. */
+export interface SeenRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: IncomingMessage["headers"];
+  readonly rawHeaders: readonly string[];
+  readonly body: string;
+}
+
+/** Answers a request at an endpoint. */
+export type Script = (seen: SeenRequest, response: ServerResponse) => void;
+
+/** A caller's view of an answer. */
+export interface SeenAnswer {
+  readonly status: number;
+  readonly headers: IncomingMessage["headers"];
+  readonly body: string;
+  /** Whether the answer ended as its framing says. */
+  readonly isWhole: boolean;
+}
+
+/** Headers as the tests speak them. */
+class TestDialect implements Dialect {
+  readCall(headers: IncomingMessage["headers"]): CallFacts {
+    const waitMs = headers["x-wait-ms"];
+    return {
+      requestId: String(headers["x-id"] ?? ""),
+      waitMs: waitMs === undefined ? undefined : Number(waitMs),
+      key: headers["x-key"] as string | undefined,
+      model: "",
+      promptTokens: 0,
+      answerTokens: 0,
+      lastEventId: headers["last-event-id"] as string | undefined,
+    };
+  }
+
+  createHeaders(raw: readonly string[], attempt: AttemptFacts): string[] {
+    const headers = dropHeaders(raw, new Set(["x-key", "x-wait-ms", "last-event-id", "x-organisation"]));
+    headers.push("x-wait-ms", String(Math.floor(attempt.leftMs)));
+    if (attempt.organisation !== undefined) headers.push("x-organisation", attempt.organisation);
+    if (attempt.lastEventId !== undefined) headers.push("last-event-id", attempt.lastEventId);
+    return headers;
+  }
+
+  readAnswer(call: CallFacts, { headers }: { headers: IncomingMessage["headers"] }) {
+    const id = headers["x-id"];
+    return {
+      isOwn: id === undefined || id === call.requestId,
+      wasNotRun: headers["x-not-run"] !== undefined,
+      isGenuine: headers["x-seal"] !== undefined,
+    };
+  }
+}
+
+const BASE_ROUTE: Route = {
+  name: "route",
+  host: "api.example",
+  pathPrefix: "/",
+  kind: "repeatable",
+  isResumable: false,
+  timeoutMs: 2_000,
+  objectiveMs: 200,
+  gapObjectiveMs: 200,
+  priority: 0,
+  split: [{ service: "service", weight: 1 }],
+  maxAttempts: 2,
+  allowsAnonymous: false,
+};
+
+/** A running gateway with its endpoints. */
+export class GatewayHarness {
+  readonly seen: SeenRequest[] = [];
+  private readonly _servers: Server[] = [];
+  private readonly _client = new HttpClient();
+  private _gateway!: GatewayServer;
+  private _port = 0;
+
+  /** Starts endpoints, one for each script, and the gateway before them. */
+  static async start(scripts: readonly Script[], route: Partial<Route> = {}): Promise<GatewayHarness> {
+    const harness = new GatewayHarness();
+    const targets = await Promise.all(scripts.map((script, i) => harness._startEndpoint(script, i)));
+    await harness._startGateway(targets, { ...BASE_ROUTE, ...route });
+    return harness;
+  }
+
+  /** Gets the port at which callers connect. */
+  get port(): number {
+    return this._port;
+  }
+
+  /** Stops everything. */
+  async stop(): Promise<void> {
+    this._client.close();
+    for (const server of this._servers) server.closeAllConnections();
+    await Promise.all(this._servers.map((server) => new Promise((resolve) => server.close(resolve))));
+    await this._gateway.stop();
+  }
+
+  /** Calls through the gateway on a connection of its own. */
+  call(
+    options: { method?: string; path?: string; headers?: object; body?: string } = {},
+  ): Promise<SeenAnswer> {
+    return new Promise((resolve, reject) => {
+      const outgoing = request({
+        host: "127.0.0.1",
+        port: this._port,
+        method: options.method ?? "POST",
+        path: options.path ?? "/work/1?x=2",
+        agent: false,
+        headers: { host: "api.example", "x-key": "k1", "x-id": "call-1", ...options.headers },
+      });
+      outgoing.on("error", reject);
+      outgoing.on("response", (answer) => {
+        let body = "";
+        answer.on("data", (chunk: Buffer) => {
+          body += chunk.toString();
+        });
+        answer.on("error", () => {});
+        answer.on("close", () =>
+          resolve({ status: answer.statusCode!, headers: answer.headers, body, isWhole: answer.complete }),
+        );
+      });
+      outgoing.end(options.body ?? "hello");
+    });
+  }
+
+  private async _startEndpoint(script: Script, index: number): Promise<Target> {
+    const server = createServer(async (incoming, response) => {
+      let body = "";
+      for await (const chunk of incoming as AsyncIterable<Buffer>) body += chunk.toString();
+      const { method, url, headers, rawHeaders } = incoming;
+      const seen = { method: method!, path: url!, headers, rawHeaders, body };
+      this.seen.push(seen);
+      script(seen, response);
+    });
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    this._servers.push(server);
+    const { port } = server.address() as AddressInfo;
+    const id = `t${index}`;
+    return create(TargetSchema, {
+      id,
+      service: "service",
+      instanceId: id,
+      address: `127.0.0.1:${port}`,
+      // The first endpoint is the one that is chosen first.
+      slots: 1,
+    });
+  }
+
+  private async _startGateway(targets: readonly Target[], route: Route): Promise<void> {
+    const clock = new SystemClock();
+    const random = new SeededRandom(1);
+    const pool = new TargetPool(random);
+    pool.setTargets(targets);
+    // Others count as suspect until the first one has failed.
+    for (const target of targets.slice(1)) pool.addFailure(clock.getMonotonicMs(), target.id);
+    const declaration: Declaration = {
+      version: 1,
+      routes: [route],
+      services: [{ name: "service", maxConnections: 10, engine: undefined }],
+      organisations: [{ name: "atlas", keys: ["k1"], priority: 0 }],
+      limits: { headerBytes: 16_384, bodyBytes: 100_000, headerMs: 3_000, idleMs: 15_000 },
+    };
+    const routes = new RouteTable(declaration);
+    const probe = createServer();
+    await new Promise<void>((resolve) => probe.listen(0, "127.0.0.1", resolve));
+    this._port = (probe.address() as AddressInfo).port;
+    await new Promise((resolve) => probe.close(resolve));
+    this._gateway = new GatewayServer({
+      listen: `127.0.0.1:${this._port}`,
+      clock,
+      random,
+      logger: createLogger("silent", { role: "entry", name: "test" }),
+      tools: {
+        clock,
+        client: this._client,
+        dialect: new TestDialect(),
+        pool,
+        takeRetry: () => true,
+        onSuspicion: () => {},
+      },
+      getRoutes: () => routes,
+      onRequest: () => {},
+    });
+    await this._gateway.start();
+  }
+}
+
+/** Answers with a seal, and the id that was asked with. */
+export function answer(status: number, body: string, headers: Record<string, string> = {}): Script {
+  return (seen, response) => {
+    response.writeHead(status, { "x-seal": "s", "x-id": String(seen.headers["x-id"]), ...headers });
+    response.end(body);
+  };
+}
+
+/** Writes events, then ends or breaks off. */
+export function streamEvents(ids: readonly number[], end: "whole" | "cut" | "cutWithin" | "silent"): Script {
+  return (seen, response) => {
+    response.writeHead(200, {
+      "x-seal": "s",
+      "x-id": String(seen.headers["x-id"]),
+      "content-type": "text/event-stream",
+    });
+    const text = ids.map((id) => `id: ${id}\ndata: ${id}\n\n`).join("");
+    response.write(end === "cutWithin" ? `${text}id: 99\nda` : text, () => {
+      if (end === "whole") response.end();
+      if (end === "cut" || end === "cutWithin") response.destroy();
+    });
+  };
+}
--- /dev/null
+++ b/test/gateway/GatewayServer.test.ts
@@ -0,0 +1,226 @@
+import { connect } from "node:net";
+import { afterEach, describe, expect, it } from "vitest";
+import { answer, GatewayHarness, type Script, streamEvents } from "./GatewayHarness";
+
+const notRun: Script = (_seen, response) => {
+  response.writeHead(503, { "x-not-run": "1" });
+  response.end();
+};
+const reset: Script = (_seen, response) => {
+  response.destroy();
+};
+
+describe("GatewayServer", () => {
+  let harness: GatewayHarness;
+  afterEach(() => harness.stop());
+
+  /** Sends raw bytes; gives all that came back until the connection ended. */
+  function sendRaw(bytes: string): Promise<string> {
+    return new Promise((resolve, reject) => {
+      const socket = connect(harness.port, "127.0.0.1", () => socket.write(bytes));
+      let text = "";
+      socket.on("data", (chunk) => {
+        text += chunk.toString();
+      });
+      socket.on("error", reject);
+      socket.on("close", () => resolve(text));
+    });
+  }
+
+  describe("passing through", () => {
+    it("leaves method, path, query, body and end-to-end headers as they are", async () => {
+      harness = await GatewayHarness.start([answer(201, "made", { "x-own": "v" })]);
+      const headers = {
+        "x-custom": "Value",
+        "x-organisation": "forged",
+        te: "trailers",
+        connection: "x-hop",
+        "x-hop": "1",
+      };
+      const seen = await harness.call({ method: "PUT", path: "/a%2Fb/?q=%20", headers, body: "bytes" });
+      expect(seen).toMatchObject({ status: 201, body: "made", isWhole: true });
+      expect(seen.headers).toMatchObject({ "x-seal": "s", "x-own": "v" });
+      const [request] = harness.seen;
+      expect(request).toMatchObject({ method: "PUT", path: "/a%2Fb/?q=%20", body: "bytes" });
+      expect(request!.headers).toMatchObject({
+        "x-custom": "Value",
+        "x-organisation": "atlas",
+        host: "api.example",
+      });
+      expect(request!.headers).not.toHaveProperty("x-hop");
+      expect(request!.headers).not.toHaveProperty("te");
+      expect(request!.headers).not.toHaveProperty("x-key");
+    });
+
+    it("passes an endpoint's own failure on as it stands", async () => {
+      harness = await GatewayHarness.start([answer(500, "broken")], { kind: "notRepeatable" });
+      expect(await harness.call()).toMatchObject({ status: 500, body: "broken" });
+    });
+
+    it("adds no length to an answer that has none: it may have been cut", async () => {
+      const unframed: Script = (seen, response) => {
+        response.shouldKeepAlive = false;
+        response.useChunkedEncodingByDefault = false;
+        response.writeHead(200, { "x-seal": "s", "x-id": String(seen.headers["x-id"]) });
+        response.end("some");
+      };
+      harness = await GatewayHarness.start([unframed]);
+      const seen = await harness.call();
+      expect(seen.body).toBe("some");
+      expect(seen.headers).not.toHaveProperty("content-length");
+      expect(seen.headers).not.toHaveProperty("transfer-encoding");
+      await harness.stop();
+      harness = await GatewayHarness.start([unframed], { kind: "stream" });
+      expect((await harness.call()).headers).not.toHaveProperty("transfer-encoding");
+    });
+
+    it("refuses unknown keys, routes and large bodies without asking an endpoint", async () => {
+      harness = await GatewayHarness.start([answer(200, "")]);
+      expect((await harness.call({ headers: { "x-key": "none" } })).status).toBe(401);
+      expect((await harness.call({ headers: { host: "other.example" } })).status).toBe(404);
+      expect((await harness.call({ body: "x".repeat(100_001) })).status).toBe(413);
+      expect(harness.seen).toEqual([]);
+    });
+  });
+
+  describe("smuggling", () => {
+    const HEAD = "POST /a HTTP/1.1\r\nHost: api.example\r\nx-key: k1\r\nx-id: 1\r\n";
+
+    it.each([
+      [
+        "two framings",
+        `${HEAD}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n`,
+      ],
+      ["two lengths", `${HEAD}Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde`],
+      ["a chunk size that is none", `${HEAD}Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n`],
+      ["a space before the colon", "POST /a HTTP/1.1\r\nHost : api.example\r\nContent-Length: 0\r\n\r\n"],
+    ])("is refused by %s", async (_name, bytes) => {
+      harness = await GatewayHarness.start([answer(200, "")]);
+      expect(await sendRaw(bytes)).toMatch(/^HTTP\/1\.1 400 /);
+      expect(harness.seen.filter((request) => request.path === "/b")).toEqual([]);
+    });
+  });
+
+  describe("trying again", () => {
+    it("sends what did not run to another endpoint", async () => {
+      harness = await GatewayHarness.start([notRun, answer(200, "second")], { kind: "notRepeatable" });
+      expect(await harness.call()).toMatchObject({ status: 200, body: "second" });
+    });
+
+    it("tells what no endpoint ran as not run, and when to come back", async () => {
+      harness = await GatewayHarness.start([notRun, notRun], { kind: "notRepeatable" });
+      const seen = await harness.call();
+      expect(seen.status).toBe(503);
+      expect(Number(seen.headers["retry-after"])).toBeGreaterThan(0);
+    });
+
+    it("never runs a request twice that may not be repeated, nor tells that it was not run", async () => {
+      harness = await GatewayHarness.start([reset, answer(200, "second")], { kind: "notRepeatable" });
+      expect((await harness.call()).status).toBe(502);
+      expect(harness.seen.length).toBe(1);
+    });
+
+    it("repeats what may be repeated after a lost answer or a failure of the endpoint", async () => {
+      harness = await GatewayHarness.start([reset, answer(200, "second")]);
+      expect(await harness.call()).toMatchObject({ status: 200, body: "second" });
+      await harness.stop();
+      harness = await GatewayHarness.start([answer(500, "broken"), answer(200, "second")]);
+      expect(await harness.call()).toMatchObject({ status: 200, body: "second" });
+    });
+
+    it("sends to no more endpoints than the route allows", async () => {
+      harness = await GatewayHarness.start([reset, reset, reset]);
+      expect((await harness.call()).status).toBe(502);
+      expect(harness.seen.length).toBe(2);
+    });
+
+    it("takes an answer to another request, or one without a seal, for none", async () => {
+      const foreign = answer(200, "foreign", { "x-id": "call-0" });
+      harness = await GatewayHarness.start([foreign, answer(200, "own")]);
+      expect(await harness.call()).toMatchObject({ status: 200, body: "own" });
+      await harness.stop();
+      const unsealed: Script = (_seen, response) => response.end("unsealed");
+      harness = await GatewayHarness.start([unsealed, unsealed], { kind: "notRepeatable" });
+      expect((await harness.call()).status).toBe(502);
+    });
+
+    it("never passes a short answer on as a whole one", async () => {
+      const short: Script = (_seen, response) => {
+        response.writeHead(200, { "x-seal": "s", "content-length": "10" });
+        response.write("short", () => response.destroy());
+      };
+      harness = await GatewayHarness.start([short, answer(200, "whole")]);
+      expect(await harness.call()).toMatchObject({ status: 200, body: "whole" });
+    });
+  });
+
+  describe("time", () => {
+    it("gives the final answer at the route's limit and tells the endpoint what is left", async () => {
+      harness = await GatewayHarness.start([() => {}], { kind: "notRepeatable", timeoutMs: 300 });
+      const startedAt = performance.now();
+      expect((await harness.call()).status).toBe(504);
+      expect(performance.now() - startedAt).toBeLessThan(800);
+      expect(Number(harness.seen[0]!.headers["x-wait-ms"])).toBeLessThanOrEqual(300);
+    });
+
+    it("ends the endpoint's work when the caller leaves", async () => {
+      let endWork: () => void = () => {};
+      const ended = new Promise<void>((resolve) => {
+        endWork = resolve;
+      });
+      let begin: () => void = () => {};
+      const begun = new Promise<void>((resolve) => {
+        begin = resolve;
+      });
+      harness = await GatewayHarness.start([
+        (_seen, response) => {
+          response.on("close", endWork);
+          begin();
+        },
+      ]);
+      const socket = connect(harness.port, "127.0.0.1", () =>
+        socket.write("GET /a HTTP/1.1\r\nHost: api.example\r\nx-key: k1\r\nx-id: 1\r\n\r\n"),
+      );
+      await begun;
+      socket.destroy();
+      await ended;
+    });
+  });
+
+  describe("streams", () => {
+    const RESUMABLE = { kind: "stream" as const, isResumable: true };
+    const EVENTS = [1, 2, 3, 4].map((id) => `id: ${id}\ndata: ${id}\n\n`).join("");
+
+    it("go on at another endpoint after the last whole event", async () => {
+      harness = await GatewayHarness.start(
+        [streamEvents([1, 2], "cutWithin"), streamEvents([3, 4], "whole")],
+        RESUMABLE,
+      );
+      expect(await harness.call()).toMatchObject({ status: 200, body: EVENTS, isWhole: true });
+      expect(harness.seen[1]!.headers["last-event-id"]).toBe("2");
+    });
+
+    it("go on when the endpoint stands still", async () => {
+      harness = await GatewayHarness.start(
+        [streamEvents([1, 2], "silent"), streamEvents([3, 4], "whole")],
+        RESUMABLE,
+      );
+      expect(await harness.call()).toMatchObject({ status: 200, body: EVENTS, isWhole: true });
+    });
+
+    it("end visibly broken where they may not be resumed", async () => {
+      harness = await GatewayHarness.start([streamEvents([1, 2], "cut"), streamEvents([3, 4], "whole")], {
+        kind: "stream",
+      });
+      const seen = await harness.call();
+      expect(seen).toMatchObject({ status: 200, isWhole: false });
+      expect(harness.seen.length).toBe(1);
+    });
+
+    it("that the caller resumes begin where it says", async () => {
+      harness = await GatewayHarness.start([reset, streamEvents([8], "whole")], RESUMABLE);
+      await harness.call({ headers: { "last-event-id": "7" } });
+      expect(harness.seen.map((request) => request.headers["last-event-id"])).toEqual(["7", "7"]);
+    });
+  });
+});
--- /dev/null
+++ b/test/registration/registry.test.ts
@@ -0,0 +1,145 @@
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { describe, expect, it } from "vitest";
+import { InstanceReportSchema, PlaceState } from "../../src/gen/ploverstage/v1/fleet_pb";
+import { type Replica, ReplicaPhase, ReplicaSchema } from "../../src/gen/ploverstage/v1/state_pb";
+import { InstanceRegistry } from "../../src/registration/InstanceRegistry";
+import { LoadLimiter } from "../../src/registration/LoadLimiter";
+import { PresenceDoubts } from "../../src/registration/PresenceDoubts";
+import { ReplicaCloser } from "../../src/registration/ReplicaCloser";
+
+function createReport(
+  instanceId: string,
+  sequence: number,
+  init: MessageInitShape<typeof InstanceReportSchema> = {},
+) {
+  return create(InstanceReportSchema, {
+    instanceId,
+    sequence,
+    address: `10.0.0.1:${instanceId.length}`,
+    ...init,
+  });
+}
+
+describe("InstanceRegistry", () => {
+  it("drops a late report of the same life", () => {
+    const registry = new InstanceRegistry();
+    registry.addReport(0, createReport("a", 5, { slots: 5 }));
+    expect(registry.addReport(10, createReport("a", 4, { slots: 4 }))).toBe("late");
+    expect(registry.addReport(10, createReport("a", 5, { slots: 4 }))).toBe("late");
+    expect(registry.getInstance("a")?.report.slots).toBe(5);
+  });
+
+  it("takes a life for gone once another one reports from its address", () => {
+    const registry = new InstanceRegistry();
+    registry.addReport(0, createReport("a", 1, { address: "10.0.0.1:80" }));
+    registry.addReport(1, createReport("b", 1, { address: "10.0.0.1:80" }));
+    expect(registry.isGone("a")).toBe(true);
+    expect(registry.getInstance("a")).toBeUndefined();
+    expect(registry.addReport(2, createReport("a", 2, { address: "10.0.0.1:80" }))).toBe("gone");
+    expect(registry.getInstance("b")).toBeDefined();
+  });
+
+  it("believes a life again that goes on reporting", () => {
+    const registry = new InstanceRegistry();
+    registry.addReport(0, createReport("new", 1, { address: "10.0.0.1:80" }));
+    registry.addReport(1, createReport("old", 9, { address: "10.0.0.1:80" }));
+    registry.addReport(2, createReport("new", 2, { address: "10.0.0.1:80" }));
+    registry.addReport(3, createReport("new", 3, { address: "10.0.0.1:80" }));
+    expect(registry.getInstance("new")).toBeDefined();
+    expect(registry.isGone("old")).toBe(true);
+  });
+});
+
+describe("LoadLimiter", () => {
+  it("lets no window have more loads than the limit", () => {
+    const limiter = new LoadLimiter();
+    const limit = { loads: 3, windowMs: 1_000 };
+    const taken = Array.from({ length: 40 }, (_, i) => i * 100).filter((now) => limiter.takeLoad(now, limit));
+    expect(taken.length).toBeGreaterThan(6);
+    for (const end of taken) {
+      expect(taken.filter((at) => at <= end && at > end - limit.windowMs).length).toBeLessThanOrEqual(3);
+    }
+  });
+});
+
+describe("PresenceDoubts", () => {
+  it("last until the instance reports again", () => {
+    const doubts = new PresenceDoubts();
+    doubts.addDoubt(100, "a");
+    expect(doubts.isDoubted("a", 90)).toBe(true);
+    expect(doubts.isDoubted("a", 110)).toBe(false);
+    expect(doubts.isDoubted("b", 0)).toBe(false);
+  });
+});
+
+describe("ReplicaCloser", () => {
+  const TIMES = { drainMs: 9_000, stallMs: 4_000 };
+  const replica: Replica = create(ReplicaSchema, {
+    id: "g-1",
+    epoch: 1,
+    phase: ReplicaPhase.RETIRING,
+    members: ["head", "m1", "m2"].map((instanceId) => ({ instanceId, address: "10.0.0.1:1" })),
+  });
+
+  function setUp(drains: boolean) {
+    const registry = new InstanceRegistry();
+    const report = (id: string, sequence: number, state: PlaceState) =>
+      registry.addReport(
+        0,
+        createReport(id, sequence, {
+          address: `10.0.0.9:${id}`,
+          place: { replicaId: "g-1", epoch: 1, state },
+        }),
+      );
+    report("head", 1, PlaceState.OPEN);
+    report("m1", 1, PlaceState.READY);
+    report("m2", 1, PlaceState.READY);
+    const closer = new ReplicaCloser(registry);
+    closer.setRetiring(0, [replica], () => drains);
+    return { registry, closer, report };
+  }
+
+  it("is not over while the head may take requests", () => {
+    const { closer } = setUp(false);
+    expect(closer.isOver(60_000, replica, TIMES)).toBe(false);
+  });
+
+  it("is over once the head has left, is broken, or is gone", () => {
+    const left = setUp(false);
+    const due = left.closer.getDueOrder(0, replica, TIMES)!;
+    expect(due.order.kind).toBe("leave");
+    expect(due.receiver.instanceId).toBe("head");
+    left.closer.addOutcome(10, replica, due, "done");
+    expect(left.closer.isOver(10, replica, TIMES)).toBe(true);
+    const broken = setUp(false);
+    broken.report("head", 2, PlaceState.BROKEN);
+    expect(broken.closer.isOver(10, replica, TIMES)).toBe(true);
+    const gone = setUp(false);
+    gone.registry.removeInstance("head");
+    expect(gone.closer.isOver(10, replica, TIMES)).toBe(true);
+  });
+
+  it("breaks a head that answers nothing by taking a member out, and waits until it must be broken", () => {
+    const { closer } = setUp(false);
+    closer.addOutcome(0, replica, closer.getDueOrder(0, replica, TIMES)!, "unanswered");
+    const second = closer.getDueOrder(1_000, replica, TIMES)!;
+    expect(second.receiver.instanceId).not.toBe("head");
+    closer.addOutcome(1_100, replica, second, "done");
+    expect(closer.isOver(1_100 + TIMES.stallMs, replica, TIMES)).toBe(false);
+    expect(closer.isOver(1_100 + TIMES.stallMs + 2_000, replica, TIMES)).toBe(true);
+    expect(closer.getDueOrder(2_000, replica, TIMES)).toBeUndefined();
+  });
+
+  it("lets work end first where it may, for no longer than the time to drain", () => {
+    const { closer, report } = setUp(true);
+    const close = closer.getDueOrder(0, replica, TIMES)!;
+    expect(close.order.kind).toBe("close");
+    closer.addOutcome(10, replica, close, "begun");
+    expect(closer.getDueOrder(100, replica, TIMES)).toBeUndefined();
+    report("head", 2, PlaceState.READY);
+    expect(closer.getDueOrder(200, replica, TIMES)?.order.kind).toBe("leave");
+    const slow = setUp(true);
+    slow.closer.addOutcome(10, replica, slow.closer.getDueOrder(0, replica, TIMES)!, "begun");
+    expect(slow.closer.getDueOrder(TIMES.drainMs + 1, replica, TIMES)?.order.kind).toBe("leave");
+  });
+});
