Bound the first loads so that the weight store's window holds whenever work begins

Nobody tells control when work begins, and from then on loads count and last ten times as long: with loads that are short against the window (2 s, 27 at a time) 54 of them may begin at once where 22 are borne. Ruled out: learning from entries when work began (one more message that a cut can hold up). Change: countFirstLoads bounds the loads at a time by the window's limit over the loads that one place can begin within a window; loads begun without a limit count against the one that follows.

--- a/src/registration/LoadLimiter.ts
+++ b/src/registration/LoadLimiter.ts
@@ -11,10 +11,15 @@
 export class LoadLimiter {
   private _startedAt: number[] = [];
 
-  /** Takes one load if the window has room for it. */
-  takeLoad(now: number, limit: LoadLimit): boolean {
-    this._startedAt = this._startedAt.filter((startedAt) => now - startedAt < limit.windowMs);
-    if (this._startedAt.length >= limit.loads) return false;
+  /**
+   * Takes one load if the window has room for it.
+   * @param limit - `undefined` while there is none; what begins then counts once there is one.
+   */
+  takeLoad(now: number, limit: LoadLimit | undefined): boolean {
+    if (limit !== undefined) {
+      this._startedAt = this._startedAt.filter((startedAt) => now - startedAt < limit.windowMs);
+      if (this._startedAt.length >= limit.loads) return false;
+    }
     this._startedAt.push(now);
     return true;
   }
--- a/src/registration/OrderDispatcher.ts
+++ b/src/registration/OrderDispatcher.ts
@@ -82,8 +82,7 @@
   async sendLoad(receiver: OrderReceiver, order: InstanceOrder): Promise<void> {
     const now = this._options.clock.getMonotonicMs();
     if (!this._isDue(now, receiver.instanceId, order)) return;
-    const limit = this._options.getLoadLimit();
-    if (limit !== undefined && !this._limiter.takeLoad(now, limit)) return;
+    if (!this._limiter.takeLoad(now, this._options.getLoadLimit())) return;
     this._toldToLoadAt.set(receiver.instanceId, now);
     if (order.kind !== "stage") {
       await this._send(now, receiver, order);
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -15,6 +15,7 @@
 import type { InstanceOrder, InstanceOrders, OrderReceiver } from "./InstanceOrders";
 import type { InstanceRegistry } from "./InstanceRegistry";
 import type { LoadLimit } from "./LoadLimiter";
+import { createLoadLimit, type LoadWindow } from "./loadLimits";
 import { OrderDispatcher } from "./OrderDispatcher";
 import { PlanningFactsSource, READY_STATES } from "./PlanningFactsSource";
 import { PresenceDoubts } from "./PresenceDoubts";
@@ -22,12 +23,9 @@
 import { type ClosingTimes, ReplicaCloser } from "./ReplicaCloser";
 
 /** Times and bounds of the replicas' control, milliseconds. */
-export interface ReplicaTimes extends ClosingTimes {
+export interface ReplicaTimes extends ClosingTimes, LoadWindow {
   /** An instance silent for so long is absent. */
   readonly presenceMs: number;
-  /** Window of the weight store's limit on loads, and how far it may be overrun. */
-  readonly loadWindowMs: number;
-  readonly loadOverrun: number;
   /** Instances kept free in each fabric domain for repairs. */
   readonly reserve: number;
 }
@@ -161,7 +159,11 @@
     );
     const facts = this._facts.createFacts(now, service.name, replicas, over);
     this._firstFormation.update(facts);
-    const bounds = { ...times, isFirstFormation: this._firstFormation.isUnderWay };
+    const bounds = {
+      ...times,
+      isFirstFormation: this._firstFormation.isUnderWay,
+      loadLimit: createLoadLimit(service.engine, times),
+    };
     const { configuration, summary } = createPlanningConfiguration(now, service.engine, facts, bounds);
     this._logSizing(summary);
     const actions = this._planner.plan(now, facts, configuration);
@@ -306,10 +308,7 @@
 
   private _getLoadLimit(): LoadLimit | undefined {
     if (this._firstFormation.isUnderWay) return undefined;
-    const { loadWindowMs, loadOverrun } = this._options.getTimes();
-    const perSecond = this._getEngineService()?.engine?.loadsPerSecond ?? 0;
-    const loads = Math.max(1, Math.floor((perSecond * loadWindowMs * loadOverrun) / 1_000));
-    return { loads, windowMs: loadWindowMs };
+    return createLoadLimit(this._getEngineService()?.engine, this._options.getTimes());
   }
 
   private _getPlace(replica: Replica, instanceId: string): PlaceState | undefined {
--- a/src/registration/planningConfiguration.ts
+++ b/src/registration/planningConfiguration.ts
@@ -2,6 +2,8 @@
 import type { EngineProfile } from "../declaration";
 import { ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
 import type { PlanningConfiguration, PlanningFacts } from "../planner";
+import type { LoadLimit } from "./LoadLimiter";
+import { countFirstLoads } from "./loadLimits";
 import { sizeGroups } from "./sizeGroups";
 
 /** Bounds of planning. */
@@ -12,6 +14,8 @@
   readonly reserve: number;
   /** Whether the system forms its first replicas. */
   readonly isFirstFormation: boolean;
+  /** Loads that the weight store bears within a window. */
+  readonly loadLimit: LoadLimit;
 }
 
 /** What is wanted, in short, for the log. */
@@ -23,18 +27,13 @@
 
 /** Declared models have one version as far as the planner is concerned. */
 export const LOADED_VERSION = "1";
-/**
- * Loads at a time while the first replicas form, against those that run at full speed: they are
- * short then, and each must begin before there is work. Later ones would only slow each other.
- */
-const FIRST_LOAD_OVERLAP = 2;
 
 /** Makes the configuration of this moment. */
 export function createPlanningConfiguration(
   now: number,
   engine: EngineProfile,
   facts: PlanningFacts,
-  { presenceMs, reserve, isFirstFormation }: PlanningBounds,
+  { presenceMs, reserve, isFirstFormation, loadLimit }: PlanningBounds,
 ): { configuration: PlanningConfiguration; summary: SizingSummary } {
   const instancesByDomain = new Map<string, number>();
   for (const instance of facts.instances) {
@@ -56,7 +55,7 @@
     servingByModel,
     warmModels,
   });
-  const overlap = isFirstFormation ? FIRST_LOAD_OVERLAP : 1;
+  const concurrentLoads = isFirstFormation ? countFirstLoads(engine, loadLimit) : engine.concurrentLoads;
   const configuration: PlanningConfiguration = {
     models: engine.models.map((model) => ({
       name: model.name,
@@ -71,7 +70,7 @@
       replicas: Math.max(group.replicas, servingByModel.get(group.model) ?? 0),
     })),
     planning: { reserve: 0, maxWait: 1, flapLosses: Number.MAX_SAFE_INTEGER, flapWindow: 1 },
-    weightStore: { concurrentLoads: Math.ceil(engine.concurrentLoads * overlap) },
+    weightStore: { concurrentLoads },
     timing: { presenceWindow: presenceMs, lease: 0 },
     stagesFirst: true,
     modelByDomain,
--- a/test/registration/planningConfiguration.test.ts
+++ b/test/registration/planningConfiguration.test.ts
@@ -18,9 +18,11 @@
   concurrentLoads: 6,
 };
 
+const LOAD_LIMIT = { loads: 22, windowMs: 5_000 };
+
 function getModels(instances: readonly InstanceFacts[], isFirstFormation = false, replicas = {}) {
   const facts = createFacts({ instances, ...replicas });
-  const bounds = { presenceMs: PRESENCE_MS, reserve: 0, isFirstFormation };
+  const bounds = { presenceMs: PRESENCE_MS, reserve: 0, isFirstFormation, loadLimit: LOAD_LIMIT };
   const { configuration } = createPlanningConfiguration(NOW, ENGINE, facts, bounds);
   return {
     models: Object.fromEntries(configuration.modelByDomain ?? []),
