--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -76,7 +76,7 @@
       watcherId: driver.node.id,
       entry: undefined,
       getSeeds,
-      orderCandidates: (addresses) => this._getOthers(this._putLeaderFirst(addresses)),
+      orderCandidates: () => this._getLeader(),
       secret,
       view: this.view,
       clock,
@@ -141,10 +141,10 @@
     return leader === "" ? [...new Set(addresses)] : [...new Set([leader, ...addresses])];
   }
 
-  /** A process does not follow itself; where it knows nobody else it has nobody to follow. */
-  private _getOthers(addresses: readonly string[]): string[] {
-    const { listen } = this._options;
-    const others = addresses.filter((address) => address !== listen);
-    return others.length > 0 ? others : [listen];
+  /** Only the leader shows its view to other control processes: while none is known, nobody is asked. */
+  private _getLeader(): string[] {
+    const { driver, listen } = this._options;
+    const leader = driver.getLeaderAddress();
+    return leader === "" || leader === listen ? [] : [leader];
   }
 }
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -22,8 +22,11 @@
   readonly entry: EntryEndpoint | undefined;
   /** host:port of control processes to ask while no others are known. */
   readonly getSeeds: () => readonly string[];
-  /** Puts control processes into the order in which they are to be asked. */
-  readonly orderCandidates: (addresses: readonly string[]) => string[];
+  /**
+   * Gets which control processes to ask, in this order.
+   * @param addresses - Those that are known; with none to ask, it is called again after a while.
+   */
+  readonly orderCandidates: (addresses: readonly string[]) => readonly string[];
   readonly secret: string | undefined;
   readonly view: FollowedView;
   readonly clock: Clock;
@@ -49,7 +52,7 @@
   private _next = 0;
   /** The control processes of the last update that named any. */
   private _known = "";
-  private _current: string;
+  private _current = "";
   private _heardAt = Number.NEGATIVE_INFINITY;
   private _isConnected = false;
   private _isStopped = false;
@@ -60,7 +63,6 @@
    */
   constructor(options: ViewWatcherOptions) {
     this._options = options;
-    this._current = this._getCandidates()[0]!;
   }
 
   /** Gets how long the leader has been silent, milliseconds. */
@@ -68,7 +70,7 @@
     return now - this._heardAt;
   }
 
-  /** Gets the control process that is followed, or asked. */
+  /** Gets the control process that is followed, or asked; "" before the first one. */
   get currentAddress(): string {
     return this._current;
   }
@@ -77,7 +79,8 @@
   async run(): Promise<void> {
     const search = new SearchPause();
     while (!this._isStopped) {
-      if (this._options.isWanted?.() === false) {
+      if (this._current === "") this._current = this._getCandidates()[0] ?? "";
+      if (this._current === "" || this._options.isWanted?.() === false) {
         await pause(IDLE_MS);
         continue;
       }
@@ -188,7 +191,7 @@
     if (hint !== "" && hint !== this._current) return hint;
     const candidates = this._getCandidates();
     this._next += 1;
-    return candidates[this._next % candidates.length]!;
+    return candidates[this._next % candidates.length] ?? "";
   }
 
   private _getCandidates(): string[] {
