Send a member that lacks entries each of them once; tell of stalls

Ruled out: parsing declarations (5 ms each), planning and publishing (tallied), the disk. Change: Progress (own class) probes after a refusal with one append at a time, ignores what is older, resends a probe after five heartbeats, and bounds an append to 256 KB.

--- a/src/clock/LoopLag.ts
+++ b/src/clock/LoopLag.ts
@@ -6,6 +6,9 @@
  */
 import type { Clock } from "./index";
 
+/** A process that ran its timers so late says so. */
+const STALL_MS = 400;
+const US_PER_MS = 1_000;
 const INTERVAL_MS = 50;
 /** Lags are kept for so long. */
 const MEMORY_MS = 1_000;
@@ -15,18 +18,29 @@
   readonly lagMs: number;
 }
 
+/** A time in which a process ran none of its timers. */
+export interface Stall {
+  readonly lagMs: number;
+  /** Processor time that the process used meanwhile: little of it when it was held up from outside. */
+  readonly cpuMs: number;
+}
+
 /** Measures lag for as long as it runs. */
 export class LoopLag {
   private readonly _clock: Clock;
   private readonly _timer: NodeJS.Timeout;
   private _lags: Lag[] = [];
   private _tickedAt: number;
+  private readonly _onStall: (stall: Stall) => void;
+  private _cpu = process.cpuUsage();
 
   /**
    * @param clock - Monotonic time.
+   * @param onStall - Called after each stall.
    */
-  constructor(clock: Clock) {
+  constructor(clock: Clock, onStall: (stall: Stall) => void = () => {}) {
     this._clock = clock;
+    this._onStall = onStall;
     this._tickedAt = clock.getMonotonicMs();
     this._timer = setInterval(() => this._tick(), INTERVAL_MS).unref();
   }
@@ -49,7 +63,11 @@
   private _tick(): void {
     const now = this._clock.getMonotonicMs();
     this._lags = this._lags.filter((lag) => now - lag.at <= MEMORY_MS);
-    this._lags.push({ at: now, lagMs: Math.max(0, now - this._tickedAt - INTERVAL_MS) });
+    const lagMs = Math.max(0, now - this._tickedAt - INTERVAL_MS);
+    this._lags.push({ at: now, lagMs });
     this._tickedAt = now;
+    const { user, system } = process.cpuUsage(this._cpu);
+    this._cpu = process.cpuUsage();
+    if (lagMs >= STALL_MS) this._onStall({ lagMs, cpuMs: (user + system) / US_PER_MS });
   }
 }
--- a/src/consensus/Progress.ts
+++ b/src/consensus/Progress.ts
@@ -1,30 +1,122 @@
-/** What a leader knows of one other member. */
-export interface Progress {
-  /** Index of the next entry to send. */
-  nextIndex: number;
-  /** Highest index known to be durable there. */
-  matchIndex: number;
+/**
+ * What a leader knows of one other member, and what it sends it next.
+ *
+ * As long as the member takes what it is sent, entries are sent once, ahead of its answers.
+ * After a refusal the leader probes: one append at a time finds out where the logs agree, and
+ * further refusals of what was under way change nothing. Pure: times are monotonic
+ * milliseconds given by the caller.
+ */
+import type { LogEntry } from "../gen/ploverstage/v1/consensus_pb";
+import type { MemoryLog } from "./MemoryLog";
+
+/** Bounds on one append, so that no message holds a small process up for long. */
+const MAX_ENTRIES_PER_APPEND = 512;
+const MAX_BYTES_PER_APPEND = 262_144;
+/** An entry without a command. */
+const SMALL_ENTRY_BYTES = 64;
+/** A probe that was not answered for so many heartbeats is sent again. */
+const PROBE_HEARTBEATS = 5;
+
+/** What to send: entries after an index that the member is thought to have. */
+export interface PlannedAppend {
+  readonly previousIndex: number;
+  readonly entries: LogEntry[];
+}
+
+/** A search for the index up to which the logs agree. */
+interface Probe {
+  readonly sentAt: number;
+  /** Index of the last entry in it. */
+  readonly lastIndex: number;
+}
+
+/** Progress of one member. */
+export class Progress {
   /** Newest round of the leader that it answered; shows that it still follows. */
-  round: number;
+  round = 0;
   /**
-   * When its last answer arrived, or the term began, whichever is later; monotonic
-   * milliseconds, -Infinity before both.
+   * When its last answer arrived, or the term began, whichever is later; -Infinity before
+   * both.
    */
-  answeredAt: number;
+  answeredAt = Number.NEGATIVE_INFINITY;
   /** Whether it answered in this term. */
-  hasAnswered: boolean;
+  hasAnswered = false;
   /** When a snapshot was last sent; none is sent again until it can have arrived. */
-  snapshotSentAt: number;
+  snapshotSentAt = Number.NEGATIVE_INFINITY;
+  private _nextIndex: number;
+  private _matchIndex = 0;
+  private _isProbing = false;
+  private _probe: Probe | undefined;
+
+  /**
+   * @param lastIndex - The leader's: the member is thought to have everything.
+   */
+  constructor(lastIndex: number) {
+    this._nextIndex = lastIndex + 1;
+  }
+
+  /** Gets the index of the next entry to send. */
+  get nextIndex(): number {
+    return this._nextIndex;
+  }
+
+  /** Gets the highest index known to be durable there. */
+  get matchIndex(): number {
+    return this._matchIndex;
+  }
+
+  /** Plans the next append; its entries count as sent. */
+  planAppend(now: number, log: MemoryLog, heartbeatMs: number): PlannedAppend {
+    const previousIndex = this._nextIndex - 1;
+    if (!this._isProbing) {
+      const entries = takeEntries(log, this._nextIndex);
+      this._nextIndex += entries.length;
+      return { previousIndex, entries };
+    }
+    if (this._probe !== undefined && now - this._probe.sentAt < heartbeatMs * PROBE_HEARTBEATS) {
+      // A sign of life where the logs are known to agree; where that is forgotten, any other.
+      const isHeld = log.getTerm(this._matchIndex) !== undefined;
+      return { previousIndex: isHeld ? this._matchIndex : previousIndex, entries: [] };
+    }
+    const entries = takeEntries(log, this._nextIndex);
+    this._probe = { sentAt: now, lastIndex: previousIndex + entries.length };
+    return { previousIndex, entries };
+  }
+
+  /** Notes that a member has everything up to an index. */
+  addMatch(matchIndex: number): void {
+    this._matchIndex = Math.max(this._matchIndex, matchIndex);
+    const hasEnded = this._probe === undefined || this._matchIndex >= this._probe.lastIndex;
+    if (this._isProbing && hasEnded) {
+      this._isProbing = false;
+      this._probe = undefined;
+      this._nextIndex = this._matchIndex + 1;
+    }
+    this._nextIndex = Math.max(this._nextIndex, this._matchIndex + 1);
+  }
+
+  /**
+   * Notes a refusal.
+   * @param hint - The highest index up to which the logs may agree.
+   * @returns Whether it says anything new: a probe is due.
+   */
+  addRefusal(hint: number): boolean {
+    // A probe that is refused names an index below it; what names another one is older.
+    if (this._isProbing && hint + 1 >= this._nextIndex) return false;
+    this._isProbing = true;
+    this._probe = undefined;
+    this._nextIndex = Math.max(this._matchIndex + 1, Math.min(this._nextIndex - 1, hint + 1));
+    return true;
+  }
 }
 
-/** Makes the progress of a member that a new leader knows nothing of. */
-export function createProgress(lastIndex: number): Progress {
-  return {
-    nextIndex: lastIndex + 1,
-    matchIndex: 0,
-    round: 0,
-    answeredAt: Number.NEGATIVE_INFINITY,
-    hasAnswered: false,
-    snapshotSentAt: Number.NEGATIVE_INFINITY,
-  };
+function takeEntries(log: MemoryLog, from: number): LogEntry[] {
+  const entries = log.getEntries(from, MAX_ENTRIES_PER_APPEND);
+  let bytes = 0;
+  const count = entries.findIndex((entry) => {
+    bytes += entry.body.case === "command" ? entry.body.value.length : SMALL_ENTRY_BYTES;
+    return bytes > MAX_BYTES_PER_APPEND;
+  });
+  // One entry is sent however large it is.
+  return count === -1 ? entries : entries.slice(0, Math.max(1, count));
 }
--- a/src/consensus/RaftNode.ts
+++ b/src/consensus/RaftNode.ts
@@ -23,7 +23,7 @@
 import { MemoryLog } from "./MemoryLog";
 import { getMember, getQuorumSize, getVoters, isVoter } from "./membership";
 import { Outbox } from "./Outbox";
-import { createProgress, type Progress } from "./Progress";
+import { Progress } from "./Progress";
 import type { RandomSource } from "./RandomSource";
 import type { Ready } from "./Ready";
 import type { Timing } from "./Timing";
@@ -47,8 +47,6 @@
 
 type MessageBody = ConsensusMessage["body"];
 
-const MAX_ENTRIES_PER_APPEND = 512;
-
 /** A member of the agreed state. */
 export class RaftNode {
   /** This member's id. */
@@ -194,7 +192,7 @@
     if (!this.isEstablished() || this._hasPendingMembership()) return undefined;
     const index = this._addBody(now, { case: "membership", value: membership });
     for (const member of membership.members) {
-      if (!this._progress.has(member.id)) this._progress.set(member.id, createProgress(this.log.lastIndex));
+      if (!this._progress.has(member.id)) this._progress.set(member.id, new Progress(this.log.lastIndex));
     }
     return index;
   }
@@ -412,7 +410,7 @@
     this._barriers.clear();
     this._progress = new Map();
     for (const member of this.membership.members) {
-      this._progress.set(member.id, createProgress(this.log.lastIndex));
+      this._progress.set(member.id, new Progress(this.log.lastIndex));
       this._progress.get(member.id)!.answeredAt = now;
     }
     this._termStartIndex = this.log.lastIndex + 1;
@@ -469,14 +467,12 @@
   private _sendAppend(now: number, to: string): void {
     const progress = this._progress.get(to);
     if (progress === undefined) return;
-    const previousIndex = progress.nextIndex - 1;
-    const previousTerm = this.log.getTerm(previousIndex);
-    if (previousTerm === undefined) {
+    if (this.log.getTerm(progress.nextIndex - 1) === undefined) {
       this._sendSnapshot(now, to, progress);
       return;
     }
-    const entries = this.log.getEntries(progress.nextIndex, MAX_ENTRIES_PER_APPEND);
-    progress.nextIndex += entries.length;
+    const { previousIndex, entries } = progress.planAppend(now, this.log, this.timing.heartbeatMs);
+    const previousTerm = this.log.getTerm(previousIndex)!;
     this._sendImmediate(to, {
       case: "appendRequest",
       value: {
@@ -583,15 +579,10 @@
     progress.round = Math.max(progress.round, response.round);
     this._confirmBarriers();
     if (!response.accepted) {
-      progress.nextIndex = Math.max(
-        progress.matchIndex + 1,
-        Math.min(progress.nextIndex - 1, response.matchIndex + 1),
-      );
-      this._sendAppend(now, from);
+      if (progress.addRefusal(response.matchIndex)) this._sendAppend(now, from);
       return;
     }
-    progress.matchIndex = Math.max(progress.matchIndex, response.matchIndex);
-    progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+    progress.addMatch(response.matchIndex);
     this._advanceCommit();
     if (progress.nextIndex <= this.log.lastIndex) this._sendAppend(now, from);
   }
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -83,7 +83,16 @@
     const getTimes = createTimesCache(options.settings);
     const getRoutes = createRouteCache(() => driver.machine.getDeclaration(), options.format);
     const lag = yield* Effect.acquireRelease(
-      Effect.sync(() => new LoopLag(clock)),
+      Effect.sync(
+        () =>
+          new LoopLag(clock, ({ lagMs, cpuMs }) =>
+            logger.warn({
+              event: "process_stalled",
+              lag_ms: Math.round(lagMs),
+              cpu_ms: Math.round(cpuMs),
+            }),
+          ),
+      ),
       (started) => Effect.sync(() => started.stop()),
     );
     const createLeadership = () =>
--- a/test/consensus/ConsensusModel.ts
+++ b/test/consensus/ConsensusModel.ts
@@ -89,6 +89,8 @@
   private _proposals = 0;
   /** Commands that were committed, over all members. */
   committedCount = 0;
+  /** Log entries that were sent to each member, as often as they were sent. */
+  readonly sentEntries = [] as number[];
 
   constructor(size: number, defect: Defect = "none") {
     this._defect = defect;
@@ -285,6 +287,12 @@
     this._pump(host);
   }
 
+  private _countEntries({ to, body }: ConsensusMessage): void {
+    if (body.case !== "appendRequest") return;
+    const member = this._hosts.findIndex((host) => host.disk.id === to);
+    this.sentEntries[member] = (this.sentEntries[member] ?? 0) + body.value.entries.length;
+  }
+
   private _send(messages: readonly ConsensusMessage[]): void {
     this._messages.push(...messages);
     if (this._messages.length > MAX_MESSAGES) this._messages = this._messages.slice(-MAX_MESSAGES);
@@ -295,6 +303,7 @@
   }
 
   private _runTurn(host: Host, ready: Ready): void {
+    for (const message of ready.immediateMessages) this._countEntries(message);
     this._send(ready.immediateMessages);
     this._persist(host, ready);
     this._finishTurn(host, ready);
--- a/test/consensus/RaftNode.test.ts
+++ b/test/consensus/RaftNode.test.ts
@@ -63,6 +63,32 @@
     });
   });
 
+  describe("a member that lacks many entries", () => {
+    it("is sent each of them about once, however many messages it refuses meanwhile", () => {
+      const model = new ConsensusModel(3);
+      model.run({ kind: "settle", rounds: 40 });
+      const leader = ["m0", "m1", "m2"].indexOf(model.getLeaderNames()[0]!);
+      const away = (leader + 1) % 3;
+      const missed = 60;
+      model.run({ kind: "cut", from: leader, to: away });
+      for (let i = 0; i < missed; i++) {
+        model.run({ kind: "propose", member: 1, choice: 0 });
+        model.run({ kind: "settle", rounds: 1 });
+      }
+      model.run({ kind: "heal", from: leader, to: away });
+      const before = model.sentEntries[away]!;
+      // Many messages are under way before the first one is refused.
+      const more = 20;
+      for (let i = 0; i < more; i++) {
+        model.run({ kind: "propose", member: 1, choice: 0 });
+        model.run({ kind: "advance", ms: 10 });
+      }
+      model.run({ kind: "settle", rounds: 40 });
+      expect(model.sentEntries[away]! - before).toBeLessThan(1.5 * (missed + more));
+      model.finish();
+    });
+  });
+
   describe("a member that was cut off for long", () => {
     it("does not disturb the others when it returns", () => {
       const model = new ConsensusModel(3);
