Let each step of a repair follow the last one at once; plan every service with engines

An answered order was no reason for a run at all. Ruled out: detection (0.4 s), loads (the spares held the model). Change: planning runs 15 ms after its inputs changed, answered orders among them, and pauses for twice what it computed, without what it waited for.

--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -40,7 +40,8 @@
   readonly onChange: () => void;
 }
 
-const STEP_MS = 50;
+/** How often it is asked whether planning is due. */
+const STEP_MS = 20;
 /** A plain service's instance stays a target that long after its last report: entries find out sooner. */
 const SILENT_TARGET_MS = 20_000;
 
@@ -151,22 +152,28 @@
     if (!this._pace.isDue(startedAt, this._getPlanningInputs())) return;
     this._pace.addStart();
     this._registry.removeSilent(startedAt);
-    await this._plan();
+    const plannedMs = await this._plan();
+    const publishingAt = this._options.clock.getMonotonicMs();
     if (!this._isEnded) this._publish();
-    this._pace.addEnd(startedAt, this._options.clock.getMonotonicMs());
+    const endedAt = this._options.clock.getMonotonicMs();
+    this._pace.addEnd(endedAt, plannedMs + endedAt - publishingAt);
   }
 
   /** What changes whenever there may be something new to decide. */
   private _getPlanningInputs(): string {
     const { driver, entries } = this._options;
-    const { revision } = this._registry;
-    return [revision, this._controller.doubtRevision, driver.node.commitIndex, entries.revision].join();
+    const revisions = [this._registry.revision, this._controller.revision, entries.revision];
+    return [driver.node.commitIndex, ...revisions].join();
   }
 
-  private async _plan(): Promise<void> {
-    await this._controller.step().catch((cause: unknown) => {
+  /** Gives how long planning computed, milliseconds. */
+  private async _plan(): Promise<number> {
+    try {
+      return await this._controller.step();
+    } catch (cause) {
       this._options.logger.warn({ event: "planning_failed", reason: String(cause) });
-    });
+      return 0;
+    }
   }
 
   private _publish(): void {
--- a/src/registration/OrderDispatcher.ts
+++ b/src/registration/OrderDispatcher.ts
@@ -40,6 +40,7 @@
   private readonly _staging = new Map<string, Staging>();
   /** When an instance was last told to load. */
   private readonly _toldToLoadAt = new Map<string, number>();
+  private _answerCount = 0;
 
   /**
    * @param options - Orders, clock and the limit on loads.
@@ -48,6 +49,11 @@
     this._options = options;
   }
 
+  /** Gets how many orders have come to an end, answered or not. */
+  get answerCount(): number {
+    return this._answerCount;
+  }
+
   /** Checks whether an order to an instance is under way. */
   isBusy(instanceId: string): boolean {
     return this._busy.has(instanceId);
@@ -106,6 +112,7 @@
     this._sentAt.set(getOrderKey(instanceId, order), now);
     const outcome = await orders.send(receiver, order);
     this._busy.delete(instanceId);
+    this._answerCount += 1;
     const tookMs = Math.round(clock.getMonotonicMs() - now);
     metrics.increment("instance_orders", 1, { order: order.kind, outcome });
     logger.info({ event: "order_sent", instance: instanceId, order, outcome, took_ms: tookMs });
--- a/src/registration/PlanningPace.ts
+++ b/src/registration/PlanningPace.ts
@@ -1,27 +1,27 @@
 /**
  * When the leader plans and publishes again.
  *
- * Soon after something changed, now and then to notice what fell silent, and never so often
- * that planning takes more than its part of a small processor. Pure: times are monotonic
+ * At once after something changed, since a repair takes many runs, each of which waits for what
+ * the last one brought about; now and then to notice what fell silent; and never so often that
+ * planning takes more than its part of a small processor. Pure: times are monotonic
  * milliseconds given by the caller.
  */
 
-/** Pause after a run when its inputs changed. */
-const CHANGED_PAUSE_MS = 100;
+/** Pause after a run when its inputs changed: changes of one moment share a run. */
+const CHANGED_PAUSE_MS = 15;
 /** Pause after a run when nothing changed: silence is noticed after so long at the latest. */
 const QUIET_PAUSE_MS = 300;
-/** A run is followed by a pause of so many times its own length. */
-const PAUSE_FACTOR = 3;
-/** A run that waited for a slow disk doesn't put the next one off for longer than this. */
+/** A run is followed by a pause of so many times what it computed. */
+const PAUSE_FACTOR = 2;
 const MAX_PAUSE_MS = 500;
 
 /** The pace of one leadership. */
 export class PlanningPace {
   private _inputs: string | undefined;
+  private _seenInputs: string | undefined;
   private _endedAt = Number.NEGATIVE_INFINITY;
   private _pauseMs = 0;
   private _isRunning = false;
-  private _seenInputs: string | undefined;
 
   /**
    * Checks whether a run is due.
@@ -40,10 +40,13 @@
     this._inputs = this._seenInputs;
   }
 
-  /** Notes the end of a run. */
-  addEnd(startedAt: number, endedAt: number): void {
+  /**
+   * Notes the end of a run.
+   * @param busyMs - How long it computed; what it waited for is not counted.
+   */
+  addEnd(endedAt: number, busyMs: number): void {
     this._isRunning = false;
     this._endedAt = endedAt;
-    this._pauseMs = Math.min(MAX_PAUSE_MS, Math.max(CHANGED_PAUSE_MS, (endedAt - startedAt) * PAUSE_FACTOR));
+    this._pauseMs = Math.min(MAX_PAUSE_MS, Math.max(CHANGED_PAUSE_MS, busyMs * PAUSE_FACTOR));
   }
 }
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -6,29 +6,30 @@
  */
 import type { Clock, LoopLag } from "../clock";
 import type { ConsensusDriver } from "../consensus";
-import type { DeclaredService, RouteTable } from "../declaration";
+import type { RouteTable } from "../declaration";
 import { PlaceState } from "../gen/ploverstage/v1/fleet_pb";
 import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
 import type { Logger, Metrics } from "../metrics";
-import { type Action, ImmediateRepair, type InstanceFacts, Planner, REASON } from "../planner";
-import { FirstFormation } from "./FirstFormation";
+import { type Action, type InstanceFacts, REASON } from "../planner";
 import type { InstanceOrder, InstanceOrders, OrderReceiver } from "./InstanceOrders";
 import type { InstanceRegistry } from "./InstanceRegistry";
 import type { LoadLimit } from "./LoadLimiter";
-import { createLoadLimit, type LoadWindow } from "./loadLimits";
+import { createLoadLimit } from "./loadLimits";
 import { OrderDispatcher } from "./OrderDispatcher";
 import { PlanningFactsSource, READY_STATES } from "./PlanningFactsSource";
 import { PresenceDoubts } from "./PresenceDoubts";
-import { createPlanningConfiguration, LOADED_VERSION, type SizingSummary } from "./planningConfiguration";
+import { LOADED_VERSION } from "./planningConfiguration";
 import { type ClosingTimes, ReplicaCloser } from "./ReplicaCloser";
+import {
+  divideReplicas,
+  type EngineService,
+  getEngineServices,
+  type PlanningTimes,
+  ServicePlanner,
+} from "./ServicePlanner";
 
 /** Times and bounds of the replicas' control, milliseconds. */
-export interface ReplicaTimes extends ClosingTimes, LoadWindow {
-  /** An instance silent for so long is absent. */
-  readonly presenceMs: number;
-  /** Instances kept free in each fabric domain for repairs. */
-  readonly reserve: number;
-}
+export interface ReplicaTimes extends ClosingTimes, PlanningTimes {}
 
 /** What a controller works with. */
 export interface ReplicaControllerOptions {
@@ -59,14 +60,12 @@
 /** Controls the replicas of one term. */
 export class ReplicaController {
   private readonly _options: ReplicaControllerOptions;
-  private readonly _planner = new Planner(new ImmediateRepair(true));
+  private readonly _planners = new Map<string, ServicePlanner>();
   private readonly _closer: ReplicaCloser;
   private readonly _dispatcher: OrderDispatcher;
   private readonly _facts: PlanningFactsSource;
   private readonly _doubts = new PresenceDoubts();
-  private readonly _firstFormation: FirstFormation;
   private readonly _probedAt = new Map<string, number>();
-  private _sizing = "";
   private _isStepping = false;
 
   /**
@@ -76,7 +75,6 @@
     this._options = options;
     const { registry, clock, driver } = options;
     this._closer = new ReplicaCloser(registry);
-    this._firstFormation = new FirstFormation(options.isFirstStart);
     this._dispatcher = new OrderDispatcher({ ...options, getLoadLimit: () => this._getLoadLimit() });
     this._facts = new PlanningFactsSource({
       machine: () => driver.machine,
@@ -87,17 +85,25 @@
     });
   }
 
-  /** Gets a number that rises whenever an instance was taken for lost. */
-  get doubtRevision(): number {
-    return this._doubts.revision;
+  /** Gets a number that rises whenever an instance was taken for lost or an order was answered. */
+  get revision(): number {
+    return this._doubts.revision + this._dispatcher.answerCount;
   }
 
-  /** Plans once and begins what was decided; a run while another goes on does nothing. */
-  async step(): Promise<void> {
-    if (this._isStepping) return;
+  /**
+   * Plans once and begins what was decided; a run while another goes on does nothing.
+   * @returns How long it computed, milliseconds, without what it waited for.
+   */
+  async step(): Promise<number> {
+    if (this._isStepping) return 0;
     this._isStepping = true;
+    const { clock } = this._options;
+    const startedAt = clock.getMonotonicMs();
     try {
-      await this._step(this._options.clock.getMonotonicMs());
+      const actions = this._decide(startedAt);
+      const computedMs = clock.getMonotonicMs() - startedAt;
+      await Promise.all(actions.map((action) => this._act(action)));
+      return computedMs;
     } finally {
       this._isStepping = false;
     }
@@ -147,9 +153,9 @@
     return now - instance.reportedAt <= this._options.getTimes().presenceMs;
   }
 
-  private async _step(now: number): Promise<void> {
-    const service = this._getEngineService();
-    if (service?.engine === undefined) return;
+  private _decide(now: number): Action[] {
+    const services = this._getEngineServices();
+    if (services.length === 0) return [];
     const { driver, getTimes } = this._options;
     const times = getTimes();
     const replicas = driver.machine.getReplicas();
@@ -162,30 +168,23 @@
         .filter((replica) => this._wasNeverOpened(replica) || this._closer.isOver(now, replica, times))
         .map((replica) => replica.id),
     );
-    const facts = this._facts.createFacts(now, service.name, replicas, over);
-    this._firstFormation.update(facts);
-    const bounds = {
-      ...times,
-      isFirstFormation: this._firstFormation.isUnderWay,
-      loadLimit: createLoadLimit(service.engine, times),
-    };
-    const { configuration, summary } = createPlanningConfiguration(now, service.engine, facts, bounds);
-    this._logSizing(summary);
-    const actions = this._planner.plan(now, facts, configuration);
-    await Promise.all(actions.map((action) => this._act(action)));
+    const byService = divideReplicas(services, replicas);
+    return services.flatMap((service) =>
+      this._getPlanner(service.name).plan(now, service, byService.get(service.name)!, over, times),
+    );
   }
 
-  /** One service of a declaration has engines whose instances form replicas. */
-  private _getEngineService(): DeclaredService | undefined {
-    return this._options.getRoutes()?.declaration.services.find((service) => service.engine !== undefined);
+  private _getEngineServices(): EngineService[] {
+    return getEngineServices(this._options.getRoutes()?.declaration.services ?? []);
   }
 
-  /** One line for each change of what is wanted. */
-  private _logSizing(sizing: SizingSummary): void {
-    const text = JSON.stringify(sizing);
-    if (text === this._sizing) return;
-    this._sizing = text;
-    this._options.logger.info({ event: "groups_sized", ...sizing });
+  private _getPlanner(service: string): ServicePlanner {
+    let planner = this._planners.get(service);
+    if (planner === undefined) {
+      planner = new ServicePlanner({ ...this._options, facts: this._facts });
+      this._planners.set(service, planner);
+    }
+    return planner;
   }
 
   private async _act(action: Action): Promise<void> {
@@ -215,7 +214,7 @@
     members: readonly InstanceFacts[],
     reason: string,
   ): Promise<void> {
-    const models = this._getEngineService()?.engine?.models ?? [];
+    const models = this._getEngineServices().flatMap((service) => service.engine.models);
     const model = models.find((candidate) => candidate.name.toLowerCase() === groupName);
     if (model === undefined) return;
     const result = await this._options.driver.propose({
@@ -311,9 +310,17 @@
     }
   }
 
+  /**
+   * All services load from one store: it bears what the strictest of them declares. Only a
+   * service that has it for itself bounds its first loads by their number at a time.
+   */
   private _getLoadLimit(): LoadLimit | undefined {
-    if (this._firstFormation.isUnderWay) return undefined;
-    return createLoadLimit(this._getEngineService()?.engine, this._options.getTimes());
+    const planners = [...this._planners.values()];
+    if (planners.length === 1 && planners[0]!.isFirstFormation) return undefined;
+    const limits = this._getEngineServices().map(({ engine }) =>
+      createLoadLimit(engine, this._options.getTimes()),
+    );
+    return limits.sort((a, b) => a.loads - b.loads)[0];
   }
 
   private _getPlace(replica: Replica, instanceId: string): PlaceState | undefined {
