Answer the entries known last after a loss of power everywhere; let voters elect before they ask

Change: KnownEntries keeps the last entries in the data folder; before a leader is known a control process names the entries that watch it, or those kept; a voter asks to be let in only after two seconds without a leader.

--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -19,6 +19,8 @@
 
 const JOIN_MS = 2_000;
 const JOIN_PAUSE_MS = 300;
+/** An election takes less; a voter that hears of no leader for longer may have been replaced. */
+const VOTER_PATIENCE_MS = 2_000;
 
 /** Gets the id of a member that is there from the first start. */
 export function getFirstId(name: string): MemberId {
@@ -108,6 +110,27 @@
   readonly logger: Logger;
 }
 
+/**
+ * When a member asks to be let in.
+ *
+ * One that votes mostly hears of no leader because there is none yet: it takes part in electing
+ * one, and asks nobody meanwhile. Pure.
+ */
+export class VoterPatience {
+  private _leaderlessSince: number | undefined;
+
+  /** Checks whether the member has to ask now. */
+  isOver(now: number, votes: boolean, isLeaderKnown: boolean): boolean {
+    if (!votes) return true;
+    if (isLeaderKnown) {
+      this._leaderlessSince = undefined;
+      return false;
+    }
+    this._leaderlessSince ??= now;
+    return now - this._leaderlessSince > VOTER_PATIENCE_MS;
+  }
+}
+
 /**
  * Asks the leader to let this member in, until it votes; and again whenever it hears of no
  * leader: it may have been taken for gone and its place given to another.
@@ -116,8 +139,11 @@
   const { driver, member, addresses, followsHints, secret, clock, logger } = options;
   if (addresses.length === 0) return Effect.never;
   const client = new LeaderClient(ConsensusService, { addresses, followsHints, secret, clock });
+  const patience = new VoterPatience();
   const step = Effect.promise(async () => {
-    if (isVoter(driver.node.membership, driver.node.id) && driver.node.leaderId !== "") return;
+    const { node } = driver;
+    const votes = isVoter(node.membership, node.id);
+    if (!patience.isOver(clock.getMonotonicMs(), votes, node.leaderId !== "")) return;
     await client
       .call((leader, timeoutMs) => leader.join({ member }, { timeoutMs }), JOIN_MS)
       .catch((cause: unknown) => logger.warn({ event: "join_failed", reason: String(cause) }));
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -31,6 +31,7 @@
 import { FleetRelay } from "./FleetRelay";
 import { addFleetRoutes } from "./fleetRoutes";
 import type { InstanceOrders } from "./InstanceOrders";
+import { KnownEntries } from "./KnownEntries";
 import { Registrar } from "./Registrar";
 import type { ReplicaTimes } from "./ReplicaController";
 
@@ -147,6 +148,11 @@
       Effect.sync(() => relay.start()),
       () => Effect.sync(() => relay.stop()),
     );
+    const known = yield* Effect.acquireRelease(
+      Effect.promise(() => KnownEntries.open(control.dataFolder, logger)),
+      (opened) => Effect.sync(() => opened.stop()),
+    );
+    known.start(() => relay.getEntries());
     const member = createMember(
       control.publicAddress,
       MemberId(driver.node.id),
@@ -162,7 +168,10 @@
       getLeadership,
       hasDeparted: (instanceId) => driver.machine.hasDeparted(instanceId),
       isInTouch: () => relay.takesReports(),
-      view: relay.view,
+      getEntries: () => {
+        const entries = relay.getEntries();
+        return entries.length > 0 ? entries : known.entries;
+      },
       relay: relay.reports,
       sender: relay.sender,
       client: relay.client,
--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -7,7 +7,7 @@
  */
 import type { Clock } from "../clock";
 import type { ConsensusDriver } from "../consensus";
-import { FleetService, type SuspectRequest } from "../gen/ploverstage/v1/fleet_pb";
+import { type EntryEndpoint, FleetService, type SuspectRequest } from "../gen/ploverstage/v1/fleet_pb";
 import type { Logger } from "../metrics";
 import { LeaderClient } from "../rpc";
 import type { FleetLeadership } from "./FleetLeadership";
@@ -124,6 +124,14 @@
     return this._isInTouch(this._options.getReportPatienceMs());
   }
 
+  /** Gets the entries that are known now: to the leader, or else to this process alone. */
+  getEntries(): readonly EntryEndpoint[] {
+    const own = this._options.getLeadership()?.view.entries ?? [];
+    if (own.length > 0) return own;
+    const followed = this.view.getEntries();
+    return followed.length > 0 ? followed : this.hub.entries.getEntries(this._options.clock.getMonotonicMs());
+  }
+
   /** Passes on what an entry saw of a target. */
   reportSuspicion(suspicion: SuspectRequest): void {
     this._suspicions.report(suspicion);
--- a/src/registration/Registrar.ts
+++ b/src/registration/Registrar.ts
@@ -13,7 +13,6 @@
 import type { Logger } from "../metrics";
 import type { LeaderClient } from "../rpc";
 import type { FleetLeadership } from "./FleetLeadership";
-import type { FollowedView } from "./FollowedView";
 import type { ReportRelay } from "./ReportRelay";
 import type { ReportSender } from "./ReportSender";
 
@@ -25,8 +24,8 @@
   readonly hasDeparted: (instanceId: string) => boolean;
   /** Whether this process has heard of a leader lately enough to take reports for it. */
   readonly isInTouch: () => boolean;
-  /** The leader's view as this process follows it. */
-  readonly view: FollowedView;
+  /** Gives the entries that callers may be sent to, the last ones heard of if need be. */
+  readonly getEntries: () => readonly EntryEndpoint[];
   readonly relay: ReportRelay;
   readonly sender: ReportSender;
   readonly client: LeaderClient<typeof FleetService>;
@@ -132,8 +131,7 @@
    * @param failureDomain - The caller's: entries there come first.
    */
   getEntries(failureDomain: string): readonly EntryEndpoint[] {
-    const own = this._options.getLeadership()?.view.entries ?? [];
-    const entries = own.length > 0 ? own : this._options.view.getEntries();
+    const entries = this._options.getEntries();
     const isFar = (entry: EntryEndpoint) => Number(entry.failureDomain !== failureDomain);
     return [...entries].sort((a, b) => isFar(a) - isFar(b));
   }
