--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -82,9 +82,6 @@
 const MAX_WATCH_LAG_MS = 30;
 /** A request waits so long for an endpoint whose streams all stand still. */
 const STALLED_PATIENCE_MS = 100;
-/** Part of a caller's patience that a request waits for an endpoint where there is none. */
-const TARGET_WAIT_SHARE = 0.45;
-const TARGET_POLL_MS = 40;
 /** Less time than this is not worth an attempt. */
 const MIN_LEFT_MS = 5;
 
@@ -137,7 +134,10 @@
         arrivedAt: receivedAt,
         objectiveMs: route.objectiveMs,
         deadlineAt,
-        callerPatienceMs: this._callerPatienceMs,
+        callerPatienceMs: Math.min(
+          deadlineAt - receivedAt,
+          route.callerPatienceMs ?? Number.POSITIVE_INFINITY,
+        ),
       },
       this._over.signal,
     );
@@ -178,44 +178,15 @@
   }
 
   /**
-   * Gets ready for one more attempt: waits for an endpoint where none is left, and takes a
-   * repeat from the budget.
-   * @param silentSince - When the caller was given anything last, or its request came in.
-   * @returns Whether to try.
+   * Decides whether to try again after a failed attempt; takes a repeat from the budget.
    */
-  async prepareAttempt(silentSince: number): Promise<boolean> {
-    const isRepeat = this._mayHaveRun && !mayRepeat(this.request.route);
-    if (this.isOver || isRepeat || !this.hasAttemptsLeft()) return false;
-    if (!(await this._waitForTarget(silentSince))) return false;
+  takeNextAttempt(): boolean {
+    if (this.isOver || !this.hasAttemptsLeft()) return false;
+    if (this._mayHaveRun && !mayRepeat(this.request.route)) return false;
+    if (this.chooseTarget() === undefined) return false;
     return this._sent === 0 || this.tools.takeRetry();
   }
 
-  /** Replicas are repaired in about a second: that is worth a part of the caller's patience. */
-  private async _waitForTarget(silentSince: number): Promise<boolean> {
-    const endAt = silentSince + this._callerPatienceMs * TARGET_WAIT_SHARE;
-    while (this.chooseTarget() === undefined && !this._allowTriedTarget()) {
-      if (this.isOver || !this.hasAttemptsLeft() || this.getNow() >= endAt) return false;
-      await new Promise((resolve) => setTimeout(resolve, TARGET_POLL_MS));
-    }
-    return !this.isOver;
-  }
-
-  /** A target that failed this request may have it again once it is trusted again. */
-  private _allowTriedTarget(): boolean {
-    const { service, call } = this.request;
-    const { pool } = this.tools;
-    const now = this.getNow();
-    const target = pool.chooseTarget(now, { service, model: call.model, excluded: new Set() });
-    if (target === undefined || pool.isSuspect(now, target.id)) return false;
-    return this._tried.delete(target.id);
-  }
-
-  /** Gets how long the caller waits for anything at all, milliseconds. */
-  private get _callerPatienceMs(): number {
-    const { route, receivedAt, deadlineAt } = this.request;
-    return Math.min(deadlineAt - receivedAt, route.callerPatienceMs ?? Number.POSITIVE_INFINITY);
-  }
-
   /**
    * Sends the request to a target and waits for the head of its answer.
    * @param lastEventId - Where a stream goes on.
@@ -277,13 +248,7 @@
     const last = this.failures.at(-1);
     if (this._mayHaveRun) {
       const isLate = this.getLeftMs() <= MIN_LEFT_MS;
-      const reason = last?.reason ?? "the time is over";
-      if (isLate) return createUnknown("time_over", reason, undefined);
-      return createUnknown(
-        "answer_lost",
-        reason,
-        mayRepeat(this.request.route) ? this._getRetryMs() : undefined,
-      );
+      return createUnknown(isLate ? "time_over" : "answer_lost", last?.reason ?? "the time is over");
     }
     if (last === undefined) {
       const { service, call } = this.request;
--- a/src/gateway/GatewayRefusal.ts
+++ b/src/gateway/GatewayRefusal.ts
@@ -22,7 +22,7 @@
   readonly status: number;
   readonly code: GatewayRefusalCode;
   readonly reason: string;
-  /** When to come back, milliseconds; only where the request may run again. */
+  /** When to come back, milliseconds; only where nothing ran. */
   readonly retryAfterMs: number | undefined;
 }> {
   override get message(): string {
@@ -35,15 +35,8 @@
   return new GatewayRefusal({ status: 503, code, reason, retryAfterMs });
 }
 
-/**
- * Makes the refusal of a request that may have run.
- * @param retryAfterMs - When to come back where it may run again.
- */
-export function createUnknown(
-  code: GatewayRefusalCode,
-  reason: string,
-  retryAfterMs: number | undefined,
-): GatewayRefusal {
+/** Makes the refusal of a request that may have run. */
+export function createUnknown(code: GatewayRefusalCode, reason: string): GatewayRefusal {
   const status = code === "time_over" ? 504 : 502;
-  return new GatewayRefusal({ status, code, reason, retryAfterMs });
+  return new GatewayRefusal({ status, code, reason, retryAfterMs: undefined });
 }
