Soak: links to workers that fail beside everything else; whole groups are checked

Relays before the workers delay, reset, silence and cut connections one way, in the background of kills, freezes, stops and changes; a stand-in tells when a request ran in a group of which a member was never ready.

--- a/test/platform/PlatformCluster.ts
+++ b/test/platform/PlatformCluster.ts
@@ -25,6 +25,8 @@
   readonly reportMs?: number;
   /** Workers of a fabric domain; all are in one if not given. */
   readonly domainSize?: number;
+  /** Whether workers are reached through relays that can fail. */
+  readonly areWorkersRelayed?: boolean;
 }
 
 /** A running system. */
@@ -84,8 +86,16 @@
 
   /** Starts one more worker. */
   async addWorker(id: string, service: string, domain: string): Promise<WorkerStandin> {
-    const { reportMs } = this._options;
-    const worker = new WorkerStandin({ id, service, domain, controls: this.controlAddresses, reportMs });
+    const { reportMs, areWorkersRelayed } = this._options;
+    const worker = new WorkerStandin({
+      id,
+      service,
+      domain,
+      controls: this.controlAddresses,
+      reportMs,
+      isRelayed: areWorkersRelayed,
+      getWorker: (other) => this.workers.find((candidate) => candidate.id === other),
+    });
     this.workers.push(worker);
     await worker.start();
     return worker;
--- a/test/platform/WorkerStandin.test.ts
+++ b/test/platform/WorkerStandin.test.ts
@@ -80,4 +80,26 @@
     await other.start();
     return { count: () => own, stop: () => other.crash() };
   }
+
+  it("tells of a request that ran in a group of which a member was never ready", async () => {
+    const { port } = control.address() as AddressInfo;
+    const worker = new WorkerStandin({
+      id: "llm-0",
+      service: "llm",
+      domain: "d0",
+      controls: [`127.0.0.1:${port}`],
+      isRelayed: true,
+      getWorker: (id) => (id === "llm-0" ? worker : undefined),
+    });
+    await worker.start();
+    const post = (path: string, body: object) =>
+      fetch(`http://${worker.relay!.address}${path}`, { method: "POST", body: JSON.stringify(body) });
+    const place = { group: "g", epoch: 1 };
+    await post("/-/order", { op: "join", ...place, model: "M", members: ["llm-0", "llm-1"] });
+    await waitUntil("it is ready", () => worker.place?.state === "ready");
+    await post("/-/order", { op: "open", ...place });
+    await (await post("/llm/x", {})).text();
+    expect(worker.partialRuns).toHaveLength(1);
+    worker.crash();
+  });
 });
--- a/test/platform/WorkerStandin.ts
+++ b/test/platform/WorkerStandin.ts
@@ -1,6 +1,7 @@
 /** A worker as the platform's pages describe it: reports itself, takes orders, serves. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { Relay } from "../support/Relay";
 
 /** What a worker is started with. */
 export interface WorkerOptions {
@@ -12,12 +13,17 @@
   readonly controls: readonly string[];
   /** How often it reports, milliseconds. */
   readonly reportMs?: number;
+  /** Whether entries and control reach it through a relay that can fail. */
+  readonly isRelayed?: boolean;
+  /** Gets another worker by its id. */
+  readonly getWorker?: (id: string) => WorkerStandin | undefined;
 }
 
 interface Place {
   readonly name: string;
   readonly epoch: number;
   readonly rank: number;
+  readonly members: readonly string[];
   state: "joining" | "ready" | "open" | "closing" | "broken";
 }
 
@@ -33,6 +39,11 @@
   readonly ran: string[] = [];
   /** Joins of another group that it took while its own head was open. */
   readonly wrongJoins: string[] = [];
+  /** Requests that it ran as the head of a group of which a member had never been ready. */
+  readonly partialRuns: string[] = [];
+  /** Groups and epochs in which it was ready. */
+  private readonly _readyIn = new Set<string>();
+  private _relay: Relay | undefined;
   private readonly _options: WorkerOptions;
   private readonly _server: Server;
   private _place: Place | undefined;
@@ -64,6 +75,7 @@
   async start(): Promise<void> {
     await new Promise<void>((resolve) => this._server.listen(0, "127.0.0.1", resolve));
     this._port = (this._server.address() as AddressInfo).port;
+    if (this._options.isRelayed === true) this._relay = await Relay.start(`127.0.0.1:${this._port}`);
     const report = async () => {
       await this._report("ready");
       // It may have crashed or begun to leave while its report was on the way.
@@ -72,9 +84,20 @@
     void report();
   }
 
+  /** Gets the relay before it, if it has one. */
+  get relay(): Relay | undefined {
+    return this._relay;
+  }
+
+  /** Checks whether it has ever been ready in an epoch of a group. */
+  wasReadyIn(group: string, epoch: number): boolean {
+    return this._readyIn.has(`${group}/${epoch}`);
+  }
+
   /** Ends without a word, as a crash does. */
   crash(): void {
     this._stopReports();
+    void this._relay?.stop();
     this._server.closeAllConnections();
     this._server.close();
   }
@@ -94,7 +117,7 @@
     const { service, domain, controls } = this._options;
     const body = JSON.stringify({
       service,
-      address: `127.0.0.1:${this._port}`,
+      address: this._relay?.address ?? `127.0.0.1:${this._port}`,
       zone: "zone-a",
       version: "v1",
       slots: 4,
@@ -102,7 +125,7 @@
       coldRemainingMs: 0,
       seqNo: ++this._sequence,
       models: this._staged.map((name) => ({ name, version: 1, adapters: [] })),
-      ...(domain === "" ? {} : { domain, staged: this._staged, group: this._place }),
+      ...(domain === "" ? {} : { domain, staged: this._staged, group: this._describePlace() }),
     });
     const address = this._target ?? controls[this._next++ % controls.length]!;
     const url = `http://${address}/-/Instances.Heartbeat/${this.id}`;
@@ -116,6 +139,12 @@
     }
   }
 
+  private _describePlace() {
+    if (this._place === undefined) return undefined;
+    const { members: _, ...told } = this._place;
+    return told;
+  }
+
   private async _handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
@@ -154,12 +183,14 @@
       name: order.group,
       epoch: order.epoch,
       rank: order.members.indexOf(this.id),
+      members: order.members,
       state: "joining",
     };
     this._place = place;
     setTimeout(() => {
       this._staged = [order.model];
       place.state = "ready";
+      this._readyIn.add(`${place.name}/${place.epoch}`);
     }, JOIN_MS);
   }
 
@@ -168,6 +199,7 @@
     if (!isOpen) return void response.writeHead(421, { "x-ploverstage-instance-id": this.id }).end();
     const id = String(request.headers["x-ploverstage-request-id"]);
     this.ran.push(id);
+    this._checkGroup(id);
     const headers = { "x-ploverstage-request-id": id, "x-ploverstage-response-seal": `seal-${id}` };
     if (this._options.domain === "") {
       response.writeHead(200, headers);
@@ -178,6 +210,16 @@
     this._stream(Number(request.headers["last-event-id"] ?? 0), response);
   }
 
+  private _checkGroup(requestId: string): void {
+    const { _place: place } = this;
+    if (place === undefined || this._options.getWorker === undefined) return;
+    const { name, epoch, members } = place;
+    const missing = members.filter((id) => !this._options.getWorker!(id)?.wasReadyIn(name, epoch));
+    if (missing.length > 0) {
+      this.partialRuns.push(`${requestId} ran in ${name} without ${missing.join(", ")}`);
+    }
+  }
+
   private _stream(last: number, response: ServerResponse): void {
     if (last >= EVENTS) {
       response.end();
--- a/test/soak/Soak.ts
+++ b/test/soak/Soak.ts
@@ -2,14 +2,16 @@
  * A randomised soak: the real programs as processes on this machine, faults from outside them,
  * and the promises checked from what callers and workers see.
  *
- * Covered: processes killed, frozen and stopped as planned, workers that crash and leave, and
- * configurations meanwhile. Not covered yet: connections that a relay delays or cuts, clocks
+ * Covered: processes killed, frozen and stopped as planned, workers that crash and leave,
+ * connections to workers that are delayed, reset, cut one way or silenced beside all that, and
+ * configurations meanwhile. Not covered yet: links between the system's own processes, clocks
  * and storage that misbehave.
  */
 import { SeededRandom } from "../../src/consensus";
 import { createConfig, MODEL, STREAM } from "../platform/createConfig";
 import { PlatformCluster } from "../platform/PlatformCluster";
 import type { WorkerStandin } from "../platform/WorkerStandin";
+import type { Relay } from "../support/Relay";
 import { waitUntil } from "../support/waitUntil";
 import { SoakLedger } from "./SoakLedger";
 
@@ -29,6 +31,7 @@
 const MIN_PAUSE_MS = 300;
 const PAUSE_SPAN_MS = 1_200;
 const MAX_AWAY_MS = 1_500;
+const MAX_DELAY_MS = 300;
 const CALLER_PAUSE_MS = 10;
 
 /** One soak. */
@@ -42,6 +45,7 @@
   private _workers = ENGINES;
   private _requests = 0;
   private _isOver = false;
+  private readonly _healing = new Set<Promise<void>>();
 
   /**
    * @param seed - Decides which faults come when; what runs beside them is not repeated exactly.
@@ -53,7 +57,7 @@
 
   /** Runs for some time, then lets everything come back and checks that work goes on. */
   async run(durationMs: number): Promise<SoakResult> {
-    this._cluster = await PlatformCluster.start(ENGINES);
+    this._cluster = await PlatformCluster.start(ENGINES, { areWorkersRelayed: true });
     try {
       await waitUntil("the first configuration is taken", () => this._putConfig(FIRST_VERSION, 0));
       await this._waitForService();
@@ -62,6 +66,7 @@
       while (performance.now() < endAt) await this._injectFault();
       this._isOver = true;
       await Promise.all(callers);
+      await Promise.all(this._healing);
       await this._waitForService();
       await this._readBack();
       return this._createResult();
@@ -81,6 +86,11 @@
       crashWorker: () => this._replaceWorker((worker) => worker.crash()),
       drainWorker: () => this._replaceWorker((worker) => void worker.drain().then(() => worker.crash())),
       changeConfig: () => this._changeConfig(),
+      delayLink: () => this._spoilLink((relay) => relay.setDelay(1 + this._draw(MAX_DELAY_MS))),
+      resetLink: () => this._spoilLink((relay) => relay.reset()),
+      silenceLink: () => this._spoilLink((relay) => relay.cut("both")),
+      cutLinkOneWay: () =>
+        this._spoilLink((relay) => relay.cut(this._draw(2) === 0 ? "toTarget" : "fromTarget")),
     };
     const names = Object.keys(faults);
     const name = names[this._draw(names.length)]!;
@@ -131,6 +141,20 @@
     await this._cluster.addWorker(`llm-${this._workers++}`, "llm", "d0");
   }
 
+  /** The link heals by itself a while later, whatever else is done meanwhile. */
+  private async _spoilLink(spoil: (relay: Relay) => void): Promise<void> {
+    const running = this._cluster.workers.filter((worker) => worker.isRunning);
+    const { relay } = running[this._draw(running.length)]!;
+    if (relay === undefined) return;
+    spoil(relay);
+    const heal = pause(this._draw(MAX_AWAY_MS)).then(() => {
+      relay.setDelay(0);
+      relay.heal();
+    });
+    this._healing.add(heal);
+    void heal.finally(() => this._healing.delete(heal));
+  }
+
   private async _changeConfig(): Promise<void> {
     this._version += 1 + this._draw(3);
     await this._putConfig(this._version, this._draw(3)).catch(() => false);
@@ -184,7 +208,7 @@
 
   private _createResult(): SoakResult {
     const { workers } = this._cluster;
-    for (const violation of workers.flatMap((worker) => worker.wrongJoins)) {
+    for (const violation of workers.flatMap((worker) => [...worker.wrongJoins, ...worker.partialRuns])) {
       this._ledger.addViolation(violation);
     }
     return {
