--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,6 +4,7 @@
 import type { Bench } from "./Figure";
 import { printFigures } from "./Figure";
 import { failoverBench } from "./failover";
+import { fleetBench } from "./fleet";
 import { pathBench } from "./path";
 import { plannerBench } from "./planner";
 import { propagationBench } from "./propagation";
@@ -21,6 +22,7 @@
   faultsBench,
   retryBench,
   capacityBench,
+  fleetBench,
 ];
 
 async function main(names: readonly string[]): Promise<void> {
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -13,13 +13,12 @@
 import { type DeclarationFormat, RouteTable } from "../declaration";
 import { HttpClient, splitAddress } from "../http";
 import type { Logger, Metrics } from "../metrics";
-import { FollowedView, ViewWatcher } from "../registration";
+import { FollowedView, orderByAffinity, SuspicionReporter, ViewWatcher } from "../registration";
 import { type RetryBound, SharedRetryBudget } from "../routing";
 import type { GatewaySettings, LiveSettings } from "../settings";
 import type { Dialect } from "./Dialect";
 import { GatewayServer } from "./GatewayServer";
 import { StreamGate } from "./StreamGate";
-import { SuspicionReporter } from "./SuspicionReporter";
 import { TargetPool } from "./TargetPool";
 
 /** What a gateway is started with. */
@@ -34,6 +33,8 @@
 }
 
 const IDLE_ENDPOINT_MS = 30_000;
+/** A target is reported as suspect no more often than this. */
+const SUSPICION_PAUSE_MS = 1_000;
 /** Part of the time to stop in which requests are still taken; they need the rest of it to end. */
 const ACCEPTING_SHARE = 0.36;
 /** Part of the time to stop after which what is left is cut. */
@@ -89,27 +90,35 @@
       gate: new StreamGate(clock),
       takeRetry: () => budget.takeRetry(clock.getMonotonicMs(), getEntryCount()),
       onSuspicion: (target, isUnreachable) => {
-        if (target.model !== "") suspicions.report(target, isUnreachable);
+        if (target.model === "") return;
+        suspicions.report({
+          targetId: target.id,
+          instanceId: target.instanceId,
+          unreachable: isUnreachable,
+        });
       },
     },
     getRoutes: () => routes,
     onRequest: () => budget.addRequest(clock.getMonotonicMs(), getEntryCount()),
   });
+  const watcherId = `${process.name}.${randomBytes(6).toString("hex")}`;
   const watcher = new ViewWatcher({
-    watcherId: `${process.name}.${randomBytes(6).toString("hex")}`,
+    watcherId,
     entry: {
       $typeName: "ploverstage.v1.EntryEndpoint",
       address: gateway.listen,
       failureDomain: process.failureDomain,
     },
     getSeeds: () => getControlAddresses(live.current),
+    // Entries are spread over the control processes.
+    orderCandidates: (addresses) => orderByAffinity(watcherId, addresses),
     secret,
     view,
     clock,
     logger,
     onChange,
   });
-  const suspicions = new SuspicionReporter(watcher, clock);
+  const suspicions = new SuspicionReporter(watcher, clock, SUSPICION_PAUSE_MS);
   return { clock, client, server, watcher, getRoutes: () => routes };
 }
 
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -28,12 +28,11 @@
 import type { Logger, Metrics } from "../metrics";
 import type { FleetControlSettings, LiveSettings } from "../settings";
 import { FleetLeadership } from "./FleetLeadership";
-import { FollowedView } from "./FollowedView";
+import { FleetRelay } from "./FleetRelay";
 import { addFleetRoutes } from "./fleetRoutes";
 import type { InstanceOrders } from "./InstanceOrders";
 import { Registrar } from "./Registrar";
 import type { ReplicaTimes } from "./ReplicaController";
-import { ViewWatcher } from "./ViewWatcher";
 
 /** What a fleet control process is started with. */
 export interface FleetControlOptions {
@@ -49,6 +48,9 @@
 }
 
 const HAND_OVER_MS = 700;
+/** Reports that pass until an instance that was refused is heard elsewhere. */
+const REPORT_MARGIN = 1.25;
+const MIN_REPORT_PATIENCE_MS = 300;
 
 /** Starts a control process; it runs until its scope is closed. */
 export function startFleetControl(
@@ -78,6 +80,7 @@
       maxVoters: getVoterCount(control.lossesBorne),
       onFatal: options.onFatal,
     });
+    const getTimes = createTimesCache(options.settings);
     const getRoutes = createRouteCache(() => driver.machine.getDeclaration(), options.format);
     const lag = yield* Effect.acquireRelease(
       Effect.sync(() => new LoopLag(clock)),
@@ -92,39 +95,48 @@
         clock,
         logger,
         isFirstStart: control.isFirstStart,
-        getTimes: () => getReplicaTimes(options.settings.current),
+        getTimes,
         getRoutes,
+        entries: relay.hub.entries,
+        onChange: () => relay.hub.notify(),
       });
     const watch = yield* Effect.acquireRelease(
       Effect.sync(() => new LeadershipWatch({ driver, createLeadership, logger, metrics: options.metrics })),
       (started) => Effect.sync(() => started.stop()),
     );
     const getLeadership = () => watch.getLeadership();
+    const relay = new FleetRelay({
+      driver,
+      getLeadership,
+      getSeeds,
+      listen: control.listen,
+      publicAddress: control.publicAddress,
+      secret,
+      clock,
+      logger,
+      getReportPatienceMs: () => getReportPatienceMs(options.settings.current),
+    });
     const guard = new LeaderGuard(driver, getLeadership);
     yield* serveRpc(control.listen, secret, "the cluster", (router) => {
       addConsensusRoutes(router, driver);
-      addFleetRoutes(router, { driver, guard, clock, publicAddress: control.publicAddress });
+      addFleetRoutes(router, {
+        driver,
+        guard,
+        clock,
+        hub: relay.hub,
+        getLeadership,
+        relaySuspicion: (suspicion) => relay.reportSuspicion(suspicion),
+        relayEntries: () => relay.sender.sendNow(),
+      });
     });
     yield* Effect.acquireRelease(
       Effect.sync(() => driver.start()),
       () => Effect.promise(() => driver.stop()),
     );
     yield* Effect.addFinalizer(() => Effect.promise(() => driver.handOver(HAND_OVER_MS)));
-    const view = new FollowedView();
-    const watcher = new ViewWatcher({
-      watcherId: driver.node.id,
-      entry: undefined,
-      getSeeds,
-      secret,
-      view,
-      clock,
-      logger,
-      onChange: () => {},
-      isWanted: () => !driver.isLeader(),
-    });
     yield* Effect.acquireRelease(
-      Effect.sync(() => void watcher.run()),
-      () => Effect.sync(() => watcher.stop()),
+      Effect.sync(() => relay.start()),
+      () => Effect.sync(() => relay.stop()),
     );
     const member = createMember(
       control.publicAddress,
@@ -137,17 +149,19 @@
       joinMembership({ driver, member, addresses: others, followsHints: true, secret, clock, logger }),
     );
     logger.info({ event: "control_started", member: driver.node.id, term: stored.hardState.term });
-    const { publicAddress } = control;
     return new Registrar({
       getLeadership,
-      isLeaderKnown: () => driver.node.leaderId !== "",
-      view,
+      hasDeparted: (instanceId) => driver.machine.hasDeparted(instanceId),
+      isInTouch: () => relay.takesReports(),
+      view: relay.view,
+      relay: relay.reports,
+      sender: relay.sender,
+      client: relay.client,
       getSeeds,
-      secret,
       format: options.format,
       clock,
       logger,
-      publicAddress,
+      publicAddress: control.publicAddress,
     });
   });
 }
@@ -183,11 +197,33 @@
   return settings.control.seeds.map((seed) => getRpcAddress(settings, seed));
 }
 
+/**
+ * A process that has lost the leader refuses reports early enough for an instance to be heard
+ * by another one before it counts as absent.
+ */
+function getReportPatienceMs({ control }: FleetControlSettings): number {
+  const { reportMs, reportsMissed } = control.replicas;
+  return Math.max(MIN_REPORT_PATIENCE_MS, reportMs * (reportsMissed - REPORT_MARGIN));
+}
+
 function getReplicaTimes({ control }: FleetControlSettings): ReplicaTimes {
   const { reportMs, reportsMissed, loadWindowS, ...times } = control.replicas;
   return { ...times, presenceMs: reportMs * reportsMissed, loadWindowMs: loadWindowS * 1_000 };
 }
 
+/** Times are worked out once for each reading of the settings: planning asks for them very often. */
+function createTimesCache(settings: LiveSettings<FleetControlSettings>): () => ReplicaTimes {
+  let source: FleetControlSettings | undefined;
+  let times: ReplicaTimes | undefined;
+  return () => {
+    if (times === undefined || settings.current !== source) {
+      source = settings.current;
+      times = getReplicaTimes(source);
+    }
+    return times;
+  };
+}
+
 /** A declaration is parsed once a version. */
 function createRouteCache(
   getDeclaration: () => { readonly version: number; readonly document: Uint8Array } | undefined,
--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -5,17 +5,20 @@
 import { type ConsensusDriver, getVoters } from "../consensus";
 import type { RouteTable } from "../declaration";
 import {
-  type EntryEndpoint,
   type InstanceReport,
+  type ReportRequest,
   type SuspectRequest,
   type Target,
   TargetSchema,
 } from "../gen/ploverstage/v1/fleet_pb";
 import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
 import type { Logger, Metrics } from "../metrics";
+import { type EntryRoster, sortEntries } from "./EntryRoster";
 import { FleetView } from "./FleetView";
 import type { InstanceOrders } from "./InstanceOrders";
 import { InstanceRegistry, type RegisteredInstance } from "./InstanceRegistry";
+import { PlanningPace } from "./PlanningPace";
+import { RelayRoster } from "./RelayRoster";
 import { ReplicaController, type ReplicaTimes } from "./ReplicaController";
 
 /** What a leadership works with. */
@@ -31,19 +34,15 @@
   readonly isFirstStart: boolean;
   readonly getTimes: () => ReplicaTimes;
   readonly getRoutes: () => RouteTable | undefined;
+  /** The entries that watch this process. */
+  readonly entries: EntryRoster;
+  /** Called when watchers may be told something, and when the term ends. */
+  readonly onChange: () => void;
 }
 
-const STEP_MS = 100;
+const STEP_MS = 50;
 /** A plain service's instance stays a target that long after its last report: entries find out sooner. */
 const SILENT_TARGET_MS = 20_000;
-/** An entry whose call ended stays among the addresses that long, since it may call again. */
-const ENTRY_GRACE_MS = 1_000;
-
-interface WatchingEntry {
-  readonly endpoint: EntryEndpoint;
-  /** When its call ended; `undefined` while it watches. */
-  readonly lostAt: number | undefined;
-}
 
 /** One term of leadership at work. */
 export class FleetLeadership {
@@ -54,8 +53,8 @@
   private readonly _options: FleetLeadershipOptions;
   private readonly _registry = new InstanceRegistry();
   private readonly _controller: ReplicaController;
-  private readonly _entries = new Map<string, WatchingEntry>();
-  private readonly _watchers = new Set<() => void>();
+  private readonly _relays = new RelayRoster();
+  private readonly _pace = new PlanningPace();
   private readonly _startedAt: number;
   private _timer: NodeJS.Timeout | undefined;
   private _isEnded = false;
@@ -85,7 +84,7 @@
   end(): void {
     this._isEnded = true;
     clearInterval(this._timer);
-    this._notify();
+    this._options.onChange();
   }
 
   /** Takes reports of instances over; resolves once departures among them are agreed. */
@@ -95,7 +94,7 @@
     const departing: string[] = [];
     for (const report of reports) {
       if (report.deregistered || report.leaving) departing.push(report.instanceId);
-      if (!report.deregistered) this._registry.addReport(now, report);
+      if (!report.deregistered) this._registry.addReport(now - report.ageMs, report);
     }
     const instanceIds = departing.filter((id) => !machine.hasDeparted(id));
     if (instanceIds.length === 0) return;
@@ -107,6 +106,29 @@
     this._publish();
   }
 
+  /**
+   * Takes over what another control process heard; resolves once departures in it are agreed.
+   * @returns Instances that this leader has to be told of in full.
+   */
+  async addRelayed({ relayAddress, reports, signs, entries }: ReportRequest): Promise<string[]> {
+    const now = this._options.clock.getMonotonicMs();
+    if (relayAddress !== "") this._relays.addReport(now, relayAddress, entries?.entries);
+    const unknown = signs
+      .filter((sign) => this._registry.addSign(now - sign.ageMs, sign) === "unknown")
+      .map((sign) => sign.instanceId);
+    await this.addReports(reports);
+    if (entries !== undefined) this._publish();
+    return unknown;
+  }
+
+  /**
+   * Chooses the process that an instance is to send its next reports to.
+   * @returns `undefined` when there is no other one.
+   */
+  chooseRelay(instanceId: string): string | undefined {
+    return this._relays.chooseRelay(this._options.clock.getMonotonicMs(), instanceId);
+  }
+
   /** Publishes what was just agreed on. */
   publish(): void {
     this._publish();
@@ -124,36 +146,21 @@
     this._controller.checkReplica(targetId);
   }
 
-  /**
-   * Adds a watcher.
-   * @param entry - Its address for callers; `undefined` for a control follower.
-   * @param wake - Called when there is something to tell.
-   * @returns Ends the watch.
-   */
-  addWatcher(id: string, entry: EntryEndpoint | undefined, wake: () => void): () => void {
-    this._watchers.add(wake);
-    if (entry !== undefined) {
-      this._entries.set(id, { endpoint: entry, lostAt: undefined });
-      this._publish();
-    }
-    return () => {
-      this._watchers.delete(wake);
-      if (entry === undefined || this._entries.get(id)?.endpoint !== entry) return;
-      this._entries.set(id, { endpoint: entry, lostAt: this._options.clock.getMonotonicMs() });
-    };
-  }
-
-  /** Takes an entry that stops out of the addresses at once. */
-  removeEntry(id: string): void {
-    this._entries.delete(id);
-    this._publish();
-  }
-
   private async _step(): Promise<void> {
-    const now = this._options.clock.getMonotonicMs();
-    this._registry.removeSilent(now);
+    const startedAt = this._options.clock.getMonotonicMs();
+    if (!this._pace.isDue(startedAt, this._getPlanningInputs())) return;
+    this._pace.addStart();
+    this._registry.removeSilent(startedAt);
     await this._plan();
     if (!this._isEnded) this._publish();
+    this._pace.addEnd(startedAt, this._options.clock.getMonotonicMs());
+  }
+
+  /** What changes whenever there may be something new to decide. */
+  private _getPlanningInputs(): string {
+    const { driver, entries } = this._options;
+    const { revision } = this._registry;
+    return [revision, this._controller.doubtRevision, driver.node.commitIndex, entries.revision].join();
   }
 
   private async _plan(): Promise<void> {
@@ -170,23 +177,19 @@
     this.view.setTargets(this._createTargets(now));
     this.view.removeTargets(this._getUnusable());
     if (now - this._startedAt > getTimes().presenceMs) this.view.setComplete();
-    this.view.setEntries(this._getEntries(now));
-    this.view.setControlAddresses(getVoters(driver.node.membership).map((member) => member.address));
-    if (this.view.revision !== before) this._notify();
-  }
-
-  private _notify(): void {
-    for (const wake of [...this._watchers]) wake();
+    this.view.setEntries(
+      sortEntries([...this._options.entries.getEntries(now), ...this._relays.getEntries(now)]),
+    );
+    this.view.setControlAddresses(this._getWatchable());
+    if (this.view.revision !== before) this._options.onChange();
   }
 
-  private _getEntries(now: number): EntryEndpoint[] {
-    for (const [id, { lostAt }] of this._entries) {
-      if (lostAt !== undefined && now - lostAt > ENTRY_GRACE_MS) this._entries.delete(id);
-    }
-    const endpoints = [...this._entries.values()].map(({ endpoint }) => endpoint);
-    // A restarted entry has another id and the same address.
-    const byAddress = new Map(endpoints.map((endpoint) => [endpoint.address, endpoint]));
-    return [...byAddress.values()].sort((a, b) => (a.address < b.address ? -1 : 1));
+  /** The leader has enough to do: entries watch the others, where there are any. */
+  private _getWatchable(): string[] {
+    const { node } = this._options.driver;
+    const voters = getVoters(node.membership);
+    const others = voters.filter((member) => member.id !== node.id);
+    return (others.length > 0 ? others : voters).map((member) => member.address);
   }
 
   private _createTargets(now: number): Target[] {
--- /dev/null
+++ b/src/registration/FleetRelay.ts
@@ -0,0 +1,150 @@
+/**
+ * What a control process does between instances and entries on one side and the leader on the
+ * other: it passes reports and suspicions up, and the leader's view down.
+ *
+ * Every control process has one, whoever leads, so that the leader's work does not grow with
+ * each instance and entry.
+ */
+import type { Clock } from "../clock";
+import type { ConsensusDriver } from "../consensus";
+import { FleetService, type SuspectRequest } from "../gen/ploverstage/v1/fleet_pb";
+import type { Logger } from "../metrics";
+import { LeaderClient } from "../rpc";
+import type { FleetLeadership } from "./FleetLeadership";
+import { FollowedView } from "./FollowedView";
+import { LeaderContact } from "./LeaderContact";
+import { RelayedView } from "./RelayedView";
+import { ReportRelay } from "./ReportRelay";
+import { ReportSender } from "./ReportSender";
+import { SuspicionReporter } from "./SuspicionReporter";
+import { ViewHub } from "./ViewHub";
+import { ViewWatcher } from "./ViewWatcher";
+
+/** What a relay works with. */
+export interface FleetRelayOptions {
+  readonly driver: ConsensusDriver;
+  /** Gives the leadership while this process leads. */
+  readonly getLeadership: () => FleetLeadership | undefined;
+  /** host:port at which seeds are reached. */
+  readonly getSeeds: () => readonly string[];
+  /** Where the other processes reach this one. */
+  readonly listen: string;
+  /** Where instances reach this one. */
+  readonly publicAddress: string;
+  readonly secret: string | undefined;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** How long the leader may be silent while reports are still taken for it, milliseconds. */
+  readonly getReportPatienceMs: () => number;
+}
+
+/** Entries keep watching a process that has lost the leader for so long: an election is shorter. */
+const WATCH_PATIENCE_MS = 3_000;
+/** A target that several entries suspect is reported no more often than this. */
+const SUSPICION_PAUSE_MS = 300;
+
+/** The relay of one control process. */
+export class FleetRelay {
+  /** The leader's view as it was told to this process. */
+  readonly view = new FollowedView();
+  readonly reports = new ReportRelay();
+  readonly hub: ViewHub;
+  readonly sender: ReportSender;
+  /** Calls the leader. */
+  readonly client: LeaderClient<typeof FleetService>;
+  private readonly _options: FleetRelayOptions;
+  private readonly _watcher: ViewWatcher;
+  private readonly _contact: LeaderContact;
+  private readonly _suspicions: SuspicionReporter;
+
+  /**
+   * @param options - Driver, leadership and addresses.
+   */
+  constructor(options: FleetRelayOptions) {
+    this._options = options;
+    const { driver, clock, logger, secret, getLeadership, getSeeds } = options;
+    this._contact = new LeaderContact(clock.getMonotonicMs());
+    const relayed = new RelayedView(this.view);
+    this.hub = new ViewHub({
+      clock,
+      getOwn: getLeadership,
+      relayed,
+      isInTouch: () => this._isInTouch(WATCH_PATIENCE_MS),
+      onEntriesChanged: () => this.sender.sendSoon(),
+    });
+    this._watcher = new ViewWatcher({
+      watcherId: driver.node.id,
+      entry: undefined,
+      getSeeds,
+      orderCandidates: (addresses) => this._getOthers(this._putLeaderFirst(addresses)),
+      secret,
+      view: this.view,
+      clock,
+      logger,
+      onChange: (update) => {
+        this._contact.addContact(clock.getMonotonicMs());
+        relayed.addUpdate(update);
+        this.hub.notify();
+      },
+      isWanted: () => !driver.isLeader(),
+    });
+    this._suspicions = new SuspicionReporter(this._watcher, clock, SUSPICION_PAUSE_MS);
+    const getAddresses = () => this._putLeaderFirst([...getSeeds(), ...this.view.getControlAddresses()]);
+    this.client = new LeaderClient(FleetService, {
+      get addresses() {
+        return getAddresses();
+      },
+      followsHints: true,
+      secret,
+      clock,
+    });
+    this.sender = new ReportSender({
+      ...options,
+      relay: this.reports,
+      entries: this.hub.entries,
+      client: this.client,
+      isLeaderKnown: () => driver.node.leaderId !== "",
+    });
+  }
+
+  /** Starts following the leader and telling it. */
+  start(): void {
+    void this._watcher.run();
+    this.sender.start();
+  }
+
+  /** Follows and tells no more. */
+  stop(): void {
+    this._watcher.stop();
+    this.sender.stop();
+  }
+
+  /** Checks whether reports may be taken here: the leader is told of them in time. */
+  takesReports(): boolean {
+    return this._isInTouch(this._options.getReportPatienceMs());
+  }
+
+  /** Passes on what an entry saw of a target. */
+  reportSuspicion(suspicion: SuspectRequest): void {
+    this._suspicions.report(suspicion);
+  }
+
+  private _isInTouch(patienceMs: number): boolean {
+    const now = this._options.clock.getMonotonicMs();
+    if (this._options.getLeadership() !== undefined) this._contact.addContact(now);
+    return this._contact.isInTouch(now, patienceMs);
+  }
+
+  /** The agreement tells who leads. */
+  private _putLeaderFirst(addresses: readonly string[]): string[] {
+    const leader = this._options.driver.getLeaderAddress();
+    return leader === "" ? [...new Set(addresses)] : [...new Set([leader, ...addresses])];
+  }
+
+  /** A process does not follow itself; where it knows nobody else it has nobody to follow. */
+  private _getOthers(addresses: readonly string[]): string[] {
+    const { listen } = this._options;
+    const others = addresses.filter((address) => address !== listen);
+    return others.length > 0 ? others : [listen];
+  }
+}
--- a/src/registration/InstanceRegistry.ts
+++ b/src/registration/InstanceRegistry.ts
@@ -5,17 +5,23 @@
  * of one life carry a rising sequence number, by which a late one is dropped.
  * Pure: times are monotonic milliseconds given by the caller.
  */
-import type { InstanceReport } from "../gen/ploverstage/v1/fleet_pb";
+import type { InstanceReport, InstanceSign } from "../gen/ploverstage/v1/fleet_pb";
+import { hasSameContent } from "./reportContent";
 
 /** One registered instance. */
 export interface RegisteredInstance {
+  /** The newest report that was given in full; later ones said nothing new. */
   readonly report: InstanceReport;
+  /** Of the newest report, given in full or not. */
+  readonly sequence: number;
   readonly firstReportedAt: number;
   readonly reportedAt: number;
 }
 
 /** What a report came to. */
 export type ReportOutcome = "taken" | "late" | "gone";
+/** What a sign of life came to; `unknown` when the instance has to be told of in full. */
+export type SignOutcome = ReportOutcome | "unknown";
 
 /** A silent instance is forgotten after this time. */
 const FORGET_MS = 60_000;
@@ -30,6 +36,12 @@
   private readonly _gone = new Set<string>();
   /** Lives that another one took the address from, with the reports that they sent since. */
   private readonly _replaced = new Map<string, number>();
+  private _revision = 0;
+
+  /** Gets a number that rises with each change of what instances say. */
+  get revision(): number {
+    return this._revision;
+  }
 
   /** Gets an instance by its id. */
   getInstance(id: string): RegisteredInstance | undefined {
@@ -49,14 +61,35 @@
     return this._gone.has(id) || this._replaced.has(id);
   }
 
-  /** Takes a report over unless a newer one of the same life came before. */
-  addReport(now: number, report: InstanceReport): ReportOutcome {
+  /**
+   * Takes a report over unless a newer one of the same life came before.
+   * @param at - When the report came in, here or at the process that relayed it.
+   */
+  addReport(at: number, report: InstanceReport): ReportOutcome {
     const id = report.instanceId;
     if (this._gone.has(id) || this._isReplaced(id)) return "gone";
     const known = this._instances.get(id);
-    if (known !== undefined && report.sequence <= known.report.sequence) return "late";
+    if (known !== undefined && report.sequence <= known.sequence) return "late";
     this._replaceLife(report);
-    this._instances.set(id, { report, firstReportedAt: known?.firstReportedAt ?? now, reportedAt: now });
+    if (known === undefined || !hasSameContent(known.report, report)) this._revision += 1;
+    const { sequence } = report;
+    const reportedAt = Math.max(at, known?.reportedAt ?? at);
+    this._instances.set(id, { report, sequence, firstReportedAt: known?.firstReportedAt ?? at, reportedAt });
+    return "taken";
+  }
+
+  /**
+   * Notes that an instance reported again and said nothing new.
+   * @param at - When that report came in at the process that relayed it.
+   */
+  addSign(at: number, sign: InstanceSign): SignOutcome {
+    const { instanceId: id, sequence, contentSequence } = sign;
+    if (this._gone.has(id)) return "gone";
+    const known = this._instances.get(id);
+    // Another relay may have told of something else meanwhile.
+    if (known === undefined || known.report.sequence !== contentSequence) return "unknown";
+    if (sequence <= known.sequence) return "late";
+    this._instances.set(id, { ...known, sequence, reportedAt: Math.max(at, known.reportedAt) });
     return "taken";
   }
 
@@ -66,6 +99,7 @@
     if (address !== undefined && this._lives.get(address) === id) this._lives.delete(address);
     this._instances.delete(id);
     this._gone.add(id);
+    this._revision += 1;
   }
 
   /** Forgets instances that have been silent for long. */
@@ -73,6 +107,7 @@
     for (const [id, { reportedAt, report }] of this._instances) {
       if (now - reportedAt <= FORGET_MS) continue;
       this._instances.delete(id);
+      this._revision += 1;
       if (this._lives.get(report.address) === id) this._lives.delete(report.address);
     }
   }
--- /dev/null
+++ b/src/registration/LeaderContact.ts
@@ -0,0 +1,31 @@
+/** How lately this process heard of a leader. Pure: times are monotonic milliseconds. */
+
+/** A process that has not found a leader yet is given that long: the others may just start as well. */
+const START_MS = 5_000;
+
+/** The contact of one process. */
+export class LeaderContact {
+  private readonly _startedAt: number;
+  private _heardAt: number | undefined;
+
+  /**
+   * @param startedAt - When this process began to look for a leader.
+   */
+  constructor(startedAt: number) {
+    this._startedAt = startedAt;
+  }
+
+  /** Notes that a leader was heard, or that this process leads. */
+  addContact(now: number): void {
+    this._heardAt = now;
+  }
+
+  /**
+   * Checks whether this process may still speak for a leader.
+   * @param patienceMs - How long the leader may have been silent.
+   */
+  isInTouch(now: number, patienceMs: number): boolean {
+    if (this._heardAt === undefined) return now - this._startedAt <= START_MS;
+    return now - this._heardAt <= patienceMs;
+  }
+}
--- /dev/null
+++ b/src/registration/PlanningPace.ts
@@ -0,0 +1,49 @@
+/**
+ * When the leader plans and publishes again.
+ *
+ * Soon after something changed, now and then to notice what fell silent, and never so often
+ * that planning takes more than its part of a small processor. Pure: times are monotonic
+ * milliseconds given by the caller.
+ */
+
+/** Pause after a run when its inputs changed. */
+const CHANGED_PAUSE_MS = 100;
+/** Pause after a run when nothing changed: silence is noticed after so long at the latest. */
+const QUIET_PAUSE_MS = 300;
+/** A run is followed by a pause of so many times its own length. */
+const PAUSE_FACTOR = 3;
+/** A run that waited for a slow disk doesn't put the next one off for longer than this. */
+const MAX_PAUSE_MS = 500;
+
+/** The pace of one leadership. */
+export class PlanningPace {
+  private _inputs: string | undefined;
+  private _endedAt = Number.NEGATIVE_INFINITY;
+  private _pauseMs = 0;
+  private _isRunning = false;
+  private _seenInputs: string | undefined;
+
+  /**
+   * Checks whether a run is due.
+   * @param inputs - Differs whenever there may be something new to decide.
+   */
+  isDue(now: number, inputs: string): boolean {
+    if (this._isRunning) return false;
+    this._seenInputs = inputs;
+    const pauseMs = inputs === this._inputs ? Math.max(this._pauseMs, QUIET_PAUSE_MS) : this._pauseMs;
+    return now - this._endedAt >= pauseMs;
+  }
+
+  /** Notes that a run began with the inputs that were last asked for. */
+  addStart(): void {
+    this._isRunning = true;
+    this._inputs = this._seenInputs;
+  }
+
+  /** Notes the end of a run. */
+  addEnd(startedAt: number, endedAt: number): void {
+    this._isRunning = false;
+    this._endedAt = endedAt;
+    this._pauseMs = Math.min(MAX_PAUSE_MS, Math.max(CHANGED_PAUSE_MS, (endedAt - startedAt) * PAUSE_FACTOR));
+  }
+}
--- a/src/registration/PresenceDoubts.ts
+++ b/src/registration/PresenceDoubts.ts
@@ -8,10 +8,17 @@
 /** Instances in doubt. */
 export class PresenceDoubts {
   private readonly _doubtedAt = new Map<string, number>();
+  private _revision = 0;
+
+  /** Gets a number that rises with each doubt. */
+  get revision(): number {
+    return this._revision;
+  }
 
   /** Notes that an instance gave no sign of life. */
   addDoubt(now: number, instanceId: string): void {
     this._doubtedAt.set(instanceId, now);
+    this._revision += 1;
   }
 
   /**
--- a/src/registration/Registrar.ts
+++ b/src/registration/Registrar.ts
@@ -1,30 +1,36 @@
 /**
  * What any control process does for instances, operators and callers, whoever leads.
  *
- * Reports and declarations go to the leader, here or over the network; nothing is
- * acknowledged that the leader did not take.
+ * Declarations and departures go to the leader, here or over the network, and are acknowledged
+ * once it took them. What instances say otherwise is soft state: it is acknowledged by whoever
+ * hears it, and told to the leader a moment later.
  */
 import type { Clock } from "../clock";
 import type { Declaration, DeclarationFormat } from "../declaration";
 import { UnreachableControl } from "../errors";
-import type { EntryEndpoint } from "../gen/ploverstage/v1/fleet_pb";
-import { FleetService, type InstanceReport } from "../gen/ploverstage/v1/fleet_pb";
+import type { EntryEndpoint, FleetService, InstanceReport } from "../gen/ploverstage/v1/fleet_pb";
 import type { Declaration as HeldDeclaration } from "../gen/ploverstage/v1/state_pb";
 import type { Logger } from "../metrics";
-import { LeaderClient } from "../rpc";
+import type { LeaderClient } from "../rpc";
 import type { FleetLeadership } from "./FleetLeadership";
 import type { FollowedView } from "./FollowedView";
+import type { ReportRelay } from "./ReportRelay";
+import type { ReportSender } from "./ReportSender";
 
 /** What a registrar works with. */
 export interface RegistrarOptions {
   /** Gives the leadership if this process leads. */
   readonly getLeadership: () => FleetLeadership | undefined;
-  /** Tells whether this process knows who leads. */
-  readonly isLeaderKnown: () => boolean;
+  /** Checks whether the agreed state has an instance as departed, as far as it is known here. */
+  readonly hasDeparted: (instanceId: string) => boolean;
+  /** Whether this process has heard of a leader lately enough to take reports for it. */
+  readonly isInTouch: () => boolean;
   /** The leader's view as this process follows it. */
   readonly view: FollowedView;
+  readonly relay: ReportRelay;
+  readonly sender: ReportSender;
+  readonly client: LeaderClient<typeof FleetService>;
   readonly getSeeds: () => readonly string[];
-  readonly secret: string | undefined;
   readonly format: DeclarationFormat;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -35,21 +41,20 @@
 const REPORT_MS = 600;
 const DECLARATION_MS = 3_000;
 const READ_MS = 900;
-/** Reports that arrive within this time travel to the leader in one call. */
+/** Departures that arrive within this time travel to the leader in one call. */
 const BATCH_MS = 15;
 
-/** A report on its way to the leader. */
-interface WaitingReport {
+/** A departure on its way to the leader. */
+interface WaitingDeparture {
   readonly report: InstanceReport;
-  readonly resolve: (leaderAddress: string) => void;
+  readonly resolve: () => void;
   readonly reject: (cause: unknown) => void;
 }
 
 /** Forwards to the leader, in batches where many come at once. */
 export class Registrar {
   private readonly _options: RegistrarOptions;
-  private readonly _client: LeaderClient<typeof FleetService>;
-  private _waiting: WaitingReport[] = [];
+  private _waiting: WaitingDeparture[] = [];
   private _isSending = false;
 
   /**
@@ -57,30 +62,36 @@
    */
   constructor(options: RegistrarOptions) {
     this._options = options;
-    const { getSeeds, view, secret, clock } = options;
-    this._client = new LeaderClient(FleetService, {
-      get addresses() {
-        return [...new Set([...getSeeds(), ...view.getControlAddresses()])];
-      },
-      followsHints: true,
-      secret,
-      clock,
-    });
   }
 
   /**
    * Takes an instance's report.
    * @returns Address for the next reports.
-   * @throws UnreachableControl - When no leader took it.
+   * @throws UnreachableControl - When nobody can act on it.
    */
   async addReport(report: InstanceReport): Promise<string> {
-    const leadership = this._options.getLeadership();
-    if (leadership !== undefined) {
-      await leadership.addReports([report]);
-      return this._options.publicAddress;
-    }
-    // Without a leader nothing is gained by waiting: the instance asks elsewhere.
-    if (!this._options.isLeaderKnown()) throw this._createUnreachable("no leader is known here");
+    const { getLeadership, publicAddress } = this._options;
+    const leadership = getLeadership();
+    if (report.leaving || report.deregistered) await this._addDeparture(report);
+    else if (leadership !== undefined) await leadership.addReports([report]);
+    else this._relayReport(report);
+    // The leader has enough to do: instances report to the others.
+    return leadership?.chooseRelay(report.instanceId) ?? publicAddress;
+  }
+
+  private _relayReport(report: InstanceReport): void {
+    const { isInTouch, relay, sender, clock } = this._options;
+    if (!isInTouch()) throw this._createUnreachable("no leader was heard of lately");
+    if (relay.addReport(clock.getMonotonicMs(), report)) sender.sendSoon();
+  }
+
+  /** An instance that leaves is acknowledged once that is agreed on. */
+  private async _addDeparture(report: InstanceReport): Promise<void> {
+    const { getLeadership, hasDeparted, relay } = this._options;
+    relay.removeInstance(report.instanceId);
+    const leadership = getLeadership();
+    if (leadership !== undefined) return leadership.addReports([report]);
+    if (hasDeparted(report.instanceId)) return;
     return new Promise((resolve, reject) => {
       this._waiting.push({ report, resolve, reject });
       if (!this._isSending) void this._sendBatches();
@@ -95,7 +106,7 @@
   async putDeclaration(document: Uint8Array): Promise<Declaration> {
     const declaration = this._options.format.parse(document);
     const { version } = declaration;
-    await this._client.call(
+    await this._options.client.call(
       (leader, timeoutMs) =>
         leader.putDeclaration({ version, document }, { timeoutMs: Math.max(timeoutMs, DECLARATION_MS / 2) }),
       DECLARATION_MS,
@@ -109,7 +120,7 @@
    * @throws UnreachableControl
    */
   async getDeclaration(): Promise<HeldDeclaration | undefined> {
-    const answer = await this._client.call(
+    const answer = await this._options.client.call(
       (leader, timeoutMs) => leader.getDeclaration({}, { timeoutMs }),
       READ_MS,
     );
@@ -140,11 +151,11 @@
     this._waiting = [];
     const reports = batch.map((waiting) => waiting.report);
     try {
-      const answer = await this._client.call(
+      await this._options.client.call(
         (leader, timeoutMs) => leader.report({ reports }, { timeoutMs }),
         REPORT_MS,
       );
-      for (const waiting of batch) waiting.resolve(answer.leaderAddress);
+      for (const waiting of batch) waiting.resolve();
     } catch (cause) {
       for (const waiting of batch) waiting.reject(cause);
     }
--- /dev/null
+++ b/src/registration/RelayRoster.ts
@@ -0,0 +1,51 @@
+/**
+ * The control processes that relay reports to this leader, and the entries that watch them.
+ *
+ * Pure: times are monotonic milliseconds given by the caller.
+ */
+import type { EntryEndpoint } from "../gen/ploverstage/v1/fleet_pb";
+import { orderByAffinity } from "./affinity";
+
+/** A relay that was silent for so long gets no more instances. */
+const ACTIVE_MS = 1_500;
+/** Entries of a silent relay stay known that long: they turn to another one, which tells of them. */
+const KEPT_MS = 5_000;
+
+interface Relay {
+  readonly heardAt: number;
+  readonly entries: readonly EntryEndpoint[];
+}
+
+/** Relays by their public address. */
+export class RelayRoster {
+  private readonly _relays = new Map<string, Relay>();
+
+  /**
+   * Notes a relay's report.
+   * @param entries - The entries that watch it; `undefined` when unchanged.
+   */
+  addReport(now: number, address: string, entries: readonly EntryEndpoint[] | undefined): void {
+    const known = this._relays.get(address)?.entries ?? [];
+    this._relays.set(address, { heardAt: now, entries: entries ?? known });
+  }
+
+  /** Gets the entries that watch relays. */
+  getEntries(now: number): EntryEndpoint[] {
+    for (const [address, { heardAt }] of this._relays) {
+      if (now - heardAt > KEPT_MS) this._relays.delete(address);
+    }
+    return [...this._relays.values()].flatMap(({ entries }) => entries);
+  }
+
+  /**
+   * Chooses the relay for an instance's next reports, so that they are spread over all.
+   * @returns `undefined` when no relay is active.
+   */
+  chooseRelay(now: number, instanceId: string): string | undefined {
+    const active = [...this._relays].filter(([, { heardAt }]) => now - heardAt <= ACTIVE_MS);
+    return orderByAffinity(
+      instanceId,
+      active.map(([address]) => address),
+    )[0];
+  }
+}
--- /dev/null
+++ b/src/registration/RelayedView.ts
@@ -0,0 +1,42 @@
+/**
+ * The leader's view as a control process that follows it passes it on to entries.
+ *
+ * Each term has a view of its own, so that what a leader has not said to be complete is never
+ * told as complete.
+ */
+import type { ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
+import { FleetView } from "./FleetView";
+import type { FollowedView } from "./FollowedView";
+import type { ViewSource } from "./ViewHub";
+
+/** A followed view that can be watched. */
+export class RelayedView {
+  private readonly _followed: FollowedView;
+  private _source: ViewSource;
+
+  /**
+   * @param followed - What this process was told.
+   */
+  constructor(followed: FollowedView) {
+    this._followed = followed;
+    this._source = { term: followed.term, view: new FleetView() };
+  }
+
+  /** Gets the view of the newest term heard of. */
+  get source(): ViewSource {
+    return this._source;
+  }
+
+  /** Passes on an update that the followed view has taken over. */
+  addUpdate(update: ViewUpdate): void {
+    const { term } = this._followed;
+    if (term !== this._source.term) this._source = { term, view: new FleetView() };
+    const { view } = this._source;
+    view.setTargets(this._followed.getTargets());
+    view.removeTargets(update.removedTargetIds);
+    if (update.complete) view.setComplete();
+    view.setDeclaration(this._followed.declaration);
+    view.setEntries(this._followed.getEntries());
+    view.setControlAddresses(this._followed.getControlAddresses());
+  }
+}
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -87,6 +87,11 @@
     });
   }
 
+  /** Gets a number that rises whenever an instance was taken for lost. */
+  get doubtRevision(): number {
+    return this._doubts.revision;
+  }
+
   /** Plans once and begins what was decided; a run while another goes on does nothing. */
   async step(): Promise<void> {
     if (this._isStepping) return;
--- /dev/null
+++ b/src/registration/ReportSender.ts
@@ -0,0 +1,157 @@
+/**
+ * Tells the leader what instances reported to this process and which entries watch it: what is
+ * new within milliseconds, signs of life now and then.
+ */
+
+import { create } from "@bufbuild/protobuf";
+import type { Clock } from "../clock";
+import { EntryListSchema, type FleetService, ReportRequestSchema } from "../gen/ploverstage/v1/fleet_pb";
+import type { Logger } from "../metrics";
+import type { LeaderClient } from "../rpc";
+import type { EntryRoster } from "./EntryRoster";
+import type { FleetLeadership } from "./FleetLeadership";
+import type { RelayBatch, ReportRelay } from "./ReportRelay";
+
+/** What a sender works with. */
+export interface ReportSenderOptions {
+  readonly relay: ReportRelay;
+  readonly entries: EntryRoster;
+  readonly client: LeaderClient<typeof FleetService>;
+  /** Gives the leadership while this process leads. */
+  readonly getLeadership: () => FleetLeadership | undefined;
+  /** Tells whether this process knows who leads. */
+  readonly isLeaderKnown: () => boolean;
+  /** Where instances reach this process. */
+  readonly publicAddress: string;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** What is new waits so long for more of it. */
+const NEWS_MS = 15;
+/** Signs of life are told this often. */
+const SIGN_MS = 400;
+const REPORT_MS = 600;
+
+/** Sends one report at a time for as long as it runs. */
+export class ReportSender {
+  private readonly _options: ReportSenderOptions;
+  private _timer: NodeJS.Timeout | undefined;
+  private _dueAt = Number.POSITIVE_INFINITY;
+  private _sending: Promise<void> | undefined;
+  private _isStopped = false;
+  private _isFailing = false;
+  /** Term of the leader that was told of the entries, and which of their changes it was told. */
+  private _entriesTold = { term: 0, revision: -1 };
+  private _term = 0;
+
+  /**
+   * @param options - What is told, and to whom.
+   */
+  constructor(options: ReportSenderOptions) {
+    this._options = options;
+  }
+
+  /** Starts telling. */
+  start(): void {
+    this._schedule(SIGN_MS);
+  }
+
+  /** Tells no more. */
+  stop(): void {
+    this._isStopped = true;
+    clearTimeout(this._timer);
+  }
+
+  /** Tells what is new in a moment, together with what else turns up until then. */
+  sendSoon(): void {
+    this._schedule(NEWS_MS);
+  }
+
+  /** Tells what is new; resolves once the leader was told or could not be reached. */
+  async sendNow(): Promise<void> {
+    // A report under way does not hold what came after it was made.
+    await this._sending;
+    await this._send();
+  }
+
+  private _schedule(milliseconds: number): void {
+    const at = this._options.clock.getMonotonicMs() + milliseconds;
+    if (this._isStopped || at >= this._dueAt) return;
+    clearTimeout(this._timer);
+    this._dueAt = at;
+    this._timer = setTimeout(() => {
+      this._dueAt = Number.POSITIVE_INFINITY;
+      void this._send();
+    }, milliseconds);
+  }
+
+  /** Never rejects: whoever waits for a report under way is told nothing of its failure. */
+  private _send(): Promise<void> {
+    this._sending ??= this._sendAndLog().finally(() => {
+      this._sending = undefined;
+    });
+    return this._sending;
+  }
+
+  private async _sendAndLog(): Promise<void> {
+    const wasTold = await this._sendBatch().then(
+      () => true,
+      (cause: unknown) => this._addFailure(cause),
+    );
+    if (wasTold) this._isFailing = false;
+    this._schedule(wasTold && this._options.relay.hasNews() ? NEWS_MS : SIGN_MS);
+  }
+
+  private async _sendBatch(): Promise<void> {
+    const { relay, clock, isLeaderKnown, getLeadership } = this._options;
+    const leads = getLeadership() !== undefined;
+    // Without a leader nothing is gained by looking for one from here.
+    if (!leads && !isLeaderKnown()) return;
+    const batch = relay.takeBatch(clock.getMonotonicMs());
+    try {
+      await this._tell(batch);
+    } catch (cause) {
+      relay.restoreBatch(batch);
+      throw cause;
+    }
+  }
+
+  private async _tell(batch: RelayBatch): Promise<void> {
+    const { relay, entries, client, clock, publicAddress, getLeadership } = this._options;
+    const leadership = getLeadership();
+    if (leadership !== undefined) {
+      const request = create(ReportRequestSchema, { reports: [...batch.reports], signs: [...batch.signs] });
+      relay.addAnswer(leadership.term, await leadership.addRelayed(request));
+      return;
+    }
+    const { revision } = entries;
+    const isTold = this._entriesTold.term === this._term && this._entriesTold.revision === revision;
+    const watching = entries.getEntries(clock.getMonotonicMs());
+    const answer = await client.call(
+      (leader, timeoutMs) =>
+        leader.report(
+          {
+            reports: [...batch.reports],
+            signs: [...batch.signs],
+            relayAddress: publicAddress,
+            entries: isTold ? undefined : create(EntryListSchema, { entries: watching }),
+          },
+          { timeoutMs },
+        ),
+      REPORT_MS,
+    );
+    relay.addAnswer(answer.term, answer.unknownInstanceIds);
+    // A leader of another term than expected may have been told of no entries.
+    const wasTold = !isTold || answer.term === this._term;
+    this._term = answer.term;
+    if (wasTold) this._entriesTold = { term: answer.term, revision };
+  }
+
+  /** One line for each time that the leader is lost. */
+  private _addFailure(cause: unknown): false {
+    if (!this._isFailing) this._options.logger.warn({ event: "reports_not_relayed", reason: String(cause) });
+    this._isFailing = true;
+    return false;
+  }
+}
--- /dev/null
+++ b/src/registration/ViewHub.ts
@@ -0,0 +1,82 @@
+/**
+ * What this process shows its watchers: its own view while it leads, else the leader's as it
+ * follows it.
+ *
+ * Watchers stay across changes of leader: entries notice nothing of an election.
+ */
+import type { Clock } from "../clock";
+import type { EntryEndpoint } from "../gen/ploverstage/v1/fleet_pb";
+import { EntryRoster } from "./EntryRoster";
+import type { FleetView } from "./FleetView";
+import type { RelayedView } from "./RelayedView";
+
+/** A view of one term. */
+export interface ViewSource {
+  readonly term: number;
+  readonly view: FleetView;
+}
+
+/** What a hub works with. */
+export interface ViewHubOptions {
+  readonly clock: Clock;
+  /** Gives this process's own view while it leads. */
+  readonly getOwn: () => ViewSource | undefined;
+  readonly relayed: RelayedView;
+  /** Whether this process has heard of a leader lately enough to speak for it. */
+  readonly isInTouch: () => boolean;
+  /** Called when the entries that watch this process are others. */
+  readonly onEntriesChanged: () => void;
+}
+
+/** Serves the watchers of one process. */
+export class ViewHub {
+  /** The entries that watch this process. */
+  readonly entries = new EntryRoster();
+  private readonly _options: ViewHubOptions;
+  private readonly _watchers = new Set<() => void>();
+
+  /**
+   * @param options - Clock and sources.
+   */
+  constructor(options: ViewHubOptions) {
+    this._options = options;
+  }
+
+  /**
+   * Gets what watchers are shown now.
+   * @returns `undefined` when this process can't speak for a leader.
+   */
+  getSource(): ViewSource | undefined {
+    const { getOwn, relayed, isInTouch } = this._options;
+    return getOwn() ?? (isInTouch() ? relayed.source : undefined);
+  }
+
+  /**
+   * Adds a watcher.
+   * @param entry - Its address for callers; `undefined` for a control follower.
+   * @param wake - Called when there may be something to tell.
+   * @returns Ends the watch.
+   */
+  addWatcher(id: string, entry: EntryEndpoint | undefined, wake: () => void): () => void {
+    this._watchers.add(wake);
+    if (entry !== undefined) {
+      this.entries.addEntry(id, entry);
+      this._options.onEntriesChanged();
+    }
+    return () => {
+      this._watchers.delete(wake);
+      if (entry !== undefined) this.entries.loseEntry(this._options.clock.getMonotonicMs(), id, entry);
+    };
+  }
+
+  /** Takes an entry that stops off the roster. */
+  removeEntry(id: string): void {
+    this.entries.removeEntry(id);
+    this._options.onEntriesChanged();
+  }
+
+  /** Wakes all watchers. */
+  notify(): void {
+    for (const wake of [...this._watchers]) wake();
+  }
+}
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -1,4 +1,7 @@
-/** Follows the leader's view over one long call, and finds the leader again when it breaks. */
+/**
+ * Follows the leader's view over one long call, and finds another process that shows it when
+ * the call breaks.
+ */
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { type Client, ConnectError, createClient } from "@connectrpc/connect";
 import type { Clock } from "../clock";
@@ -17,14 +20,16 @@
   readonly watcherId: string;
   /** This entry, as callers reach it; `undefined` for a control follower. */
   readonly entry: EntryEndpoint | undefined;
-  /** host:port of control processes to ask first. */
+  /** host:port of control processes to ask while no others are known. */
   readonly getSeeds: () => readonly string[];
+  /** Puts control processes into the order in which they are to be asked. */
+  readonly orderCandidates: (addresses: readonly string[]) => string[];
   readonly secret: string | undefined;
   readonly view: FollowedView;
   readonly clock: Clock;
   readonly logger: Logger;
   /** Called after each update that was taken over. */
-  readonly onChange: () => void;
+  readonly onChange: (update: ViewUpdate) => void;
   /** Whether to follow just now; a control process that leads does not. */
   readonly isWanted?: () => boolean;
 }
@@ -42,6 +47,8 @@
   private readonly _options: ViewWatcherOptions;
   private readonly _clients = new Map<string, Client<typeof FleetService>>();
   private _next = 0;
+  /** The control processes of the last update that named any. */
+  private _known = "";
   private _current: string;
   private _heardAt = Number.NEGATIVE_INFINITY;
   private _isConnected = false;
@@ -53,7 +60,7 @@
    */
   constructor(options: ViewWatcherOptions) {
     this._options = options;
-    this._current = options.getSeeds()[0]!;
+    this._current = this._getCandidates()[0]!;
   }
 
   /** Gets how long the leader has been silent, milliseconds. */
@@ -61,8 +68,8 @@
     return now - this._heardAt;
   }
 
-  /** Gets where the leader was heard last, or is looked for. */
-  get leaderAddress(): string {
+  /** Gets the control process that is followed, or asked. */
+  get currentAddress(): string {
     return this._current;
   }
 
@@ -75,17 +82,19 @@
         continue;
       }
       const failure = await this._follow();
+      if (failure === undefined) continue;
       if (this._isConnected) {
-        this._options.logger.warn({ event: "control_lost", leader: this._current, reason: failure.message });
+        this._options.logger.warn({ event: "control_lost", control: this._current, reason: failure.message });
+        search.reset();
+        this._next = -1;
       }
-      if (this._isConnected) search.reset();
       this._isConnected = false;
       this._current = this._getNext(failure);
       await pause(search.addFailure(this._getCandidates().length));
     }
   }
 
-  /** Tells the leader that was heard last of a suspicion; it may be lost. */
+  /** Tells control of a suspicion; it may be lost. */
   reportSuspicion(suspicion: MessageInitShape<typeof SuspectRequestSchema>): void {
     if (!this._isConnected) return;
     void this._getClient(this._current)
@@ -93,7 +102,7 @@
       .catch(() => {});
   }
 
-  /** Tells the leader that this entry stops; callers are sent elsewhere from then on. */
+  /** Tells control that this entry stops; callers are sent elsewhere from then on. */
   async announceStop(): Promise<void> {
     const { watcherId, entry } = this._options;
     const call = this._getClient(this._current).watch(
@@ -114,8 +123,11 @@
     this._call.abort();
   }
 
-  /** Follows one leader; gives why it ended. */
-  private async _follow(): Promise<ConnectError> {
+  /**
+   * Follows one process.
+   * @returns Why it ended; `undefined` when another process is to be followed from now on.
+   */
+  private async _follow(): Promise<ConnectError | undefined> {
     const { watcherId, entry, view, clock } = this._options;
     this._call = new AbortController();
     const { signal } = this._call;
@@ -129,6 +141,7 @@
         this._heardAt = clock.getMonotonicMs();
         if (!this._take(update)) break;
         if (this._options.isWanted?.() === false) break;
+        if (this._moveToPreferred(update)) return undefined;
       }
       return new ConnectError("the call ended");
     } catch (cause) {
@@ -145,12 +158,24 @@
     const before = view.declaration?.version ?? 0;
     if (!view.apply(update)) return false;
     if (!this._isConnected) {
-      logger.info({ event: "control_found", leader: this._current, term: update.term });
+      logger.info({ event: "control_found", control: this._current, term: update.term });
     }
     this._isConnected = true;
     const version = view.declaration?.version ?? 0;
     if (version !== before) logger.info({ event: "declaration_taken", version, term: update.term });
-    onChange();
+    onChange(update);
+    return true;
+  }
+
+  /** Followers are spread anew whenever the control processes are others. */
+  private _moveToPreferred({ controlAddresses }: ViewUpdate): boolean {
+    const known = controlAddresses.join();
+    if (known === "" || known === this._known) return false;
+    this._known = known;
+    const preferred = this._getCandidates()[0]!;
+    if (preferred === this._current) return false;
+    this._current = preferred;
+    this._next = 0;
     return true;
   }
 
@@ -167,8 +192,9 @@
   }
 
   private _getCandidates(): string[] {
-    const { getSeeds, view } = this._options;
-    return [...new Set([...view.getControlAddresses(), ...getSeeds()])];
+    const { getSeeds, view, orderCandidates } = this._options;
+    const known = orderCandidates(view.getControlAddresses());
+    return [...new Set([...known, ...orderCandidates(getSeeds())])];
   }
 
   private _getClient(address: string): Client<typeof FleetService> {
--- a/src/registration/fleetRoutes.ts
+++ b/src/registration/fleetRoutes.ts
@@ -1,10 +1,12 @@
-/** Serves entries and control followers. */
+/** Serves entries and other control processes. */
 import type { ConnectRouter } from "@connectrpc/connect";
 import type { Clock } from "../clock";
 import type { ConsensusDriver } from "../consensus";
 import type { LeaderGuard } from "../control";
-import { FleetService } from "../gen/ploverstage/v1/fleet_pb";
+import { FleetService, type SuspectRequest, type WatchRequest } from "../gen/ploverstage/v1/fleet_pb";
+import { createLeaderRefusal } from "../rpc";
 import type { FleetLeadership } from "./FleetLeadership";
+import type { ViewHub } from "./ViewHub";
 import { watchView } from "./watchers";
 
 /** What the routes work with. */
@@ -12,26 +14,31 @@
   readonly driver: ConsensusDriver;
   readonly guard: LeaderGuard<FleetLeadership>;
   readonly clock: Clock;
-  /** Where instances and operators reach this process. */
-  readonly publicAddress: string;
+  readonly hub: ViewHub;
+  /** Gives the leadership while this process leads. */
+  readonly getLeadership: () => FleetLeadership | undefined;
+  /** Passes on to the leader what an entry saw. */
+  readonly relaySuspicion: (suspicion: SuspectRequest) => void;
+  /** Resolves once the leader was told which entries watch this process. */
+  readonly relayEntries: () => Promise<void>;
 }
 
 /** Adds the fleet service to a router. */
 export function addFleetRoutes(router: ConnectRouter, options: FleetRouteOptions): void {
-  const { driver, guard, clock, publicAddress } = options;
+  const { driver, guard, clock, hub, getLeadership } = options;
   router.service(FleetService, {
     async *watch(request, context) {
-      const leadership = await guard.propose((present) => present);
       if (request.stopping) {
-        leadership.removeEntry(request.watcherId);
+        hub.removeEntry(request.watcherId);
+        await options.relayEntries();
         return;
       }
-      yield* watchView(leadership, request, clock, context.signal);
+      yield* watchView(hub, getSourceOrThrow(options, request), request, clock, context.signal);
     },
     report(request) {
       return guard.propose(async (leadership) => {
-        await leadership.addReports(request.reports);
-        return { leaderAddress: publicAddress };
+        const unknownInstanceIds = await leadership.addRelayed(request);
+        return { term: leadership.term, unknownInstanceIds };
       });
     },
     putDeclaration(request) {
@@ -53,10 +60,17 @@
       return guard.run(() => ({ declaration: driver.machine.getDeclaration() }));
     },
     suspect(request) {
-      return guard.propose((leadership) => {
-        leadership.addSuspicion(request);
-        return {};
-      });
+      const leadership = getLeadership();
+      if (leadership === undefined) options.relaySuspicion(request);
+      else leadership.addSuspicion(request);
+      return {};
     },
   });
 }
+
+/** Control processes follow the leader itself, so that no view is relayed twice. */
+function getSourceOrThrow({ driver, hub, getLeadership }: FleetRouteOptions, request: WatchRequest) {
+  const getSource = request.entry === undefined ? getLeadership : () => hub.getSource();
+  if (getSource() === undefined) throw createLeaderRefusal(driver.getLeaderAddress());
+  return getSource;
+}
--- a/src/registration/index.ts
+++ b/src/registration/index.ts
@@ -1,6 +1,8 @@
 /** Control of instances that register themselves, and the view of them that entries follow. */
+export { orderByAffinity } from "./affinity";
 export { type FleetControlOptions, startFleetControl } from "./FleetControlProcess";
 export { FollowedView } from "./FollowedView";
 export type * from "./InstanceOrders";
 export { Registrar } from "./Registrar";
+export { SuspicionReporter } from "./SuspicionReporter";
 export { ViewWatcher, type ViewWatcherOptions } from "./ViewWatcher";
--- a/src/registration/watchers.ts
+++ b/src/registration/watchers.ts
@@ -3,39 +3,71 @@
 import { create } from "@bufbuild/protobuf";
 import type { Clock } from "../clock";
 import { type ViewUpdate, ViewUpdateSchema, type WatchRequest } from "../gen/ploverstage/v1/fleet_pb";
-import type { FleetLeadership } from "./FleetLeadership";
 import type { WatchPosition } from "./FleetView";
+import type { ViewHub, ViewSource } from "./ViewHub";
 
-/** How often a watcher hears from the leader at the least. */
+/** How often a watcher hears from the process that it watches at the least. */
 export const WATCH_HEARTBEAT_MS = 300;
 
-/** Gives a watcher's updates until the term or the call ends. */
+/** How far one watcher was told. */
+class WatcherState {
+  private _source: ViewSource | undefined;
+  private _position: WatchPosition | undefined;
+  private _knownVersion: number;
+
+  /**
+   * @param knownVersion - Version of the declaration that the watcher holds.
+   */
+  constructor(knownVersion: number) {
+    this._knownVersion = knownVersion;
+  }
+
+  /** Checks whether there is anything that the watcher lacks. */
+  hasNews(source: ViewSource | undefined): boolean {
+    return source !== this._source || this._position?.revision !== source?.view.revision;
+  }
+
+  /** Makes an update of all that the watcher lacks; it counts as told. */
+  createUpdate(source: ViewSource): ViewUpdate {
+    const { term, view } = source;
+    // Another leader's view is told from the beginning, but for the declaration.
+    const position = source === this._source ? this._position : undefined;
+    const update = view.createUpdate(term, position, this._knownVersion);
+    this._source = source;
+    this._position = view.getPosition();
+    this._knownVersion = Math.max(this._knownVersion, view.declarationVersion);
+    return update;
+  }
+}
+
+/**
+ * Gives a watcher's updates until the call ends, or there is nothing to show it any more.
+ * @param getSource - Gives the view that the watcher is shown now.
+ */
 export async function* watchView(
-  leadership: FleetLeadership,
+  hub: ViewHub,
+  getSource: () => ViewSource | undefined,
   request: WatchRequest,
   clock: Clock,
   signal: AbortSignal,
 ): AsyncGenerator<ViewUpdate> {
   const pause = new Pause();
   const wake = () => pause.end();
-  const stop = leadership.addWatcher(request.watcherId, request.entry, wake);
+  const stop = hub.addWatcher(request.watcherId, request.entry, wake);
   signal.addEventListener("abort", wake);
-  let position: WatchPosition | undefined;
+  const state = new WatcherState(request.knownVersion);
   let toldAt = Number.NEGATIVE_INFINITY;
   try {
-    while (!leadership.isEnded && !signal.aborted) {
-      const hasNews = position === undefined || position.revision !== leadership.view.revision;
+    while (!signal.aborted) {
+      const source = getSource();
+      if (source === undefined) return;
       const now = clock.getMonotonicMs();
+      const hasNews = state.hasNews(source);
       if (hasNews || now - toldAt >= WATCH_HEARTBEAT_MS) {
         toldAt = now;
-        const { term, view } = leadership;
-        const update: ViewUpdate = hasNews
-          ? view.createUpdate(term, position, request.knownVersion)
-          : create(ViewUpdateSchema, { term });
-        position = view.getPosition();
-        yield update;
+        yield hasNews ? state.createUpdate(source) : create(ViewUpdateSchema, { term: source.term });
       }
-      await pause.wait(WATCH_HEARTBEAT_MS, () => position?.revision !== leadership.view.revision);
+      await pause.wait(WATCH_HEARTBEAT_MS, () => state.hasNews(getSource()));
     }
   } finally {
     stop();
--- a/test/platform/PlatformCluster.ts
+++ b/test/platform/PlatformCluster.ts
@@ -7,7 +7,7 @@
 import { renderTemplate } from "./renderTemplate";
 import { WorkerStandin } from "./WorkerStandin";
 
-const BINARY = "dist/test/platform.cjs";
+const BINARY = process.env.PLOVERSTAGE_PLATFORM_BINARY ?? "dist/test/platform.cjs";
 const TEMPLATE = readFileSync("deploy/settings.template", "utf8");
 const CONTROL_IPS = ["127.0.0.11", "127.0.0.12", "127.0.0.13"];
 /** A dead worker is missed after some reports of this length. */
@@ -19,6 +19,14 @@
   readonly body: string;
 }
 
+/** What a system is started with. */
+export interface ClusterOptions {
+  /** How often workers report, milliseconds; control is told the same. */
+  readonly reportMs?: number;
+  /** Workers of a fabric domain; all are in one if not given. */
+  readonly domainSize?: number;
+}
+
 /** A running system. */
 export class PlatformCluster {
   readonly controls: ProcessHandle[] = [];
@@ -27,17 +35,25 @@
   private _ports: number[] = [];
   private _entry: ProcessHandle | undefined;
   private _requests = 0;
+  private readonly _options: ClusterOptions;
+
+  private constructor(options: ClusterOptions) {
+    this._options = options;
+  }
 
   /** Starts three control processes, an entry, and workers: one plain, the others for replicas. */
-  static async start(engines: number): Promise<PlatformCluster> {
-    const cluster = new PlatformCluster();
+  static async start(engines: number, options: ClusterOptions = {}): Promise<PlatformCluster> {
+    const cluster = new PlatformCluster(options);
     const addresses = await getFreeAddresses(6);
     cluster._ports = addresses.map((address) => Number(address.split(":")[1]));
     for (const ip of CONTROL_IPS) cluster.controls.push(cluster._createProcess("control", ip));
     cluster._entry = cluster._createProcess("entry", "127.0.0.1");
     for (const handle of [...cluster.controls, cluster._entry]) handle.start();
     await cluster.addWorker("app-0", "app", "");
-    for (let i = 0; i < engines; i++) await cluster.addWorker(`llm-${i}`, "llm", "d0");
+    const perDomain = options.domainSize ?? engines;
+    for (let i = 0; i < engines; i++) {
+      await cluster.addWorker(`llm-${i}`, "llm", `d${Math.floor(i / perDomain)}`);
+    }
     return cluster;
   }
 
@@ -46,6 +62,11 @@
     return CONTROL_IPS.map((ip) => `${ip}:${this._ports[1]}`);
   }
 
+  /** Gets the addresses at which control processes reach each other and entries reach them. */
+  get rpcAddresses(): string[] {
+    return CONTROL_IPS.map((ip) => `${ip}:${this._ports[0]}`);
+  }
+
   /** Gets the entry's process. */
   get entry(): ProcessHandle {
     return this._entry!;
@@ -63,7 +84,8 @@
 
   /** Starts one more worker. */
   async addWorker(id: string, service: string, domain: string): Promise<WorkerStandin> {
-    const worker = new WorkerStandin({ id, service, domain, controls: this.controlAddresses });
+    const { reportMs } = this._options;
+    const worker = new WorkerStandin({ id, service, domain, controls: this.controlAddresses, reportMs });
     this.workers.push(worker);
     await worker.start();
     return worker;
@@ -128,7 +150,7 @@
       seeds: this.controlAddresses,
       bootstrap: true,
       dataDir,
-      heartbeatMs: HEARTBEAT_MS,
+      heartbeatMs: this._options.reportMs ?? HEARTBEAT_MS,
       listen,
       bounds: {
         graceS: 4,
--- a/test/platform/WorkerStandin.ts
+++ b/test/platform/WorkerStandin.ts
@@ -10,6 +10,8 @@
   readonly domain: string;
   /** Addresses of control, any of which takes reports. */
   readonly controls: readonly string[];
+  /** How often it reports, milliseconds. */
+  readonly reportMs?: number;
 }
 
 interface Place {
@@ -65,7 +67,7 @@
     const report = async () => {
       await this._report("ready");
       // It may have crashed or begun to leave while its report was on the way.
-      if (this._reports) this._timer = setTimeout(report, REPORT_MS);
+      if (this._reports) this._timer = setTimeout(report, this._options.reportMs ?? REPORT_MS);
     };
     void report();
   }
--- /dev/null
+++ b/test/registration/ReportSender.test.ts
@@ -0,0 +1,87 @@
+import { create } from "@bufbuild/protobuf";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { UnreachableControl } from "../../src/errors";
+import {
+  type EntryEndpoint,
+  EntryEndpointSchema,
+  InstanceReportSchema,
+  type ReportRequest,
+} from "../../src/gen/ploverstage/v1/fleet_pb";
+import { EntryRoster } from "../../src/registration/EntryRoster";
+import { ReportRelay } from "../../src/registration/ReportRelay";
+import { ReportSender } from "../../src/registration/ReportSender";
+import { waitUntil } from "../support/waitUntil";
+
+const ENTRY: EntryEndpoint = create(EntryEndpointSchema, { address: "127.0.0.1:1", failureDomain: "a" });
+
+describe("ReportSender", () => {
+  let requests: ReportRequest[];
+  let answer: { term: number; unknownInstanceIds: string[] } | undefined;
+  let relay: ReportRelay;
+  let entries: EntryRoster;
+  let sender: ReportSender;
+  let warnings: number;
+
+  beforeEach(() => {
+    requests = [];
+    warnings = 0;
+    answer = { term: 1, unknownInstanceIds: [] };
+    relay = new ReportRelay();
+    entries = new EntryRoster();
+    const leader = {
+      report: (request: ReportRequest) => {
+        requests.push(request);
+        return answer === undefined
+          ? Promise.reject(new UnreachableControl({ tried: [], reason: "it is cut off" }))
+          : Promise.resolve(answer);
+      },
+    };
+    sender = new ReportSender({
+      relay,
+      entries,
+      client: { call: (call: (client: unknown, timeoutMs: number) => unknown) => call(leader, 100) } as never,
+      getLeadership: () => undefined,
+      isLeaderKnown: () => true,
+      publicAddress: "127.0.0.9:1",
+      clock: { getMonotonicMs: () => performance.now(), getWallMs: () => Date.now() },
+      logger: { warn: () => warnings++ } as never,
+    });
+  });
+
+  afterEach(() => sender.stop());
+
+  function addReport(sequence: number): void {
+    relay.addReport(performance.now(), create(InstanceReportSchema, { instanceId: "i", sequence }));
+  }
+
+  it("tells entries once, again when they change, and again to another leader", async () => {
+    entries.addEntry("e", ENTRY);
+    await sender.sendNow();
+    await sender.sendNow();
+    entries.removeEntry("e");
+    await sender.sendNow();
+    answer = { term: 2, unknownInstanceIds: [] };
+    await sender.sendNow();
+    await sender.sendNow();
+    const told = requests.map((request) => request.entries?.entries.map((entry) => entry.address));
+    expect(told).toEqual([["127.0.0.1:1"], undefined, [], undefined, []]);
+  });
+
+  it("keeps what could not be told, logs the loss once, and rejects nobody who waits", async () => {
+    answer = undefined;
+    addReport(1);
+    await Promise.all([sender.sendNow(), sender.sendNow(), sender.sendNow()]);
+    expect(warnings).toBe(1);
+    answer = { term: 1, unknownInstanceIds: [] };
+    await sender.sendNow();
+    expect(requests.at(-1)?.reports.map((report) => report.instanceId)).toEqual(["i"]);
+  });
+
+  it("tells what is new without being asked twice", async () => {
+    addReport(1);
+    sender.sendSoon();
+    sender.sendSoon();
+    await waitUntil("it is told", () => requests.length === 1);
+    expect(requests[0]?.reports).toHaveLength(1);
+  });
+});
