--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import { printFigures } from "./Figure";
 import { failoverBench } from "./failover";
 import { fleetBench } from "./fleet";
+import { gatewayBench } from "./gateway";
 import { pathBench } from "./path";
 import { plannerBench } from "./planner";
 import { propagationBench } from "./propagation";
@@ -23,6 +24,7 @@
   retryBench,
   capacityBench,
   fleetBench,
+  gatewayBench,
 ];
 
 async function main(names: readonly string[]): Promise<void> {
--- a/src/control/ControlProcess.ts
+++ b/src/control/ControlProcess.ts
@@ -14,26 +14,27 @@
 import { HttpClient } from "../http";
 import { MemberId } from "../ids";
 import { FileStorage } from "../log";
-import type { Logger, Metrics } from "../metrics";
-import { startHealthServer } from "../process";
-import { createRpcTransport } from "../rpc";
-import type { ControlSettings } from "../settings";
-import { ConfigurationCache } from "./ConfigurationCache";
-import { createInitialSnapshot } from "./createInitialSnapshot";
-import { LeaderGuard } from "./LeaderGuard";
-import { Leadership } from "./Leadership";
-import { LeadershipWatch } from "./LeadershipWatch";
 import {
+  addConsensusRoutes,
+  createInitialSnapshot,
   createMember,
   createMemberDriver,
   getFirstId,
   joinMembership,
+  LeaderGuard,
+  LeadershipWatch,
   openDataFolder,
+  PeerTransport,
   serveRpc,
-} from "./member";
+} from "../membership";
+import type { Logger, Metrics } from "../metrics";
+import { startHealthServer } from "../process";
+import { createRpcTransport } from "../rpc";
+import type { ControlSettings } from "../settings";
+import { ConfigurationCache } from "./ConfigurationCache";
+import { Leadership } from "./Leadership";
 import { PatchCache } from "./PatchCache";
-import { PeerTransport } from "./PeerTransport";
-import { addConsensusRoutes, addEntryRoutes, addOperatorRoutes } from "./routes";
+import { addEntryRoutes, addOperatorRoutes } from "./routes";
 
 /** Secrets as read from their files. */
 export interface ControlSecrets {
--- a/src/control/routes/entryRoutes.ts
+++ b/src/control/routes/entryRoutes.ts
@@ -12,8 +12,8 @@
 } from "../../gen/ploverstage/v1/control_pb";
 import { ClaimState, type ConfigurationVersion, type RequestClaim } from "../../gen/ploverstage/v1/state_pb";
 import { EntryId } from "../../ids";
+import type { LeaderGuard } from "../../membership";
 import type { ConfigurationCache } from "../ConfigurationCache";
-import type { LeaderGuard } from "../LeaderGuard";
 import type { Leadership } from "../Leadership";
 import { getAbsentInstances } from "../LossLedger";
 import type { PatchCache } from "../PatchCache";
--- a/src/control/routes/operatorRoutes.ts
+++ b/src/control/routes/operatorRoutes.ts
@@ -5,9 +5,9 @@
 import type { ConsensusDriver } from "../../consensus";
 import { InvalidFile } from "../../errors";
 import { ApplyOutcome, type ApplyRequest, OperatorService } from "../../gen/ploverstage/v1/control_pb";
+import type { LeaderGuard } from "../../membership";
 import type { Result } from "../../state";
 import type { ConfigurationCache } from "../ConfigurationCache";
-import type { LeaderGuard } from "../LeaderGuard";
 import type { Leadership } from "../Leadership";
 import { createLossStatuses, createStatus } from "./status";
 
--- a/src/control/routes/consensusRoutes.ts
+++ b/src/membership/consensusRoutes.ts
@@ -1,10 +1,10 @@
 /** Serves the agreement protocol's messages and joining members. */
 import { create } from "@bufbuild/protobuf";
 import type { ConnectRouter } from "@connectrpc/connect";
-import type { ConsensusDriver } from "../../consensus";
-import { AbsentLeader } from "../../errors";
-import { ConsensusService, DeliverResponseSchema } from "../../gen/ploverstage/v1/consensus_pb";
-import { createLeaderRefusal } from "../../rpc";
+import type { ConsensusDriver } from "../consensus";
+import { AbsentLeader } from "../errors";
+import { ConsensusService, DeliverResponseSchema } from "../gen/ploverstage/v1/consensus_pb";
+import { createLeaderRefusal } from "../rpc";
 
 /** Adds the consensus service to a router. */
 export function addConsensusRoutes(router: ConnectRouter, driver: ConsensusDriver): void {
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -8,6 +8,10 @@
 import { Effect, type Scope } from "effect";
 import { LoopLag, SystemClock } from "../clock";
 import { createMembership, getVoterCount } from "../consensus";
+import { type DeclarationFormat, RouteTable } from "../declaration";
+import { splitAddress } from "../http";
+import { MemberId } from "../ids";
+import { FileStorage } from "../log";
 import {
   addConsensusRoutes,
   createInitialSnapshot,
@@ -20,11 +24,7 @@
   openDataFolder,
   PeerTransport,
   serveRpc,
-} from "../control";
-import { type DeclarationFormat, RouteTable } from "../declaration";
-import { splitAddress } from "../http";
-import { MemberId } from "../ids";
-import { FileStorage } from "../log";
+} from "../membership";
 import type { Logger, Metrics } from "../metrics";
 import type { FleetControlSettings, LiveSettings } from "../settings";
 import { FleetLeadership } from "./FleetLeadership";
--- a/src/registration/fleetRoutes.ts
+++ b/src/registration/fleetRoutes.ts
@@ -2,8 +2,8 @@
 import type { ConnectRouter } from "@connectrpc/connect";
 import type { Clock } from "../clock";
 import type { ConsensusDriver } from "../consensus";
-import type { LeaderGuard } from "../control";
 import { FleetService, type SuspectRequest, type WatchRequest } from "../gen/ploverstage/v1/fleet_pb";
+import type { LeaderGuard } from "../membership";
 import { createLeaderRefusal } from "../rpc";
 import type { FleetLeadership } from "./FleetLeadership";
 import type { ViewHub } from "./ViewHub";
