Serve from the view kept on disk until a leader is heard

Ruled out: the last entries known (kept before) helped callers to find entries, which then refused them; a shorter election alone leaves the start of control, 1.4 s, and the first reports. Change: KnownView (in place of KnownEntries) keeps what a process shows its watchers; RelayedView starts from it, at a term below every leader's.

--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -31,7 +31,7 @@
 import { FleetRelay } from "./FleetRelay";
 import { addFleetRoutes } from "./fleetRoutes";
 import type { InstanceOrders } from "./InstanceOrders";
-import { KnownEntries } from "./KnownEntries";
+import { KnownView } from "./KnownView";
 import { Registrar } from "./Registrar";
 import type { ReplicaTimes } from "./ReplicaController";
 
@@ -67,6 +67,10 @@
       try: () => prepareDataFolder(options),
       catch: (cause) => cause,
     });
+    const known = yield* Effect.acquireRelease(
+      Effect.promise(() => KnownView.open(control.dataFolder, logger)),
+      (opened) => Effect.sync(() => opened.stop()),
+    );
     const transport = yield* Effect.acquireRelease(
       Effect.sync(() => new PeerTransport(secret)),
       (opened) => Effect.sync(() => opened.close()),
@@ -116,6 +120,7 @@
     );
     const getLeadership = () => watch.getLeadership();
     const relay = new FleetRelay({
+      recovered: known.recovered,
       driver,
       getLeadership,
       getSeeds,
@@ -148,11 +153,10 @@
       Effect.sync(() => relay.start()),
       () => Effect.sync(() => relay.stop()),
     );
-    const known = yield* Effect.acquireRelease(
-      Effect.promise(() => KnownEntries.open(control.dataFolder, logger)),
-      (opened) => Effect.sync(() => opened.stop()),
+    known.start(
+      () => relay.hub.getSource(),
+      () => clock.getMonotonicMs(),
     );
-    known.start(() => relay.getEntries());
     const member = createMember(
       control.publicAddress,
       MemberId(driver.node.id),
@@ -168,10 +172,7 @@
       getLeadership,
       hasDeparted: (instanceId) => driver.machine.hasDeparted(instanceId),
       isInTouch: () => relay.takesReports(),
-      getEntries: () => {
-        const entries = relay.getEntries();
-        return entries.length > 0 ? entries : known.entries;
-      },
+      getEntries: () => relay.getEntries(),
       relay: relay.reports,
       sender: relay.sender,
       client: relay.client,
--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -7,7 +7,12 @@
  */
 import type { Clock } from "../clock";
 import type { ConsensusDriver } from "../consensus";
-import { type EntryEndpoint, FleetService, type SuspectRequest } from "../gen/ploverstage/v1/fleet_pb";
+import {
+  type EntryEndpoint,
+  FleetService,
+  type SuspectRequest,
+  type ViewUpdate,
+} from "../gen/ploverstage/v1/fleet_pb";
 import type { Logger } from "../metrics";
 import { LeaderClient } from "../rpc";
 import type { FleetLeadership } from "./FleetLeadership";
@@ -32,6 +37,8 @@
   /** Where instances reach this one. */
   readonly publicAddress: string;
   readonly secret: string | undefined;
+  /** What this process showed before it started; shown again until a leader is heard. */
+  readonly recovered: ViewUpdate | undefined;
   readonly clock: Clock;
   readonly logger: Logger;
   /** How long the leader may be silent while reports are still taken for it, milliseconds. */
@@ -64,6 +71,7 @@
     this._options = options;
     const { driver, clock, logger, secret, getLeadership, getSeeds } = options;
     this._contact = new LeaderContact(clock.getMonotonicMs());
+    if (options.recovered !== undefined) this.view.apply(options.recovered);
     const relayed = new RelayedView(this.view);
     this.hub = new ViewHub({
       clock,
@@ -124,11 +132,15 @@
     return this._isInTouch(this._options.getReportPatienceMs());
   }
 
-  /** Gets the entries that are known now: to the leader, or else to this process alone. */
+  /**
+   * Gets the entries that are known now: to the leader, or else to this process alone.
+   *
+   * A list that no leader confirms any more is not given out: it may name entries that are gone.
+   */
   getEntries(): readonly EntryEndpoint[] {
     const own = this._options.getLeadership()?.view.entries ?? [];
     if (own.length > 0) return own;
-    const followed = this.view.getEntries();
+    const followed = this._isInTouch(WATCH_PATIENCE_MS) ? this.view.getEntries() : [];
     return followed.length > 0 ? followed : this.hub.entries.getEntries(this._options.clock.getMonotonicMs());
   }
 
--- a/src/registration/FollowedView.ts
+++ b/src/registration/FollowedView.ts
@@ -7,13 +7,16 @@
 import type { EntryEndpoint, Target, ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
 import type { Declaration } from "../gen/ploverstage/v1/state_pb";
 
+/** Term of a view that no leader has confirmed in this process's life: every leader's is higher. */
+export const RECOVERED_TERM = 0;
+
 /** A followed view. */
 export class FollowedView {
   private readonly _targets = new Map<string, Target>();
   private _entries: readonly EntryEndpoint[] = [];
   private _controlAddresses: readonly string[] = [];
   private _declaration: Declaration | undefined;
-  private _term = 0;
+  private _term = RECOVERED_TERM;
 
   /** Gets the term of the leader that was heard last. */
   get term(): number {
--- a/src/registration/RelayedView.ts
+++ b/src/registration/RelayedView.ts
@@ -20,6 +20,7 @@
   constructor(followed: FollowedView) {
     this._followed = followed;
     this._source = { term: followed.term, view: new FleetView() };
+    this._copyFollowed();
   }
 
   /** Gets the view of the newest term heard of. */
@@ -31,10 +32,15 @@
   addUpdate(update: ViewUpdate): void {
     const { term } = this._followed;
     if (term !== this._source.term) this._source = { term, view: new FleetView() };
+    this._copyFollowed();
     const { view } = this._source;
-    view.setTargets(this._followed.getTargets());
     view.removeTargets(update.removedTargetIds);
     if (update.complete) view.setComplete();
+  }
+
+  private _copyFollowed(): void {
+    const { view } = this._source;
+    view.setTargets(this._followed.getTargets());
     view.setDeclaration(this._followed.declaration);
     view.setEntries(this._followed.getEntries());
     view.setControlAddresses(this._followed.getControlAddresses());
--- a/src/registration/ViewHub.ts
+++ b/src/registration/ViewHub.ts
@@ -8,6 +8,7 @@
 import type { EntryEndpoint } from "../gen/ploverstage/v1/fleet_pb";
 import { EntryRoster } from "./EntryRoster";
 import type { FleetView } from "./FleetView";
+import { RECOVERED_TERM } from "./FollowedView";
 import type { RelayedView } from "./RelayedView";
 
 /** A view of one term. */
@@ -48,7 +49,9 @@
    */
   getSource(): ViewSource | undefined {
     const { getOwn, relayed, isInTouch } = this._options;
-    return getOwn() ?? (isInTouch() ? relayed.source : undefined);
+    const own = getOwn();
+    if (own !== undefined) return own;
+    return isInTouch() && !isEmpty(relayed.source) ? relayed.source : undefined;
   }
 
   /**
@@ -80,3 +83,11 @@
     for (const wake of [...this._watchers]) wake();
   }
 }
+
+/**
+ * A process without a recovered view, such as one that lost its disk, has nothing to show until it
+ * hears a leader: an entry that stayed with it would refuse everything meanwhile.
+ */
+function isEmpty({ term, view }: ViewSource): boolean {
+  return term === RECOVERED_TERM && view.declarationVersion === 0;
+}
--- /dev/null
+++ b/test/system/recovery.test.ts
@@ -0,0 +1,47 @@
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { createConfig, MODEL, STREAM } from "../platform/createConfig";
+import { PlatformCluster } from "../platform/PlatformCluster";
+import { waitUntil } from "../support/waitUntil";
+
+/** A view is kept at the latest so long after it changed. */
+const KEPT_MS = 1_000;
+
+describe("after a loss of every process", () => {
+  let cluster: PlatformCluster;
+  beforeAll(async () => {
+    cluster = await PlatformCluster.start(4);
+    await waitUntil(
+      "the configuration is taken",
+      async () => (await cluster.putConfig(0, createConfig(3))) === 200,
+    );
+    await waitForStream();
+    await new Promise((resolve) => setTimeout(resolve, KEPT_MS));
+  });
+  afterAll(() => cluster.stop());
+
+  async function waitForStream(): Promise<void> {
+    await waitUntil("a stream is served", async () => {
+      const answer = await cluster.call("/llm/draft", MODEL);
+      return answer.status === 200 && answer.body === STREAM;
+    });
+  }
+
+  it("one control process without a majority is enough to serve and to be found, but tells nothing as certain", async () => {
+    const [first, ...others] = cluster.controls;
+    await Promise.all([...cluster.controls, cluster.entry].map((handle) => handle.kill()));
+    cluster.entry.start();
+    first!.start();
+    await waitForStream();
+    expect((await cluster.call("/app/x")).status).toBe(200);
+    expect((await cluster.call("/app/x", { "api-key": "unknown" })).status).toBe(401);
+    const directory = await fetch(`http://${cluster.getDirectory(0)}/-/resolve?name=n&region=r&zone=zone-a`);
+    expect(((await directory.json()) as { addresses: string[] }).addresses).toHaveLength(1);
+    expect((await cluster.getConfig(0)).status).toBe(503);
+    for (const control of others) control.start();
+    await waitUntil(
+      "a majority takes changes",
+      async () => (await cluster.putConfig(0, createConfig(4))) === 200,
+    );
+    await waitForStream();
+  });
+});
