--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -10,7 +10,7 @@
 import { Effect, type Scope } from "effect";
 import { getProcessorMs, SystemClock } from "../clock";
 import { SeededRandom } from "../consensus";
-import { type DeclarationFormat, RouteTable } from "../declaration";
+import { type DeclarationFormat, RouteTable, unpackDocument } from "../declaration";
 import { HttpClient, splitAddress } from "../http";
 import type { Logger, Metrics } from "../metrics";
 import { FollowedView, orderByAffinity, SuspicionReporter, ViewWatcher } from "../registration";
@@ -76,7 +76,7 @@
     suspicions.retain(new Set(targets.map((target) => target.id)));
     const held = view.declaration;
     if (held === undefined || held.version === routes?.declaration.version) return;
-    routes = new RouteTable(format.parse(held.document));
+    routes = new RouteTable(format.parse(unpackDocument(held.document)));
     server.updateLimits();
     metrics.gauge("declaration_version", held.version);
   };
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -8,7 +8,7 @@
 import { Effect, type Scope } from "effect";
 import { getProcessorMs, LoopLag, SystemClock } from "../clock";
 import { createMembership, getVoterCount } from "../consensus";
-import { type DeclarationFormat, RouteTable } from "../declaration";
+import { type DeclarationFormat, RouteTable, unpackDocument } from "../declaration";
 import { splitAddress } from "../http";
 import { MemberId } from "../ids";
 import { FileStorage } from "../log";
@@ -258,7 +258,7 @@
   return () => {
     const held = getDeclaration();
     if (held !== undefined && held.version !== cached?.declaration.version) {
-      cached = new RouteTable(format.parse(held.document));
+      cached = new RouteTable(format.parse(unpackDocument(held.document)));
     }
     return cached;
   };
--- a/src/registration/Registrar.ts
+++ b/src/registration/Registrar.ts
@@ -6,7 +6,7 @@
  * hears it, and told to the leader a moment later.
  */
 import type { Clock } from "../clock";
-import type { Declaration, DeclarationFormat } from "../declaration";
+import { type Declaration, type DeclarationFormat, packDocument, unpackDocument } from "../declaration";
 import { UnreachableControl } from "../errors";
 import type { EntryEndpoint, FleetService, InstanceReport } from "../gen/ploverstage/v1/fleet_pb";
 import type { Declaration as HeldDeclaration } from "../gen/ploverstage/v1/state_pb";
@@ -105,9 +105,13 @@
   async putDeclaration(document: Uint8Array): Promise<Declaration> {
     const declaration = this._options.format.parse(document);
     const { version } = declaration;
+    const packed = packDocument(document);
     await this._options.client.call(
       (leader, timeoutMs) =>
-        leader.putDeclaration({ version, document }, { timeoutMs: Math.max(timeoutMs, DECLARATION_MS / 2) }),
+        leader.putDeclaration(
+          { version, document: packed },
+          { timeoutMs: Math.max(timeoutMs, DECLARATION_MS / 2) },
+        ),
       DECLARATION_MS,
     );
     this._options.logger.info({ event: "declaration_held", version, bytes: document.length });
@@ -123,7 +127,9 @@
       (leader, timeoutMs) => leader.getDeclaration({}, { timeoutMs }),
       READ_MS,
     );
-    return answer.declaration;
+    const { declaration } = answer;
+    if (declaration === undefined) return undefined;
+    return { ...declaration, document: unpackDocument(declaration.document) };
   }
 
   /**
