Send refused callers back when it helps; begin what can be in time first

Cause: after a loss of power everywhere callers were refused at once and told to come back after 0.5 s, into the same outage or all in one moment after it: in the second after the first view 3.5 times the usual requests arrived, fresh ones waited behind those that were late already. Change: an entry without a declaration tells callers to return after its first view is expected, spread over 1.2 s; all other times are spread too; a caller that came back is known by how much less it waits than others of its route (CallerWaits), waits at the entry behind fresh ones and is begun later by endpoints.

--- a/src/gateway/Dialect.ts
+++ b/src/gateway/Dialect.ts
@@ -29,6 +29,8 @@
   readonly organisation: string | undefined;
   /** Where a resumed stream goes on. */
   readonly lastEventId: string | undefined;
+  /** Whether its caller can still be answered within the objective; endpoints begin the others later. */
+  readonly canBeInTime: boolean;
 }
 
 /** What the head of an endpoint's answer means. */
--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -7,6 +7,7 @@
  */
 import type { IncomingMessage } from "node:http";
 import type { Clock } from "../clock";
+import type { RandomSource } from "../consensus";
 import type { Route } from "../declaration";
 import { LostAnswer, UnreachableEndpoint } from "../errors";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
@@ -14,6 +15,7 @@
 import type { CallFacts, Dialect } from "./Dialect";
 import { createNotRun, createUnknown, type GatewayRefusal } from "./GatewayRefusal";
 import { isSilentTooLong, mayRepeat } from "./patience";
+import { getReturnMs } from "./returnTime";
 import type { GatePass, StreamGate } from "./StreamGate";
 import type { TargetPool } from "./TargetPool";
 
@@ -30,6 +32,8 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
   readonly receivedAt: number;
+  /** When its caller asked for the first time, as far as that can be told. */
+  readonly firstAskedAt: number;
   readonly deadlineAt: number;
 }
 
@@ -43,6 +47,8 @@
   readonly gate: StreamGate;
   /** Takes one repeat from the entries' budget, if there is one. */
   readonly takeRetry: () => boolean;
+  /** Spreads refused callers. */
+  readonly random: RandomSource;
   /** Called when a target can't be reached or stands still. */
   readonly onSuspicion: (target: Target, isUnreachable: boolean) => void;
 }
@@ -72,10 +78,8 @@
 };
 
 const CONNECT_MS = 300;
-/** Part of the time left after which a refused caller has the best chance: replicas are repaired in seconds. */
-const RETRY_SHARE = 0.3;
-const MIN_RETRY_MS = 50;
-const MAX_RETRY_MS = 3_000;
+/** Once so much of its objective has passed before it is sent, a request will be late whatever is done. */
+const IN_TIME_SHARE = 0.8;
 /** Silence is looked for this often. */
 const WATCH_MS = 50;
 /** A watch that runs so late has not seen yet what arrived meanwhile: it decides nothing. */
@@ -126,12 +130,12 @@
    * @returns `undefined` when the request is given up on.
    */
   enterGate(): Promise<GatePass | undefined> {
-    const { call, route, service, receivedAt, deadlineAt } = this.request;
+    const { call, route, service, receivedAt, firstAskedAt, deadlineAt } = this.request;
     return this.tools.gate.enter(
       {
         service,
         model: call.model,
-        arrivedAt: receivedAt,
+        arrivedAt: firstAskedAt,
         objectiveMs: route.objectiveMs,
         deadlineAt,
         callerPatienceMs: Math.min(
@@ -260,7 +264,7 @@
   }
 
   private _getRetryMs(): number {
-    return Math.round(Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, this.getLeftMs() * RETRY_SHARE)));
+    return getReturnMs(this.getLeftMs(), this.tools.random.next());
   }
 
   private _watchSilence(
@@ -306,6 +310,7 @@
       instanceId: target.instanceId,
       organisation: request.organisation,
       lastEventId,
+      canBeInTime: this._canBeInTime(lastEventId),
     });
     const hasBody = request.body.length > 0 || !isBodiless(request.method);
     if (hasBody) headers.push("Content-Length", String(request.body.length));
@@ -322,6 +327,12 @@
     });
   }
 
+  /** A stream that goes on has had its first event in time, or not: its pauses still count. */
+  private _canBeInTime(lastEventId: string | undefined): boolean {
+    const { firstAskedAt, route } = this.request;
+    return lastEventId !== undefined || this.getNow() - firstAskedAt < route.objectiveMs * IN_TIME_SHARE;
+  }
+
   private _explain(cause: unknown, wasSent: boolean, abort: AbortController): AttemptFailure {
     return { reason: explainFailure(cause, abort), wasNotRun: !wasSent, wasSent };
   }
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -92,6 +92,7 @@
       dialect,
       pool,
       gate: new StreamGate(clock),
+      random,
       takeRetry: () => budget.takeRetry(clock.getMonotonicMs(), getEntryCount()),
       onSuspicion: (target, isUnreachable) => {
         if (target.model === "") return;
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -6,12 +6,14 @@
 import type { DeclaredOrganisation, Route, RouteTable } from "../declaration";
 import { splitAddress } from "../http";
 import type { Logger, Metrics } from "../metrics";
+import { CallerWaits } from "./CallerWaits";
 import type { CallFacts } from "./Dialect";
 import { Exchange, type ExchangeRequest, type ExchangeTools } from "./Exchange";
 import { endWithConnection } from "./endWithConnection";
 import { createNotRun, GatewayRefusal } from "./GatewayRefusal";
 import { dropHeaders, getEndToEndHeaders } from "./headers";
 import { PlainExchange, type WholeAnswer } from "./PlainExchange";
+import { getFirstViewReturnMs } from "./returnTime";
 import { StreamExchange } from "./StreamExchange";
 
 /** What a gateway server works with. */
@@ -33,7 +35,8 @@
 const REQUEST_TIMEOUT_MS = 30_000;
 /** Senders that take too long for their headers are looked for this often. */
 const SLOW_SENDER_CHECK_MS = 500;
-const UNDECLARED_RETRY_MS = 500;
+/** Bodies that are held now are out of the way by then. */
+const FULL_RETRY_MS = 500;
 const STOPPING_RETRY_MS = 50;
 /** Callers reuse a connection up to the declared time; it is kept a little longer. */
 const IDLE_SLACK_MS = 1_000;
@@ -52,6 +55,8 @@
 export class GatewayServer {
   private readonly _options: GatewayServerOptions;
   private readonly _server: Server;
+  private readonly _waits = new CallerWaits();
+  private readonly _startedAt: number;
   private _requests = 0;
   private _bufferedBytes = 0;
   private _isStopping = false;
@@ -63,6 +68,7 @@
    */
   constructor(options: GatewayServerOptions) {
     this._options = options;
+    this._startedAt = options.clock.getMonotonicMs();
     this._server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       requestTimeout: REQUEST_TIMEOUT_MS,
@@ -175,7 +181,7 @@
     progress.call = call;
     const routes = this._options.getRoutes();
     if (routes === undefined) {
-      throw createNotRun("no_declaration", "no declaration is in force here yet", UNDECLARED_RETRY_MS);
+      throw this._createUndeclared(progress, call);
     }
     if (this._refusesAll) throw createNotRun("stopping", "this entry stops", STOPPING_RETRY_MS);
     const route = routes.getRoute(incoming.headers.host ?? "", incoming.url ?? "");
@@ -184,6 +190,7 @@
     const organisation = getOrganisation(routes, route, call.key);
     const body = await this._readBody(incoming, routes.declaration.limits.bodyBytes);
     const { receivedAt } = progress;
+    const waitMs = call.waitMs ?? route.timeoutMs;
     return {
       call,
       route,
@@ -194,10 +201,17 @@
       headers: dropHeaders(getEndToEndHeaders(incoming.rawHeaders), FRAMING),
       body,
       receivedAt,
-      deadlineAt: receivedAt + Math.min(route.timeoutMs, call.waitMs ?? route.timeoutMs),
+      firstAskedAt: receivedAt - this._waits.addWait(receivedAt, route.name, waitMs),
+      deadlineAt: receivedAt + Math.min(route.timeoutMs, waitMs),
     };
   }
 
+  private _createUndeclared({ receivedAt }: Progress, { waitMs }: CallFacts): GatewayRefusal {
+    const sinceStartMs = receivedAt - this._startedAt;
+    const returnMs = getFirstViewReturnMs(sinceStartMs, waitMs, this._options.random.next());
+    return createNotRun("no_declaration", "no declaration is in force here yet", returnMs);
+  }
+
   /** A request goes to a service with the chance that its weight gives. */
   private _chooseService(route: Route): string {
     const total = route.split.reduce((sum, share) => sum + share.weight, 0);
@@ -220,7 +234,7 @@
         this._bufferedBytes += chunk.length;
         if (length > limit) throw createFinal(413, "body_too_large", `a body has at most ${limit} bytes`);
         if (this._bufferedBytes > MAX_BUFFERED_BYTES) {
-          throw createNotRun("body_too_large", "too many bodies are held now", UNDECLARED_RETRY_MS);
+          throw createNotRun("body_too_large", "too many bodies are held now", FULL_RETRY_MS);
         }
         chunks.push(chunk);
       }
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -54,6 +54,7 @@
   createHeaders(raw: readonly string[], attempt: AttemptFacts): string[] {
     const headers = dropHeaders(raw, new Set(["x-key", "x-wait-ms", "last-event-id", "x-organisation"]));
     headers.push("x-wait-ms", String(Math.floor(attempt.leftMs)));
+    headers.push("x-in-time", String(attempt.canBeInTime));
     if (attempt.organisation !== undefined) headers.push("x-organisation", attempt.organisation);
     if (attempt.lastEventId !== undefined) headers.push("last-event-id", attempt.lastEventId);
     return headers;
@@ -199,6 +200,7 @@
         dialect: new TestDialect(),
         pool,
         gate: new StreamGate(clock),
+        random,
         takeRetry: () => true,
         onSuspicion: () => {},
       },
--- a/test/gateway/GatewayServer.test.ts
+++ b/test/gateway/GatewayServer.test.ts
@@ -27,6 +27,14 @@
     });
   }
 
+  it("says to an endpoint whether a caller that came back can still be answered in time", async () => {
+    harness = await GatewayHarness.start([answer(200, "ok")]);
+    for (const waitMs of [2_000, 1_900, 1_500, 2_000]) {
+      await harness.call({ headers: { "x-wait-ms": String(waitMs) } });
+    }
+    expect(harness.seen.map((seen) => seen.headers["x-in-time"])).toEqual(["true", "true", "false", "true"]);
+  });
+
   describe("passing through", () => {
     it("leaves method, path, query, body and end-to-end headers as they are", async () => {
       harness = await GatewayHarness.start([answer(201, "made", { "x-own": "v" })]);
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -190,6 +190,7 @@
       instanceId: "i-1",
       organisation: "t",
       lastEventId: undefined,
+      canBeInTime: true,
     });
     const text = headers.join("\n").toLowerCase();
     expect(text).not.toContain("api-key");
