--- a/test/gateway/TargetPool.test.ts
+++ b/test/gateway/TargetPool.test.ts
@@ -11,7 +11,7 @@
   let pool: TargetPool;
 
   beforeEach(() => {
-    pool = new TargetPool(new SeededRandom(7));
+    pool = new TargetPool(new SeededRandom(7), "near");
     pool.setTargets(
       ["a", "b", "c"].map((id) => create(TargetSchema, { id, service: "s", model: "m", slots: SLOTS })),
     );
@@ -32,6 +32,15 @@
     expect(place(0, 30)).toEqual({ a: 10, b: 10, c: 10 });
   });
 
+  it("takes a near one of targets with the same load, and never more requests there", () => {
+    const near = { id: "b", service: "s", model: "m", slots: SLOTS, failureDomain: "near" };
+    const far = ["a", "c"].map((id) => ({ ...near, id, failureDomain: "far" }));
+    pool.setTargets([far[0]!, near, far[1]!].map((init) => create(TargetSchema, init)));
+    expect(place(0, 1)).toEqual({ a: 0, b: 1, c: 0 });
+    expect(place(0, 5)).toEqual({ a: 2, b: 1, c: 2 });
+    expect(place(0, 3)).toEqual({ a: 1, b: 1, c: 1 });
+  });
+
   it("takes a target that stands still only when there is no other", () => {
     const pace = pool.getPace("a")!;
     pace.startStream(0);
