ploverstage explain: where service was lost, out of decision logs

Tests: explain/explain, the last of them over a gateway's own log. The command line ends quietly when its reader has seen enough.

--- /dev/null
+++ b/src/cli/explainCommand.ts
@@ -0,0 +1,95 @@
+/** The command `explain`: where service was lost, out of the processes' logs. */
+import { readFile } from "node:fs/promises";
+import type { Command } from "commander";
+import { createExplanation, type Explanation, readDecisionLog } from "../explain";
+import { printJson, printLine, printTable } from "./output";
+
+interface ExplainOptions {
+  readonly json?: true;
+  readonly all?: true;
+}
+
+/** Adds the command. */
+export function addExplainCommand(program: Command): void {
+  program
+    .command("explain")
+    .argument("<log...>", "logs of entries and control processes, of the time in question")
+    .description("where service was lost: by second and cause, model, failed attempt and idle instance")
+    .option("--json", "print as JSON")
+    .option("--all", "also seconds in which nothing was lost")
+    .addHelpText("after", "\nExample:\n  ploverstage explain entry-*.log control-*.log")
+    .action(async (files: string[], options: ExplainOptions) => explain(files, options));
+}
+
+async function explain(files: readonly string[], options: ExplainOptions): Promise<void> {
+  const texts = await Promise.all(files.map((file) => readFile(file, "utf8")));
+  const log = readDecisionLog(texts.flatMap((text) => text.split("\n").filter((line) => line !== "")));
+  const explanation = createExplanation(log);
+  if (options.json) printJson(explanation);
+  else printExplanation(explanation, options.all === true);
+  printLine(`${log.requests.length} requests; ${log.otherLines} lines say something else`);
+}
+
+function printExplanation(explanation: Explanation, showsAll: boolean): void {
+  printSeconds(explanation, showsAll);
+  printLine("\nSeconds in which less than half was answered");
+  printTable(
+    ["FROM", "SECONDS", "LOST", "MOSTLY"],
+    explanation.blackouts.map(({ from, seconds, lost, mainCause }) => [
+      from,
+      String(seconds),
+      String(lost),
+      mainCause,
+    ]),
+  );
+  printModels(explanation);
+  printLine("\nFailed attempts");
+  printTable(
+    ["COUNT", "MEAN MS", "REASON"],
+    explanation.attempts.map(({ count, meanMs, reason }) => [String(count), String(meanMs), reason]),
+  );
+  printIdle(explanation);
+}
+
+function printSeconds({ seconds }: Explanation, showsAll: boolean): void {
+  const rows = seconds.filter((row) => showsAll || row.fates.inTime < row.arrived);
+  printLine("Requests by the second in which they arrived");
+  printTable(
+    ["SECOND", "ARRIVED", "IN TIME", "LATE START", "LATE GAP", "CUT", "REFUSED", "MOSTLY"],
+    rows.map(({ at, arrived, fates, mainCause }) => [
+      at.slice(11, 19),
+      ...[arrived, fates.inTime, fates.lateStart, fates.lateGap, fates.cut, fates.refused].map(String),
+      mainCause,
+    ]),
+  );
+}
+
+function printModels({ models }: Explanation): void {
+  printLine("\nFirst events, and whole answers of plain services, against their objective");
+  printTable(
+    ["MODEL", "ANSWERED", "LATE", "P50 MS", "P90 MS", "P99 MS", "REFUSED", "CUT"],
+    models.map((row) => [
+      row.model === "" ? "-" : row.model,
+      String(row.answered),
+      `${(row.lateShare * 100).toFixed(1)}%`,
+      ...[row.p50Ms, row.p90Ms, row.p99Ms, row.refused, row.cut].map(String),
+    ]),
+  );
+}
+
+function printIdle({ idle }: Explanation): void {
+  const idleS = idle.reduce((sum, span) => sum + span.idle * span.seconds, 0);
+  printLine(`\nInstances in no serving replica: ${idleS.toFixed(0)} instance-seconds`);
+  printTable(
+    ["FROM", "SECONDS", "PRESENT", "SERVING", "IDLE", "REPLICAS", "GIVEN UP"],
+    idle.map((span) => [
+      span.from.slice(11, 23),
+      span.seconds.toFixed(1),
+      ...[span.present, span.serving, span.idle].map(String),
+      Object.entries(span.replicas)
+        .map(([model, count]) => `${model} ${count}`)
+        .join(", "),
+      span.reasons.join(", "),
+    ]),
+  );
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,6 +3,7 @@
 import { InvalidFile } from "../errors";
 import { VERSION } from "../version";
 import { addConfigurationCommands } from "./configurationCommands";
+import { addExplainCommand } from "./explainCommand";
 import { EXIT, printError } from "./output";
 import { addProcessCommands } from "./processes";
 import { addReportCommands } from "./reportCommands";
@@ -10,6 +11,7 @@
 
 /** Runs the command that the arguments name. */
 export async function main(argv: readonly string[]): Promise<void> {
+  process.stdout.on("error", endWithReader);
   const program = new Command("ploverstage")
     .description("serves language models that span several instances")
     .version(VERSION)
@@ -20,6 +22,7 @@
   addConfigurationCommands(program);
   addStatusCommand(program);
   addReportCommands(program);
+  addExplainCommand(program);
   setExitOverride(program);
   try {
     await program.parseAsync([...argv]);
@@ -28,6 +31,12 @@
   }
 }
 
+/** A reader such as `head` that has seen enough closes its end. */
+function endWithReader(cause: NodeJS.ErrnoException): void {
+  if (cause.code !== "EPIPE") throw cause;
+  process.exit(EXIT.ok);
+}
+
 /** Errors of subcommands come here too, however deep they are. */
 function setExitOverride(command: Command): void {
   command.exitOverride();
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -85,6 +85,13 @@
   allowsAnonymous: false,
 };
 
+/** As processes log. */
+const LOG_OPTIONS = {
+  level: "info",
+  base: { role: "entry", name: "test" },
+  timestamp: pino.stdTimeFunctions.isoTime,
+};
+
 /** A running gateway with its endpoints. */
 export class GatewayHarness {
   readonly seen: SeenRequest[] = [];
@@ -192,7 +199,7 @@
       listen: `127.0.0.1:${this._port}`,
       clock,
       random,
-      logger: pino({ level: "info" }, { write: (line: string) => this.logLines.push(line) }),
+      logger: pino(LOG_OPTIONS, { write: (line: string) => this.logLines.push(line) }),
       metrics: this.metrics,
       tools: {
         clock,
