--- a/src/clock/LoopLag.ts
+++ b/src/clock/LoopLag.ts
@@ -4,7 +4,7 @@
  * A process that gets no processor sees everyone else as silent; before it acts on
  * silence it asks how late it is itself.
  */
-import type { Clock } from "./index";
+import type { Clock } from "./Clock";
 
 /** A process that ran its timers so late says so. */
 const STALL_MS = 400;
--- a/src/metrics/BoundedLog.ts
+++ b/src/metrics/BoundedLog.ts
@@ -5,7 +5,7 @@
  * never requests; how many were lost is told with the next line that gets through.
  */
 import { type DestinationStream, type Logger, pino } from "pino";
-import type { LogLevel } from "./index";
+import type { LogLevel } from "./logger";
 import type { Metrics } from "./Metrics";
 
 /** Lines that no reader takes are kept up to so many bytes. */
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -1,21 +1,5 @@
 /** Logs and metrics. */
-import { type Logger, pino } from "pino";
-
 export { BoundedLog, type LossyDestination } from "./BoundedLog";
+export { createLogger, type Logger, type LogLevel } from "./logger";
 export { type MetricName, type Metrics, type MetricTags, SilentMetrics, StatsdMetrics } from "./Metrics";
 export { startMetricsServer, TextMetrics } from "./TextMetrics";
-export type { Logger };
-
-/** Levels of logs, least first. */
-export type LogLevel = "debug" | "info" | "warn" | "error" | "silent";
-
-/**
- * Makes the logger of a process: JSON lines on standard output.
- * @param process - Kind and name of the process, on every line.
- */
-export function createLogger(
-  level: LogLevel,
-  process: { readonly role: string; readonly name: string },
-): Logger {
-  return pino({ level, base: process, timestamp: pino.stdTimeFunctions.isoTime, messageKey: "message" });
-}
--- a/src/policy/PolicyProgram.ts
+++ b/src/policy/PolicyProgram.ts
@@ -1,5 +1,5 @@
 /** The compiled policy: which class a request is in, and whether it is shed at once. */
-import type { Configuration, RequestClass } from "../configuration";
+import type { Configuration, RequestClass } from "../configuration/Configuration";
 import { Expression } from "./Expression";
 import type { Facts } from "./Facts";
 
--- a/src/registration/FleetView.ts
+++ b/src/registration/FleetView.ts
@@ -143,3 +143,9 @@
     }
   }
 }
+
+/** A view of one term. */
+export interface ViewSource {
+  readonly term: number;
+  readonly view: FleetView;
+}
--- a/src/registration/KnownView.ts
+++ b/src/registration/KnownView.ts
@@ -13,8 +13,8 @@
 import { type ViewUpdate, ViewUpdateSchema } from "../gen/ploverstage/v1/fleet_pb";
 import { writeFileDurably } from "../log";
 import type { Logger } from "../metrics";
+import type { ViewSource } from "./FleetView";
 import { RECOVERED_TERM } from "./FollowedView";
-import type { ViewSource } from "./ViewHub";
 
 const FILE = "view.bin";
 /** How often it is asked whether there is something to write, milliseconds. */
--- a/src/registration/RelayedView.ts
+++ b/src/registration/RelayedView.ts
@@ -5,9 +5,8 @@
  * told as complete.
  */
 import type { ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
-import { FleetView } from "./FleetView";
+import { FleetView, type ViewSource } from "./FleetView";
 import type { FollowedView } from "./FollowedView";
-import type { ViewSource } from "./ViewHub";
 
 /** A followed view that can be watched. */
 export class RelayedView {
--- a/src/registration/ViewHub.ts
+++ b/src/registration/ViewHub.ts
@@ -7,16 +7,10 @@
 import type { Clock } from "../clock";
 import type { EntryEndpoint } from "../gen/ploverstage/v1/fleet_pb";
 import { EntryRoster } from "./EntryRoster";
-import type { FleetView } from "./FleetView";
+import type { ViewSource } from "./FleetView";
 import { RECOVERED_TERM } from "./FollowedView";
 import type { RelayedView } from "./RelayedView";
 
-/** A view of one term. */
-export interface ViewSource {
-  readonly term: number;
-  readonly view: FleetView;
-}
-
 /** What a hub works with. */
 export interface ViewHubOptions {
   readonly clock: Clock;
--- a/src/registration/watchers.ts
+++ b/src/registration/watchers.ts
@@ -3,8 +3,8 @@
 import { create } from "@bufbuild/protobuf";
 import type { Clock } from "../clock";
 import { type ViewUpdate, ViewUpdateSchema, type WatchRequest } from "../gen/ploverstage/v1/fleet_pb";
-import type { WatchPosition } from "./FleetView";
-import type { ViewHub, ViewSource } from "./ViewHub";
+import type { ViewSource, WatchPosition } from "./FleetView";
+import type { ViewHub } from "./ViewHub";
 
 /** How often a watcher hears from the process that it watches at the least. */
 export const WATCH_HEARTBEAT_MS = 300;
--- a/test/registration/relays.test.ts
+++ b/test/registration/relays.test.ts
@@ -3,11 +3,12 @@
 import { EntryEndpointSchema, TargetSchema, ViewUpdateSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { orderByAffinity } from "../../src/registration/affinity";
 import { EntryRoster } from "../../src/registration/EntryRoster";
+import type { ViewSource } from "../../src/registration/FleetView";
 import { FollowedView } from "../../src/registration/FollowedView";
 import { LeaderContact } from "../../src/registration/LeaderContact";
 import { RelayedView } from "../../src/registration/RelayedView";
 import { RelayRoster } from "../../src/registration/RelayRoster";
-import { ViewHub, type ViewSource } from "../../src/registration/ViewHub";
+import { ViewHub } from "../../src/registration/ViewHub";
 import { watchView } from "../../src/registration/watchers";
 
 const ADDRESSES = ["a:1", "b:1", "c:1", "d:1", "e:1"];
