Write a kept view again after a failed write

Found on reading: a declaration whose write failed (a full disk) was not written until something else changed. It is tried again after half a second. Test: registration/KnownView.

--- a/src/registration/KnownView.ts
+++ b/src/registration/KnownView.ts
@@ -26,6 +26,9 @@
  */
 const PAUSE_MS = 500;
 
+/** Revision of no view. */
+const NOT_WRITTEN = -1;
+
 /** How far the file was written. */
 interface WrittenPosition {
   readonly source: ViewSource;
@@ -102,6 +105,8 @@
       await writeFileDurably(this._path, bytes);
     } catch (cause) {
       this._logger.warn({ event: "view_not_kept", reason: String(cause) });
+      // Whether anything changes meanwhile or not, it is tried again after a pause.
+      this._written = { source, revision: NOT_WRITTEN, declarationVersion, writtenAt: now };
     } finally {
       this._isWriting = false;
     }
--- a/test/registration/KnownView.test.ts
+++ b/test/registration/KnownView.test.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { create } from "@bufbuild/protobuf";
@@ -78,8 +78,14 @@
     expect(events).toEqual(["view_not_recovered"]);
     rmSync(folder, { recursive: true });
     const known = await KnownView.open(folder, logger);
-    known.start(() => ({ term: 1, view: createView(1, []) }), getNow);
+    const source = { term: 1, view: createView(1, []) };
+    known.start(() => source, getNow);
     await waitUntil("it is told", () => events.includes("view_not_kept"));
+    mkdirSync(folder);
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    expect(events.filter((event) => event === "view_not_kept")).toHaveLength(1);
+    now = 1_000;
+    await waitForVersion(1);
     known.stop();
   });
 });
