--- a/test/system/recovery.test.ts
+++ b/test/system/recovery.test.ts
@@ -44,4 +44,17 @@
     );
     await waitForStream();
   });
+
+  it("a control process that hears no leader names no entry that is gone", async () => {
+    const [first, ...others] = cluster.controls;
+    const resolve = () => fetch(`http://${cluster.getDirectory(0)}/-/resolve?name=n&region=r&zone=zone-a`);
+    await waitUntil("the entry is named", async () => (await resolve()).ok);
+    await Promise.all([...others, cluster.entry].map((handle) => handle.kill()));
+    expect(first!.isRunning).toBe(true);
+    await waitUntil("it is named no more", async () => (await resolve()).status === 503);
+    await new Promise((done) => setTimeout(done, KEPT_MS));
+    expect((await resolve()).status).toBe(503);
+    for (const handle of [...others, cluster.entry]) handle.start();
+    await waitForStream();
+  });
 });
