Take a refused connection for no proof that a head is gone

A partition reset control's connections to the head; the order to leave came back as refused, which was taken for a process that is gone, and the replica was released 0.2 s later. Change: such an outcome ends nothing; a member is taken out instead, and the head breaks by itself within the stall time. Test: registration/registry failed first. Cost: a head whose process crashed and refuses connections holds its other instances for 4.7 s, where they were free at once; not measured alone.

--- a/src/registration/ReplicaCloser.ts
+++ b/src/registration/ReplicaCloser.ts
@@ -40,8 +40,12 @@
 /** Clocks of instances differ a little in rate. */
 const BREAK_MARGIN_MS = 700;
 
-/** Outcomes after which the instance is certainly not in the replica that the order named. */
-const ENDED: ReadonlySet<OrderOutcome> = new Set(["done", "begun", "unfit", "stale", "elsewhere", "absent"]);
+/**
+ * Outcomes after which the instance is certainly not in the replica that the order named. A refused
+ * connection is none of them: a partition that resets connections looks the same from here, while
+ * entries go on reaching the head, and instances released then were in two replicas.
+ */
+const ENDED: ReadonlySet<OrderOutcome> = new Set(["done", "begun", "unfit", "stale", "elsewhere"]);
 
 /** The retiring replicas of one term. */
 export class ReplicaCloser {
@@ -126,7 +130,7 @@
     if (due.order.kind === "close") {
       // A head that can't be closed is left at once.
       closing.isClosed = true;
-      if (outcome === "elsewhere" || outcome === "absent") closing.hasLeft = true;
+      if (outcome === "elsewhere") closing.hasLeft = true;
       return;
     }
     if (isHead) closing.leaveAsks += 1;
--- a/test/registration/registry.test.ts
+++ b/test/registration/registry.test.ts
@@ -133,6 +133,21 @@
     expect(closer.getDueOrders(2_000, replica, TIMES, isHeadSilent)).toEqual([]);
   });
 
+  it("takes a refused connection for no proof that the head is gone: others may still reach it", () => {
+    for (const drains of [false, true]) {
+      const { closer } = setUp(drains);
+      const [first] = closer.getDueOrders(0, replica, TIMES, isHere);
+      closer.addOutcome(10, replica, first!, "absent");
+      expect(closer.isOver(10, replica, TIMES)).toBe(false);
+      const orders = closer.getDueOrders(1_000, replica, TIMES, isHeadSilent);
+      const toMember = orders.find((due) => due.receiver.instanceId !== "head")!;
+      closer.addOutcome(1_010, replica, toMember, "absent");
+      expect(closer.isOver(60_000, replica, TIMES)).toBe(false);
+      closer.addOutcome(1_020, replica, toMember, "done");
+      expect(closer.isOver(1_020 + TIMES.stallMs + 1_000, replica, TIMES)).toBe(true);
+    }
+  });
+
   it("takes a member out as well once a head that reports has left an order unanswered", () => {
     const { closer } = setUp(false);
     const [first] = closer.getDueOrders(0, replica, TIMES, isHere);
