Control tells why a leadership ended, what it computes for long, and how many calls it refuses

The logs could not tell the hypotheses of the incident apart: a lost lead had no reason, an election without a winner left no line, and a process that did nothing but refuse looked like one at rest. New: consensus_position, reason of leadership_ended, view_complete, work_slow, calls_refused, entries read at a start; metrics control_work_ms and control_calls.

--- a/src/consensus/RaftNode.ts
+++ b/src/consensus/RaftNode.ts
@@ -47,6 +47,9 @@
 
 type MessageBody = ConsensusMessage["body"];
 
+/** Why a member leads no more. */
+export type LeadershipEnd = "no majority answered" | "another term began" | "it votes no more";
+
 /** A member of the agreed state. */
 export class RaftNode {
   /** This member's id. */
@@ -74,6 +77,7 @@
   private readonly _barriers = new Barriers();
   private readonly _outbox = new Outbox();
   private _snapshot: Snapshot | undefined;
+  private _leadershipEnd: LeadershipEnd | undefined;
 
   /**
    * @param options - What the disk held, timing, randomness and the present time.
@@ -107,6 +111,11 @@
     return this._term;
   }
 
+  /** Gets why this member stopped to lead last; `undefined` if it never did. */
+  get leadershipEnd(): LeadershipEnd | undefined {
+    return this._leadershipEnd;
+  }
+
   /** Gets the id of the leader of this term, empty when unknown. */
   get leaderId(): string {
     return this._leaderId;
@@ -280,6 +289,7 @@
     // A voter that hears its leader isn't drawn into another's election.
     const isUninvited = message.body.case === "voteRequest" && !message.body.value.transfer;
     if (isUninvited && this._hearsLeader(now)) return false;
+    if (this._role === "leader") this._leadershipEnd = "another term began";
     this._becomeFollower(now, message.term, "");
     return true;
   }
@@ -435,6 +445,7 @@
 
   private _tickLeader(now: number): void {
     if (!this._hasQuorumContact(now)) {
+      this._leadershipEnd = "no majority answered";
       this._becomeFollower(now, this._term, "");
       return;
     }
@@ -607,6 +618,7 @@
 
   private _stepDownIfRemoved(): void {
     if (isVoter(this.membership, this.id) || this._hasPendingMembership()) return;
+    this._leadershipEnd = "it votes no more";
     this._role = "follower";
     this._leaderId = "";
   }
--- a/src/membership/LeadershipWatch.ts
+++ b/src/membership/LeadershipWatch.ts
@@ -27,6 +27,7 @@
   private readonly _options: LeadershipWatchOptions<L>;
   private readonly _timer: NodeJS.Timeout;
   private _current: L | undefined;
+  private _position = "";
 
   /**
    * @param options - Driver and factory.
@@ -57,7 +58,10 @@
     const leads = driver.isLeader();
     if (leads && this._current?.term === driver.node.term) return;
     if (!leads && this._current === undefined) return;
-    if (this._current !== undefined) logger.info({ event: "leadership_ended", term: this._current.term });
+    if (this._current !== undefined) {
+      const reason = driver.node.leadershipEnd;
+      logger.info({ event: "leadership_ended", term: this._current.term, reason });
+    }
     this._current?.end();
     this._current = undefined;
     if (!leads) return;
@@ -67,10 +71,20 @@
     logger.info({ event: "leadership_began", term: this._current.term });
   }
 
+  /** One line for each change of role, term or leader that lasts until it is looked at. */
+  private _logPosition(): void {
+    const { role, term, leaderId } = this._options.driver.node;
+    const position = [role, term, leaderId].join();
+    if (position === this._position) return;
+    this._position = position;
+    this._options.logger.info({ event: "consensus_position", role, term, leader: leaderId });
+  }
+
   private _report(): void {
     const { driver, metrics } = this._options;
     metrics.gauge("consensus_term", driver.node.term);
     metrics.gauge("consensus_commit_index", driver.node.commitIndex);
     metrics.gauge("consensus_leader", driver.isLeader() ? 1 : 0);
+    this._logPosition();
   }
 }
--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -27,6 +27,8 @@
   | "instance_orders"
   | "replica_moves"
   | "leaderships"
+  | "control_work_ms"
+  | "control_calls"
   | "declaration_version"
   | "log_lines_dropped";
 
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -3,3 +3,4 @@
 export { createLogger, type Logger, type LogLevel } from "./logger";
 export { type MetricName, type Metrics, type MetricTags, SilentMetrics, StatsdMetrics } from "./Metrics";
 export { startMetricsServer, TextMetrics } from "./TextMetrics";
+export { type Work, WorkMeter, type WorkMeterOptions } from "./WorkMeter";
--- /dev/null
+++ b/src/registration/CallLedger.ts
@@ -0,0 +1,72 @@
+/**
+ * Counts the calls that a control process serves and refuses.
+ *
+ * A process that can serve nobody may spend all its time on saying so: one line a second tells
+ * how many calls it refused.
+ */
+import type { Logger, Metrics } from "../metrics";
+
+/** Who calls: entries and followers watch, relays and instances report, operators declare. */
+export type Call = "watch" | "relay" | "instance" | "declaration";
+
+/** Refusals are told no more often than this. */
+const TELL_MS = 1_000;
+
+/** The calls of one process. */
+export class CallLedger {
+  private readonly _logger: Logger;
+  private readonly _metrics: Metrics;
+  private readonly _timer: NodeJS.Timeout;
+  private _served = 0;
+  private _refused = new Map<Call, number>();
+
+  /**
+   * @param logger - Told of refusals.
+   */
+  constructor(logger: Logger, metrics: Metrics) {
+    this._logger = logger;
+    this._metrics = metrics;
+    this._timer = setInterval(() => this._tell(), TELL_MS).unref();
+  }
+
+  /** Notes a call that was served. */
+  addServed(call: Call): void {
+    this._served += 1;
+    this._metrics.increment("control_calls", 1, { call, outcome: "served" });
+  }
+
+  /** Notes a call that was refused. */
+  addRefused(call: Call): void {
+    this._refused.set(call, (this._refused.get(call) ?? 0) + 1);
+    this._metrics.increment("control_calls", 1, { call, outcome: "refused" });
+  }
+
+  /** Notes what a call came to. */
+  async follow<R>(call: Call, outcome: Promise<R>): Promise<R> {
+    try {
+      const result = await outcome;
+      this.addServed(call);
+      return result;
+    } catch (cause) {
+      this.addRefused(call);
+      throw cause;
+    }
+  }
+
+  /** Tells no more. */
+  stop(): void {
+    clearInterval(this._timer);
+  }
+
+  private _tell(): void {
+    if (this._refused.size > 0) {
+      this._logger.info({
+        event: "calls_refused",
+        served: this._served,
+        ...Object.fromEntries(this._refused),
+      });
+    }
+    this._served = 0;
+    this._refused = new Map();
+  }
+}
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -25,8 +25,9 @@
   PeerTransport,
   serveRpc,
 } from "../membership";
-import type { Logger, Metrics } from "../metrics";
+import { type Logger, type Metrics, WorkMeter } from "../metrics";
 import type { FleetControlSettings, LiveSettings } from "../settings";
+import { CallLedger } from "./CallLedger";
 import { FleetLeadership } from "./FleetLeadership";
 import { FleetRelay } from "./FleetRelay";
 import { addFleetRoutes } from "./fleetRoutes";
@@ -62,11 +63,18 @@
     const settings = options.settings.current;
     const { control } = settings;
     const clock = new SystemClock();
+    const meter = new WorkMeter({ clock, logger, metrics: options.metrics });
+    const calls = yield* Effect.acquireRelease(
+      Effect.sync(() => new CallLedger(logger, options.metrics)),
+      (opened) => Effect.sync(() => opened.stop()),
+    );
     const getSeeds = () => getRpcAddresses(options.settings.current);
+    const replayedAt = clock.getMonotonicMs();
     const { storage, stored } = yield* Effect.tryPromise({
       try: () => prepareDataFolder(options),
       catch: (cause) => cause,
     });
+    meter.addWork("replay", stored.entries.length, clock.getMonotonicMs() - replayedAt);
     const known = yield* Effect.acquireRelease(
       Effect.promise(() => KnownView.open(control.dataFolder, logger)),
       (opened) => Effect.sync(() => opened.stop()),
@@ -86,7 +94,7 @@
       onFatal: options.onFatal,
     });
     const getTimes = createTimesCache(options.settings);
-    const getRoutes = createRouteCache(() => driver.machine.getDeclaration(), options.format);
+    const getRoutes = createRouteCache(() => driver.machine.getDeclaration(), options.format, meter);
     const lag = yield* Effect.acquireRelease(
       Effect.sync(
         () =>
@@ -103,6 +111,7 @@
     const createLeadership = () =>
       new FleetLeadership({
         lag,
+        meter,
         metrics: options.metrics,
         driver,
         orders: options.orders,
@@ -139,6 +148,8 @@
         guard,
         clock,
         hub: relay.hub,
+        calls,
+        meter,
         getLeadership,
         relaySuspicion: (suspicion) => relay.reportSuspicion(suspicion),
         relayEntries: () => relay.sender.sendNow(),
@@ -171,6 +182,7 @@
       event: "control_started",
       member: driver.node.id,
       term: stored.hardState.term,
+      entries: stored.entries.length,
       recovered: known.recovered?.declaration?.version ?? 0,
       cpu_ms: getProcessorMs(),
     });
@@ -181,6 +193,7 @@
       getEntries: () => relay.getEntries(),
       relay: relay.reports,
       sender: relay.sender,
+      calls,
       client: relay.client,
       getSeeds,
       format: options.format,
@@ -253,12 +266,14 @@
 function createRouteCache(
   getDeclaration: () => { readonly version: number; readonly document: Uint8Array } | undefined,
   format: DeclarationFormat,
+  meter: WorkMeter,
 ): () => RouteTable | undefined {
   let cached: RouteTable | undefined;
   return () => {
     const held = getDeclaration();
     if (held !== undefined && held.version !== cached?.declaration.version) {
-      cached = new RouteTable(format.parse(unpackDocument(held.document)));
+      const parse = () => new RouteTable(format.parse(unpackDocument(held.document)));
+      cached = meter.measure("parse", held.document.length, parse);
     }
     return cached;
   };
--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -12,7 +12,7 @@
   TargetSchema,
 } from "../gen/ploverstage/v1/fleet_pb";
 import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
-import type { Logger, Metrics } from "../metrics";
+import type { Logger, Metrics, WorkMeter } from "../metrics";
 import { type EntryRoster, sortEntries } from "./EntryRoster";
 import { FleetView } from "./FleetView";
 import type { InstanceOrders } from "./InstanceOrders";
@@ -28,6 +28,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  readonly meter: WorkMeter;
   /** How late this process runs. */
   readonly lag: LoopLag;
   /** Whether this process was started with the whole system, for the first time. */
@@ -93,10 +94,12 @@
     const now = this._options.clock.getMonotonicMs();
     const { machine } = this._options.driver;
     const departing: string[] = [];
-    for (const report of reports) {
-      if (report.deregistered || report.leaving) departing.push(report.instanceId);
-      if (!report.deregistered) this._registry.addReport(now - report.ageMs, report);
-    }
+    this._options.meter.measure("reports", reports.length, () => {
+      for (const report of reports) {
+        if (report.deregistered || report.leaving) departing.push(report.instanceId);
+        if (!report.deregistered) this._registry.addReport(now - report.ageMs, report);
+      }
+    });
     const instanceIds = departing.filter((id) => !machine.hasDeparted(id));
     if (instanceIds.length === 0) return;
     await this._options.driver.propose({
@@ -156,6 +159,8 @@
     const publishingAt = this._options.clock.getMonotonicMs();
     if (!this._isEnded) this._publish();
     const endedAt = this._options.clock.getMonotonicMs();
+    this._options.meter.addWork("plan", this._registry.getInstances().length, plannedMs);
+    this._options.meter.addWork("publish", this.view.targetCount, endedAt - publishingAt);
     this._pace.addEnd(endedAt, plannedMs + endedAt - publishingAt);
   }
 
@@ -183,7 +188,7 @@
     this.view.setDeclaration(driver.machine.getDeclaration());
     this.view.setTargets(this._createTargets(now));
     this.view.removeTargets(this._getUnusable());
-    if (now - this._startedAt > getTimes().presenceMs) this.view.setComplete();
+    if (now - this._startedAt > getTimes().presenceMs) this._setComplete();
     this.view.setEntries(
       sortEntries([...this._options.entries.getEntries(now), ...this._relays.getEntries(now)]),
     );
@@ -191,6 +196,18 @@
     if (this.view.revision !== before) this._options.onChange();
   }
 
+  private _setComplete(): void {
+    if (this.view.isComplete) return;
+    this.view.setComplete();
+    const instances = this._registry.getInstances().length;
+    this._options.logger.info({
+      event: "view_complete",
+      term: this.term,
+      instances,
+      targets: this.view.targetCount,
+    });
+  }
+
   /** The leader has enough to do: entries watch the others, where there are any. */
   private _getWatchable(): string[] {
     const { node } = this._options.driver;
--- a/src/registration/FleetView.ts
+++ b/src/registration/FleetView.ts
@@ -51,6 +51,16 @@
     return this._declaration?.version ?? 0;
   }
 
+  /** Gets whether every target is known. */
+  get isComplete(): boolean {
+    return this._isComplete;
+  }
+
+  /** Gets how many targets are held, removed ones that are kept included. */
+  get targetCount(): number {
+    return this._targets.size;
+  }
+
   /** Gets the entries that callers may be sent to. */
   get entries(): readonly EntryEndpoint[] {
     return this._entries;
--- a/src/registration/Registrar.ts
+++ b/src/registration/Registrar.ts
@@ -12,6 +12,7 @@
 import type { Declaration as HeldDeclaration } from "../gen/ploverstage/v1/state_pb";
 import type { Logger } from "../metrics";
 import type { LeaderClient } from "../rpc";
+import type { CallLedger } from "./CallLedger";
 import type { FleetLeadership } from "./FleetLeadership";
 import type { ReportRelay } from "./ReportRelay";
 import type { ReportSender } from "./ReportSender";
@@ -28,6 +29,7 @@
   readonly getEntries: () => readonly EntryEndpoint[];
   readonly relay: ReportRelay;
   readonly sender: ReportSender;
+  readonly calls: CallLedger;
   readonly client: LeaderClient<typeof FleetService>;
   readonly getSeeds: () => readonly string[];
   readonly format: DeclarationFormat;
@@ -69,6 +71,10 @@
    * @throws UnreachableControl - When nobody can act on it.
    */
   async addReport(report: InstanceReport): Promise<string> {
+    return this._options.calls.follow("instance", this._addReport(report));
+  }
+
+  private async _addReport(report: InstanceReport): Promise<string> {
     const { getLeadership, publicAddress } = this._options;
     const leadership = getLeadership();
     if (report.leaving || report.deregistered) await this._addDeparture(report);
--- a/src/registration/fleetRoutes.ts
+++ b/src/registration/fleetRoutes.ts
@@ -4,7 +4,9 @@
 import type { ConsensusDriver } from "../consensus";
 import { FleetService, type SuspectRequest, type WatchRequest } from "../gen/ploverstage/v1/fleet_pb";
 import type { LeaderGuard } from "../membership";
+import type { WorkMeter } from "../metrics";
 import { createLeaderRefusal } from "../rpc";
+import type { CallLedger } from "./CallLedger";
 import type { FleetLeadership } from "./FleetLeadership";
 import type { ViewHub } from "./ViewHub";
 import { watchView } from "./watchers";
@@ -15,6 +17,8 @@
   readonly guard: LeaderGuard<FleetLeadership>;
   readonly clock: Clock;
   readonly hub: ViewHub;
+  readonly calls: CallLedger;
+  readonly meter: WorkMeter;
   /** Gives the leadership while this process leads. */
   readonly getLeadership: () => FleetLeadership | undefined;
   /** Passes on to the leader what an entry saw. */
@@ -25,7 +29,7 @@
 
 /** Adds the fleet service to a router. */
 export function addFleetRoutes(router: ConnectRouter, options: FleetRouteOptions): void {
-  const { driver, guard, clock, hub, getLeadership } = options;
+  const { driver, guard, clock, hub, calls, meter, getLeadership } = options;
   router.service(FleetService, {
     async *watch(request, context) {
       if (request.stopping) {
@@ -33,16 +37,21 @@
         await options.relayEntries();
         return;
       }
-      yield* watchView(hub, getSourceOrThrow(options, request), request, clock, context.signal);
+      yield* watchView(hub, getSourceOrThrow(options, request), request, {
+        clock,
+        meter,
+        signal: context.signal,
+      });
     },
     report(request) {
-      return guard.propose(async (leadership) => {
+      const answer = guard.propose(async (leadership) => {
         const unknownInstanceIds = await leadership.addRelayed(request);
         return { term: leadership.term, unknownInstanceIds };
       });
+      return calls.follow("relay", answer);
     },
     putDeclaration(request) {
-      return guard.propose(async (leadership) => {
+      const answer = guard.propose(async (leadership) => {
         await driver.propose({
           case: "putDeclaration",
           value: {
@@ -55,9 +64,11 @@
         leadership.publish();
         return {};
       });
+      return calls.follow("declaration", answer);
     },
     getDeclaration() {
-      return guard.run(() => ({ declaration: driver.machine.getDeclaration() }));
+      const answer = guard.run(() => ({ declaration: driver.machine.getDeclaration() }));
+      return calls.follow("declaration", answer);
     },
     suspect(request) {
       const leadership = getLeadership();
@@ -69,8 +80,12 @@
 }
 
 /** Control processes follow the leader itself, so that no view is relayed twice. */
-function getSourceOrThrow({ driver, hub, getLeadership }: FleetRouteOptions, request: WatchRequest) {
+function getSourceOrThrow({ driver, hub, calls, getLeadership }: FleetRouteOptions, request: WatchRequest) {
   const getSource = request.entry === undefined ? getLeadership : () => hub.getSource();
-  if (getSource() === undefined) throw createLeaderRefusal(driver.getLeaderAddress());
+  if (getSource() === undefined) {
+    calls.addRefused("watch");
+    throw createLeaderRefusal(driver.getLeaderAddress());
+  }
+  calls.addServed("watch");
   return getSource;
 }
--- a/src/registration/watchers.ts
+++ b/src/registration/watchers.ts
@@ -3,12 +3,21 @@
 import { create } from "@bufbuild/protobuf";
 import type { Clock } from "../clock";
 import { type ViewUpdate, ViewUpdateSchema, type WatchRequest } from "../gen/ploverstage/v1/fleet_pb";
+import type { WorkMeter } from "../metrics";
 import type { ViewSource, WatchPosition } from "./FleetView";
 import type { ViewHub } from "./ViewHub";
 
 /** How often a watcher hears from the process that it watches at the least. */
 export const WATCH_HEARTBEAT_MS = 300;
 
+/** What a watch runs with. */
+export interface WatchContext {
+  readonly clock: Clock;
+  readonly meter: WorkMeter;
+  /** Ends with the call. */
+  readonly signal: AbortSignal;
+}
+
 /** How far one watcher was told. */
 class WatcherState {
   private _source: ViewSource | undefined;
@@ -48,8 +57,7 @@
   hub: ViewHub,
   getSource: () => ViewSource | undefined,
   request: WatchRequest,
-  clock: Clock,
-  signal: AbortSignal,
+  { clock, meter, signal }: WatchContext,
 ): AsyncGenerator<ViewUpdate> {
   const pause = new Pause();
   const wake = () => pause.end();
@@ -65,7 +73,10 @@
       const hasNews = state.hasNews(source);
       if (hasNews || now - toldAt >= WATCH_HEARTBEAT_MS) {
         toldAt = now;
-        yield hasNews ? state.createUpdate(source) : create(ViewUpdateSchema, { term: source.term });
+        const createUpdate = () => state.createUpdate(source);
+        yield hasNews
+          ? meter.measure("update", source.view.targetCount, createUpdate)
+          : create(ViewUpdateSchema, { term: source.term });
       }
       await pause.wait(WATCH_HEARTBEAT_MS, () => state.hasNews(getSource()));
     }
--- a/test/registration/relays.test.ts
+++ b/test/registration/relays.test.ts
@@ -10,6 +10,7 @@
 import { RelayRoster } from "../../src/registration/RelayRoster";
 import { ViewHub } from "../../src/registration/ViewHub";
 import { watchView } from "../../src/registration/watchers";
+import { createMeter } from "../support/createMeter";
 
 const ADDRESSES = ["a:1", "b:1", "c:1", "d:1", "e:1"];
 
@@ -119,13 +120,11 @@
       onEntriesChanged: () => {},
     });
     const request = { watcherId: "w", entry: createEntry("x:1"), knownVersion: 0, stopping: false };
-    const updates = watchView(
-      hub,
-      () => hub.getSource(),
-      request as never,
+    const updates = watchView(hub, () => hub.getSource(), request as never, {
       clock,
-      new AbortController().signal,
-    );
+      meter: createMeter(clock),
+      signal: new AbortController().signal,
+    });
     followed.apply(createUpdate(1, ["a"], true));
     relayed.addUpdate(createUpdate(1, ["a"], true));
     expect((await updates.next()).value).toMatchObject({ term: 1, targets: [{ id: "a" }], complete: true });
