--- a/bench/powerLoss.ts
+++ b/bench/powerLoss.ts
@@ -15,6 +15,7 @@
 /** The bench. */
 export const powerLossBench: Bench = { name: "powerLoss", run };
 
+const CONTROLS = 5;
 const INSTANCES = 222;
 const DOMAIN_SIZE = 37;
 const ENTRIES = 56;
@@ -58,7 +59,11 @@
 }
 
 async function measure(): Promise<Recovery> {
-  const cluster = await PlatformCluster.start(INSTANCES, { reportMs: REPORT_MS, domainSize: DOMAIN_SIZE });
+  const cluster = await PlatformCluster.start(INSTANCES, {
+    controls: CONTROLS,
+    reportMs: REPORT_MS,
+    domainSize: DOMAIN_SIZE,
+  });
   const watchers = Array.from({ length: ENTRIES }, (_, i) => createWatcher(i, cluster.rpcAddresses));
   const throttle = new Throttle(cluster.controls, SHARE);
   try {
--- a/test/platform/PlatformCluster.ts
+++ b/test/platform/PlatformCluster.ts
@@ -11,7 +11,8 @@
 /** Arguments of Node as in the deploy file. */
 const PROGRAM = ["--max-old-space-size=200", "--snapshot-blob", HEAP, "ploverstage"];
 const TEMPLATE = readFileSync("deploy/settings.template", "utf8");
-const CONTROL_IPS = ["127.0.0.11", "127.0.0.12", "127.0.0.13"];
+const FIRST_CONTROL_IP = 11;
+const DEFAULT_CONTROLS = 3;
 /** Folders with logs are left behind for whoever wants to read them. */
 const KEEPS_LOGS = process.env.PLOVERSTAGE_KEEP_LOGS !== undefined;
 /** A dead worker is missed after some reports of this length. */
@@ -27,6 +28,8 @@
 export interface ClusterOptions {
   /** How often workers report, milliseconds; control is told the same. */
   readonly reportMs?: number;
+  /** Control processes, all of them voters; three if not given. */
+  readonly controls?: number;
   /** Workers of a fabric domain; all are in one if not given. */
   readonly domainSize?: number;
   /** Whether workers are reached through relays that can fail. */
@@ -42,17 +45,20 @@
   private _entry: ProcessHandle | undefined;
   private _requests = 0;
   private readonly _options: ClusterOptions;
+  private readonly _controlIps: readonly string[];
 
   private constructor(options: ClusterOptions) {
     this._options = options;
+    const count = options.controls ?? DEFAULT_CONTROLS;
+    this._controlIps = Array.from({ length: count }, (_, i) => `127.0.0.${FIRST_CONTROL_IP + i}`);
   }
 
-  /** Starts three control processes, an entry, and workers: one plain, the others for replicas. */
+  /** Starts control processes, an entry, and workers: one plain, the others for replicas. */
   static async start(engines: number, options: ClusterOptions = {}): Promise<PlatformCluster> {
     const cluster = new PlatformCluster(options);
     const addresses = await getFreeAddresses(6);
     cluster._ports = addresses.map((address) => Number(address.split(":")[1]));
-    for (const ip of CONTROL_IPS) cluster.controls.push(cluster._createProcess("control", ip));
+    for (const ip of cluster._controlIps) cluster.controls.push(cluster._createProcess("control", ip));
     cluster._entry = cluster._createProcess("entry", "127.0.0.1");
     for (const handle of [...cluster.controls, cluster._entry]) handle.start();
     await cluster.addWorker("app-0", "app", "");
@@ -65,12 +71,12 @@
 
   /** Gets the addresses at which operators and workers reach control. */
   get controlAddresses(): string[] {
-    return CONTROL_IPS.map((ip) => `${ip}:${this._ports[1]}`);
+    return this._controlIps.map((ip) => `${ip}:${this._ports[1]}`);
   }
 
   /** Gets the addresses at which control processes reach each other and entries reach them. */
   get rpcAddresses(): string[] {
-    return CONTROL_IPS.map((ip) => `${ip}:${this._ports[0]}`);
+    return this._controlIps.map((ip) => `${ip}:${this._ports[0]}`);
   }
 
   /** Gets the entry's process. */
@@ -85,7 +91,7 @@
 
   /** Gets the directory's address at one control process. */
   getDirectory(index: number): string {
-    return `${CONTROL_IPS[index]}:${this._ports[2]}`;
+    return `${this._controlIps[index]}:${this._ports[2]}`;
   }
 
   /** Starts one more worker. */
@@ -163,6 +169,7 @@
       internalPorts: [rpc, rpc! + 1],
       seeds: this.controlAddresses,
       bootstrap: true,
+      faultTolerance: { machines: Math.floor((this._controlIps.length - 1) / 2) },
       dataDir,
       heartbeatMs: this._options.reportMs ?? HEARTBEAT_MS,
       listen,
