--- a/test/support/ProcessHandle.ts
+++ b/test/support/ProcessHandle.ts
@@ -16,6 +16,7 @@
   /** Where its output is kept, over all its starts. */
   readonly logFile: string;
   private _child: ChildProcess | undefined;
+  private _tail = "";
 
   constructor(name: string, args: readonly string[], logFile: string) {
     this.name = name;
@@ -42,15 +43,16 @@
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
     this._child = child;
-    let tail = "";
+    this._tail = "";
     for (const stream of [child.stdout, child.stderr]) {
       stream.on("data", (chunk: Buffer) => {
-        tail = (tail + chunk.toString()).slice(-TAIL_CHARACTERS);
+        this._tail = (this._tail + chunk.toString()).slice(-TAIL_CHARACTERS);
       });
     }
     // A process that is gone makes others wait in vain: the report says why.
     child.once("exit", (code, signal) => {
-      if (this._child === child) console.error(`${this.name} ended by itself (${code ?? signal}): ${tail}`);
+      if (this._child === child)
+        console.error(`${this.name} ended by itself (${code ?? signal}): ${this._tail}`);
     });
   }
 
@@ -61,7 +63,10 @@
 
   /** Asks it to stop as planned; resolves with its exit code. */
   async stop(): Promise<number | null> {
-    return this._end("SIGTERM");
+    const code = await this._end("SIGTERM");
+    // The folder of its log goes with the test: only this tells what a failed stop was about.
+    if (code !== 0) console.error(`${this.name} stopped with code ${code}: ${this._tail}`);
+    return code;
   }
 
   /** Stops it in its tracks. */
