Count against an instance only the time in which its leader could have heard it

Cause: a leader that had just begun, or stood still, took instances for absent whose reports were held up between it and the control processes that relay them: it gave up whole replicas, and told entries that its view was complete without them. Ruled out: a longer patience (it only moves the moment); the leader's own lag alone (relays are held up too, and a busy leader always lags a little). Change: Hearing counts no time since a process that answers the agreement got its reports through last, nor any in which nobody was heard, for twice the usual silence at most: its instances have turned elsewhere by then. Instances of a process that is gone are given up as soon as before.

--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -15,6 +15,7 @@
 import type { Logger, Metrics, WorkMeter } from "../metrics";
 import { type EntryRoster, sortEntries } from "./EntryRoster";
 import { FleetView } from "./FleetView";
+import { Hearing } from "./Hearing";
 import type { InstanceOrders } from "./InstanceOrders";
 import { InstanceRegistry, type RegisteredInstance } from "./InstanceRegistry";
 import { PlanningPace } from "./PlanningPace";
@@ -57,7 +58,7 @@
   private readonly _controller: ReplicaController;
   private readonly _relays = new RelayRoster();
   private readonly _pace = new PlanningPace();
-  private readonly _startedAt: number;
+  private readonly _hearing: Hearing;
   private _timer: NodeJS.Timeout | undefined;
   private _isEnded = false;
 
@@ -67,8 +68,12 @@
   constructor(options: FleetLeadershipOptions) {
     this._options = options;
     this.term = options.driver.node.term;
-    this._startedAt = options.clock.getMonotonicMs();
-    this._controller = new ReplicaController({ ...options, registry: this._registry });
+    this._hearing = new Hearing(options.clock.getMonotonicMs());
+    this._controller = new ReplicaController({
+      ...options,
+      registry: this._registry,
+      hearing: this._hearing,
+    });
   }
 
   /** Gets whether the term is over. */
@@ -155,6 +160,7 @@
     if (!this._pace.isDue(startedAt, this._getPlanningInputs())) return;
     this._pace.addStart();
     this._registry.removeSilent(startedAt);
+    this._updateHearing(startedAt);
     const plannedMs = await this._plan();
     const publishingAt = this._options.clock.getMonotonicMs();
     if (!this._isEnded) this._publish();
@@ -184,11 +190,12 @@
   private _publish(): void {
     const now = this._options.clock.getMonotonicMs();
     const { driver, getTimes } = this._options;
+    this._updateHearing(now);
     const before = this.view.revision;
     this.view.setDeclaration(driver.machine.getDeclaration());
     this.view.setTargets(this._createTargets(now));
     this.view.removeTargets(this._getUnusable());
-    if (now - this._startedAt > getTimes().presenceMs) this._setComplete();
+    if (this._hearing.getListenedMs(now) > getTimes().presenceMs) this._setComplete();
     this.view.setEntries(
       sortEntries([...this._options.entries.getEntries(now), ...this._relays.getEntries(now)]),
     );
@@ -196,6 +203,17 @@
     if (this.view.revision !== before) this._options.onChange();
   }
 
+  private _updateHearing(now: number): void {
+    const { driver, getTimes } = this._options;
+    const others = driver.node.membership.members.filter((member) => member.id !== driver.node.id);
+    const contacts = others.map(({ id, name }) => ({
+      answeredAt: driver.node.getProgress(id)?.answeredAt ?? Number.NEGATIVE_INFINITY,
+      // Members are named by the address at which instances reach them.
+      reportedAt: this._relays.getReportedAt(name),
+    }));
+    this._hearing.update(now, contacts, getTimes().presenceMs);
+  }
+
   private _setComplete(): void {
     if (this.view.isComplete) return;
     this.view.setComplete();
--- a/src/registration/PlanningFactsSource.ts
+++ b/src/registration/PlanningFactsSource.ts
@@ -4,6 +4,7 @@
 import { InstanceId } from "../ids";
 import type { InstanceFacts, PlanningFacts } from "../planner";
 import type { StateMachine } from "../state";
+import type { Hearing } from "./Hearing";
 import type { InstanceRegistry, RegisteredInstance } from "./InstanceRegistry";
 import type { OrderDispatcher } from "./OrderDispatcher";
 import type { PresenceDoubts } from "./PresenceDoubts";
@@ -15,8 +16,8 @@
   readonly registry: InstanceRegistry;
   readonly dispatcher: OrderDispatcher;
   readonly doubts: PresenceDoubts;
-  /** When the term began, monotonic milliseconds. */
-  readonly startedAt: number;
+  /** How long silence says something. */
+  readonly hearing: Hearing;
 }
 
 const NEVER = Number.NEGATIVE_INFINITY;
@@ -46,7 +47,7 @@
       .getInstances()
       .filter((instance) => instance.report.service === serviceName)
       .map((instance) => this._createInstanceFacts(now, instance, replicas));
-    instances.push(...this._createUnheardFacts(replicas));
+    instances.push(...this._createUnheardFacts(now, replicas));
     return {
       instances,
       replicas,
@@ -62,8 +63,8 @@
    * Members that have not reported in this term are taken for there, as they were agreed
    * on, until they have been silent for as long as any other.
    */
-  private _createUnheardFacts(replicas: readonly Replica[]): InstanceFacts[] {
-    const { registry, machine } = this._options;
+  private _createUnheardFacts(now: number, replicas: readonly Replica[]): InstanceFacts[] {
+    const { registry, machine, hearing } = this._options;
     return replicas.flatMap((replica) => {
       const unheard = replica.members.filter((member) => {
         const { instanceId } = member;
@@ -76,9 +77,7 @@
         fabricDomain: replica.fabricDomain,
         isLeaving: machine().hasDeparted(member.instanceId),
         checksOrders: true,
-        answeredAt: this._options.doubts.isDoubted(member.instanceId, this._options.startedAt)
-          ? NEVER
-          : this._options.startedAt,
+        answeredAt: this._getAnsweredAt(now, member.instanceId, hearing.startedAt),
         epoch: replica.epoch,
         // Only what served was seen whole.
         isReady: replica.phase === ReplicaPhase.SERVING,
@@ -91,6 +90,12 @@
     });
   }
 
+  /** Only the time in which an instance could have been heard counts against it. */
+  private _getAnsweredAt(now: number, instanceId: string, reportedAt: number): number {
+    const { doubts, hearing } = this._options;
+    return doubts.isDoubted(instanceId, reportedAt) ? NEVER : now - hearing.getSilentMs(now, reportedAt);
+  }
+
   private _createInstanceFacts(
     now: number,
     { report, reportedAt }: RegisteredInstance,
@@ -112,7 +117,7 @@
       fabricDomain: report.fabricDomain,
       isLeaving: report.leaving || this._options.machine().hasDeparted(instanceId),
       checksOrders: true,
-      answeredAt: this._options.doubts.isDoubted(instanceId, reportedAt) ? NEVER : reportedAt,
+      answeredAt: this._getAnsweredAt(now, instanceId, reportedAt),
       epoch: place?.epoch ?? 0,
       isReady: place !== undefined && READY_STATES.has(place.state),
       model,
--- a/src/registration/RelayRoster.ts
+++ b/src/registration/RelayRoster.ts
@@ -29,6 +29,11 @@
     this._relays.set(address, { heardAt: now, entries: entries ?? known });
   }
 
+  /** Gets when a relay reported last; `undefined` if it did not in this term. */
+  getReportedAt(address: string): number | undefined {
+    return this._relays.get(address)?.heardAt;
+  }
+
   /** Gets the entries that watch relays. */
   getEntries(now: number): EntryEndpoint[] {
     for (const [address, { heardAt }] of this._relays) {
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -11,6 +11,7 @@
 import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
 import type { Logger, Metrics } from "../metrics";
 import { type Action, type InstanceFacts, REASON } from "../planner";
+import type { Hearing } from "./Hearing";
 import type { InstanceOrder, InstanceOrders, OrderReceiver } from "./InstanceOrders";
 import type { InstanceRegistry } from "./InstanceRegistry";
 import type { LoadLimit } from "./LoadLimiter";
@@ -35,6 +36,7 @@
 export interface ReplicaControllerOptions {
   readonly driver: ConsensusDriver;
   readonly registry: InstanceRegistry;
+  readonly hearing: Hearing;
   readonly orders: InstanceOrders;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -73,7 +75,7 @@
    */
   constructor(options: ReplicaControllerOptions) {
     this._options = options;
-    const { registry, clock, driver } = options;
+    const { registry, hearing, driver } = options;
     this._closer = new ReplicaCloser(registry);
     this._dispatcher = new OrderDispatcher({ ...options, getLoadLimit: () => this._getLoadLimit() });
     this._facts = new PlanningFactsSource({
@@ -81,7 +83,7 @@
       registry,
       dispatcher: this._dispatcher,
       doubts: this._doubts,
-      startedAt: clock.getMonotonicMs(),
+      hearing,
     });
   }
 
@@ -150,7 +152,8 @@
   private _isPresent(now: number, instanceId: string): boolean {
     const instance = this._options.registry.getInstance(instanceId);
     if (instance === undefined || this._doubts.isDoubted(instanceId, instance.reportedAt)) return false;
-    return now - instance.reportedAt <= this._options.getTimes().presenceMs;
+    const silentMs = this._options.hearing.getSilentMs(now, instance.reportedAt);
+    return silentMs <= this._options.getTimes().presenceMs;
   }
 
   private _decide(now: number): Action[] {
--- a/test/registration/PlanningFactsSource.test.ts
+++ b/test/registration/PlanningFactsSource.test.ts
@@ -2,6 +2,7 @@
 import { beforeEach, describe, expect, it } from "vitest";
 import { InstanceReportSchema, PlaceState, ReplicaPlaceSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { ReplicaPhase } from "../../src/gen/ploverstage/v1/state_pb";
+import { Hearing } from "../../src/registration/Hearing";
 import { InstanceRegistry } from "../../src/registration/InstanceRegistry";
 import { OrderDispatcher } from "../../src/registration/OrderDispatcher";
 import { PlanningFactsSource } from "../../src/registration/PlanningFactsSource";
@@ -32,7 +33,7 @@
       registry,
       dispatcher,
       doubts: new PresenceDoubts(),
-      startedAt: 0,
+      hearing: new Hearing(0),
     });
   });
 
--- a/test/registration/ReplicaController.test.ts
+++ b/test/registration/ReplicaController.test.ts
@@ -3,6 +3,7 @@
 import type { ConsensusDriver } from "../../src/consensus";
 import { InstanceReportSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
 import type { ProbeOutcome } from "../../src/registration";
+import { Hearing } from "../../src/registration/Hearing";
 import { InstanceRegistry } from "../../src/registration/InstanceRegistry";
 import { ReplicaController } from "../../src/registration/ReplicaController";
 import { createInstances, createReplica } from "../support/planning";
@@ -26,6 +27,7 @@
     controller = new ReplicaController({
       driver: { machine: { getReplica: () => replica } } as unknown as ConsensusDriver,
       registry,
+      hearing: new Hearing(now),
       orders: {
         send: () => Promise.resolve("done"),
         probe: (receiver) => {
