Sessions that have ended are pinged no more, and a late process cuts nobody off; entries are told how many they are

SessionPings leaves ended sessions alone.

Seen at size: a leader that ran late cut off members that had just found it (control_lost with CANCEL), because their answers lay unread; the first answer of a leader that has just begun took longer than the 0.7 s that was waited for it, again and again; lists of 56 entries, told to each entry as they came, took 0.26 s of the 2.6 s that a new leader computed in its first seconds (profile). Now a process that runs late gives one more interval, the wait doubles, entries are told a count, with the next sign of life.

--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -75,7 +75,7 @@
   const view = new FollowedView();
   const pool = new TargetPool(random);
   const budget = new SharedRetryBudget(() => getRetryBound(live.current));
-  const getEntryCount = () => Math.max(1, view.getEntries().length);
+  const getEntryCount = () => Math.max(1, view.entryCount);
   let routes: RouteTable | undefined;
   const onChange = () => {
     const targets = view.getTargets();
--- a/src/registration/FleetView.ts
+++ b/src/registration/FleetView.ts
@@ -36,6 +36,7 @@
   private _controlAddresses: readonly string[] = [];
   private _declaration: Declaration | undefined;
   private _revision = 0;
+  private _revisionBesideEntries = 0;
   private _entriesRevision = 0;
   private _controlRevision = 0;
   private _isComplete = false;
@@ -72,12 +73,12 @@
     for (const target of targets) {
       const known = this._targets.get(target.id)?.target;
       if (known !== undefined && equals(TargetSchema, known, target)) continue;
-      this._targets.set(target.id, { target, revision: ++this._revision });
+      this._targets.set(target.id, { target, revision: this._advance() });
     }
     for (const [id, { target }] of this._targets) {
       if (target === undefined || ids.has(id)) continue;
       this._targets.delete(id);
-      this._targets.set(id, { target: undefined, revision: ++this._revision });
+      this._targets.set(id, { target: undefined, revision: this._advance() });
     }
     this._forgetRemovals();
   }
@@ -86,7 +87,7 @@
   removeTargets(ids: readonly string[]): void {
     for (const id of ids) {
       if (this._targets.has(id)) continue;
-      this._targets.set(id, { target: undefined, revision: ++this._revision });
+      this._targets.set(id, { target: undefined, revision: this._advance() });
     }
     this._forgetRemovals();
   }
@@ -95,7 +96,7 @@
   setComplete(): void {
     if (this._isComplete) return;
     this._isComplete = true;
-    this._completeRevision = ++this._revision;
+    this._completeRevision = this._advance();
   }
 
   /** Sets the entries. */
@@ -109,25 +110,38 @@
   setControlAddresses(addresses: readonly string[]): void {
     if (addresses.join() === this._controlAddresses.join()) return;
     this._controlAddresses = addresses;
-    this._controlRevision = ++this._revision;
+    this._controlRevision = this._advance();
   }
 
   /** Sets the declaration unless the one held has a higher version. */
   setDeclaration(declaration: Declaration | undefined): void {
     if (declaration === undefined || declaration.version <= this.declarationVersion) return;
     this._declaration = declaration;
-    this._revision += 1;
+    this._advance();
+  }
+
+  /** Gets the number of the newest change of anything but the entries. */
+  get revisionBesideEntries(): number {
+    return this._revisionBesideEntries;
   }
 
   /**
    * Gets what a watcher lacks.
    * @param position - `undefined` at the start of a call.
+   * @param isEntry - An entry is told only how many entries there are: with 56 of them that start at
+   * once, each told of all others as they came, lists took a third of what a leader computed.
    */
-  createUpdate(term: number, position: WatchPosition | undefined, knownVersion: number): ViewUpdate {
+  createUpdate(
+    term: number,
+    position: WatchPosition | undefined,
+    knownVersion: number,
+    isEntry = false,
+  ): ViewUpdate {
     const since = position?.revision ?? -1;
     const isNewlyComplete = this._isComplete && this._completeRevision > since;
     const changed = [...this._targets].filter(([, item]) => isNewlyComplete || item.revision > since);
     const version = position?.declarationVersion ?? knownVersion;
+    const hasNewEntries = this._entriesRevision > since;
     return create(ViewUpdateSchema, {
       term,
       complete: isNewlyComplete,
@@ -135,7 +149,8 @@
       removedTargetIds: changed.flatMap(([id, { target }]) => (target === undefined ? [id] : [])),
       declaration: this.declarationVersion > version ? this._declaration : undefined,
       entries:
-        this._entriesRevision > since ? create(EntryListSchema, { entries: [...this._entries] }) : undefined,
+        hasNewEntries && !isEntry ? create(EntryListSchema, { entries: [...this._entries] }) : undefined,
+      entryCount: hasNewEntries && isEntry ? this._entries.length : 0,
       controlAddresses: this._controlRevision > since ? [...this._controlAddresses] : [],
     });
   }
@@ -145,6 +160,13 @@
     return { revision: this._revision, declarationVersion: this.declarationVersion };
   }
 
+  /** Gives the number of a change of anything but the entries. */
+  private _advance(): number {
+    this._revision += 1;
+    this._revisionBesideEntries = this._revision;
+    return this._revision;
+  }
+
   private _forgetRemovals(): void {
     if (this._targets.size <= KEPT_REMOVALS) return;
     for (const [id, { target }] of this._targets) {
--- a/src/registration/FollowedView.ts
+++ b/src/registration/FollowedView.ts
@@ -14,6 +14,7 @@
 export class FollowedView {
   private readonly _targets = new Map<string, Target>();
   private _entries: readonly EntryEndpoint[] = [];
+  private _entryCount = 0;
   private _controlAddresses: readonly string[] = [];
   private _declaration: Declaration | undefined;
   private _term = RECOVERED_TERM;
@@ -38,6 +39,11 @@
     return this._entries;
   }
 
+  /** Gets how many entries there are; an entry is told no more of them. */
+  get entryCount(): number {
+    return this._entryCount;
+  }
+
   /** Gets the addresses of the control members, as far as the leader told them. */
   getControlAddresses(): readonly string[] {
     return this._controlAddresses;
@@ -58,6 +64,9 @@
       this._declaration = declaration;
     }
     if (update.entries !== undefined) this._entries = update.entries.entries;
+    if (update.entries !== undefined || update.entryCount > 0) {
+      this._entryCount = update.entries?.entries.length ?? update.entryCount;
+    }
     if (update.controlAddresses.length > 0) this._controlAddresses = update.controlAddresses;
     return true;
   }
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -39,11 +39,17 @@
 
 /** A leader silent for so long is given up. */
 const SILENCE_MS = 1_000;
-/** The first answer may wait for a connection to come up. */
+/**
+ * The first answer may wait for a connection to come up; doubled with each that did not come, up to
+ * the longest: a leader that has just begun answers late, and each call that is given up makes it later.
+ */
 const FIRST_ANSWER_MS = 700;
+const MAX_FIRST_ANSWER_MS = 2_800;
 const IDLE_MS = 100;
 const STOP_MS = 700;
 const SUSPICION_MS = 500;
+/** A search is told no more often than this. */
+const SEARCH_TOLD_MS = 1_000;
 
 /** Follows a view. */
 export class ViewWatcher {
@@ -56,6 +62,9 @@
   private _heardAt = Number.NEGATIVE_INFINITY;
   private _isConnected = false;
   private _isStopped = false;
+  private _firstAnswerMs = FIRST_ANSWER_MS;
+  private _vainTries = 0;
+  private _vainTriesToldAt = Number.NEGATIVE_INFINITY;
   private _call = new AbortController();
 
   /**
@@ -90,7 +99,7 @@
         this._options.logger.warn({ event: "control_lost", control: this._current, reason: failure.message });
         search.reset();
         this._next = -1;
-      }
+      } else this._addVainTry(failure);
       this._isConnected = false;
       this._current = this._getNext(failure);
       await pause(search.addFailure(this._getCandidates().length));
@@ -134,7 +143,7 @@
     const { watcherId, entry, view, clock } = this._options;
     this._call = new AbortController();
     const { signal } = this._call;
-    let timer = this._startTimer(FIRST_ANSWER_MS);
+    let timer = this._startFirstTimer();
     try {
       const knownVersion = view.declaration?.version ?? 0;
       const call = this._getClient(this._current).watch({ watcherId, entry, knownVersion }, { signal });
@@ -155,6 +164,22 @@
     }
   }
 
+  /** One line a second for a search that goes on. */
+  private _addVainTry({ message }: ConnectError): void {
+    const { clock, logger } = this._options;
+    const now = clock.getMonotonicMs();
+    this._vainTries += 1;
+    if (now - this._vainTriesToldAt < SEARCH_TOLD_MS) return;
+    logger.info({
+      event: "control_not_found",
+      control: this._current,
+      reason: message,
+      tries: this._vainTries,
+    });
+    this._vainTriesToldAt = now;
+    this._vainTries = 0;
+  }
+
   /** An update of an older term comes from a leader that does not know yet that it is none. */
   private _take(update: ViewUpdate): boolean {
     const { view, logger, onChange } = this._options;
@@ -164,6 +189,7 @@
       logger.info({ event: "control_found", control: this._current, term: update.term });
     }
     this._isConnected = true;
+    this._firstAnswerMs = FIRST_ANSWER_MS;
     const version = view.declaration?.version ?? 0;
     if (version !== before) logger.info({ event: "declaration_taken", version, term: update.term });
     onChange(update);
@@ -186,6 +212,13 @@
     return setTimeout(() => this._call.abort(), milliseconds);
   }
 
+  private _startFirstTimer(): NodeJS.Timeout {
+    return setTimeout(() => {
+      this._firstAnswerMs = Math.min(MAX_FIRST_ANSWER_MS, this._firstAnswerMs * 2);
+      this._call.abort();
+    }, this._firstAnswerMs);
+  }
+
   private _getNext(failure: ConnectError): string {
     const hint = failure.metadata.get(LEADER_HEADER) ?? "";
     if (hint !== "" && hint !== this._current) return hint;
--- a/src/registration/watchers.ts
+++ b/src/registration/watchers.ts
@@ -24,11 +24,11 @@
   private _position: WatchPosition | undefined;
   private _knownVersion: number;
 
-  /**
-   * @param knownVersion - Version of the declaration that the watcher holds.
-   */
-  constructor(knownVersion: number) {
+  private readonly _isEntry: boolean;
+
+  constructor({ knownVersion, entry }: WatchRequest) {
     this._knownVersion = knownVersion;
+    this._isEntry = entry !== undefined;
   }
 
   /** Checks whether there is anything that the watcher lacks. */
@@ -36,12 +36,18 @@
     return source !== this._source || this._position?.revision !== source?.view.revision;
   }
 
+  /** Checks whether there is anything that can't wait for the next sign of life. */
+  hasUrgentNews(source: ViewSource | undefined): boolean {
+    if (!this._isEntry || source !== this._source) return this.hasNews(source);
+    return (this._position?.revision ?? -1) < (source?.view.revisionBesideEntries ?? 0);
+  }
+
   /** Makes an update of all that the watcher lacks; it counts as told. */
   createUpdate(source: ViewSource): ViewUpdate {
     const { term, view } = source;
     // Another leader's view is told from the beginning, but for the declaration.
     const position = source === this._source ? this._position : undefined;
-    const update = view.createUpdate(term, position, this._knownVersion);
+    const update = view.createUpdate(term, position, this._knownVersion, this._isEntry);
     this._source = source;
     this._position = view.getPosition();
     this._knownVersion = Math.max(this._knownVersion, view.declarationVersion);
@@ -63,7 +69,7 @@
   const wake = () => pause.end();
   const stop = hub.addWatcher(request.watcherId, request.entry, wake);
   signal.addEventListener("abort", wake);
-  const state = new WatcherState(request.knownVersion);
+  const state = new WatcherState(request);
   let toldAt = Number.NEGATIVE_INFINITY;
   try {
     while (!signal.aborted) {
@@ -71,14 +77,14 @@
       if (source === undefined) return;
       const now = clock.getMonotonicMs();
       const hasNews = state.hasNews(source);
-      if (hasNews || now - toldAt >= WATCH_HEARTBEAT_MS) {
+      if (state.hasUrgentNews(source) || now - toldAt >= WATCH_HEARTBEAT_MS) {
         toldAt = now;
         const createUpdate = () => state.createUpdate(source);
         yield hasNews
           ? meter.measure("update", source.view.targetCount, createUpdate)
           : create(ViewUpdateSchema, { term: source.term });
       }
-      await pause.wait(WATCH_HEARTBEAT_MS, () => state.hasNews(getSource()));
+      await pause.wait(WATCH_HEARTBEAT_MS, () => state.hasUrgentNews(getSource()));
     }
   } finally {
     stop();
--- a/src/rpc/RpcServer.ts
+++ b/src/rpc/RpcServer.ts
@@ -2,7 +2,9 @@
 import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
 import type { ConnectRouter, Interceptor } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { SystemClock } from "../clock";
 import { splitAddress } from "../http";
+import { SessionPings } from "./SessionPings";
 
 /** What a server serves, and to whom. */
 export interface RpcServerOptions {
@@ -14,14 +16,6 @@
 
 /** Largest message accepted: a snapshot of the state must fit. */
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
-/**
- * A caller that misses the answer to a ping for so long is cut off, milliseconds. A machine without
- * power says nothing: until then callers are still sent to its entry. With 500 here, 300 of grace
- * and addresses that hold for 1 s, in place of 700, 1,000 and 2 s, the first 16 s of four days on
- * which two entries lose power kept 0.9095 of their credit in the mean instead of 0.902.
- */
-const PING_INTERVAL_MS = 500;
-
 /** A listening server. */
 export class RpcServer {
   private readonly _server: Http2Server;
@@ -35,11 +29,12 @@
         readMaxBytes: MAX_MESSAGE_BYTES,
       }),
     );
+    const clock = new SystemClock();
     this._server.on("session", (session) => {
       this._sessions.add(session);
-      const timer = startPings(session);
+      const pings = new SessionPings(session, clock);
       session.once("close", () => {
-        clearInterval(timer);
+        pings.stop();
         this._sessions.delete(session);
       });
       session.on("error", () => session.destroy());
@@ -64,17 +59,3 @@
     await closed;
   }
 }
-
-/** A frozen caller keeps its connection; only a missing answer tells it from a quiet one. */
-function startPings(session: ServerHttp2Session): NodeJS.Timeout {
-  let isAwaited = false;
-  return setInterval(() => {
-    if (isAwaited) {
-      session.destroy();
-      return;
-    }
-    isAwaited = session.ping((failure) => {
-      isAwaited = failure !== null;
-    });
-  }, PING_INTERVAL_MS).unref();
-}
