Name departed instances only until the view is complete, and the newest of them

Cause: with more departures than a view keeps removals (1,000 of up to 4,096), each publication took those that had been forgotten for new ones and told every watcher again, several times a second. Change: a leader names 300 departures, and none once its view is complete: watchers then hold nothing but what it told. Test: after 3,000 departures the view's revision rose by 2,000 with each publication, now not at all. Was a known limit of docs/PLATFORM.md.

--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -47,6 +47,13 @@
 /** A plain service's instance stays a target that long after its last report: entries find out sooner. */
 const SILENT_TARGET_MS = 20_000;
 
+/**
+ * Departures that a leader names before its view is complete, the newest ones: whoever holds an older
+ * target drops it with the complete view, seconds later. With more of them than a view keeps removals
+ * each publication told all watchers of all of them again.
+ */
+const TOLD_DEPARTURES = 300;
+
 /** One term of leadership at work. */
 export class FleetLeadership {
   /** The term that it belongs to. */
@@ -194,7 +201,8 @@
     const before = this.view.revision;
     this.view.setDeclaration(driver.machine.getDeclaration());
     this.view.setTargets(this._createTargets(now));
-    this.view.removeTargets(this._getUnusable());
+    // Once the view is complete, watchers hold nothing but what it told them.
+    if (!this.view.isComplete) this.view.removeTargets(this._getUnusable());
     if (this._hearing.getListenedMs(now) > getTimes().presenceMs) this._setComplete();
     this.view.setEntries(
       sortEntries([...this._options.entries.getEntries(now), ...this._relays.getEntries(now)]),
@@ -285,7 +293,7 @@
       .getReplicasChangedSince(0)
       ?.filter((replica) => replica.phase !== ReplicaPhase.SERVING || this._hasDepartedMember(replica))
       .map((replica) => replica.id);
-    return [...(replicas ?? []), ...machine.getDepartures()];
+    return [...(replicas ?? []), ...machine.getDepartures().slice(-TOLD_DEPARTURES)];
   }
 }
 
--- a/test/registration/FleetLeadership.test.ts
+++ b/test/registration/FleetLeadership.test.ts
@@ -35,6 +35,7 @@
 describe("FleetLeadership", () => {
   let now: number;
   let sequence: number;
+  let departures: string[];
   /** Members that answer the agreement. */
   let alive: Set<string>;
   let retired: string[];
@@ -46,6 +47,7 @@
     sequence = 0;
     alive = new Set(["f", "g"]);
     retired = [];
+    departures = [];
     const clock = { getMonotonicMs: () => now, getWallMs: () => now };
     leadership = new FleetLeadership({
       driver: createDriver(),
@@ -88,7 +90,7 @@
       getReplica: (id: string) => REPLICAS.find((replica) => replica.id === id),
       getReplicasChangedSince: () => REPLICAS,
       getDeclaration: () => undefined,
-      getDepartures: () => [],
+      getDepartures: () => departures,
       hasDeparted: () => false,
     };
     return {
@@ -154,6 +156,22 @@
     expect(leadership.view.isComplete).toBe(true);
   });
 
+  it("tells of instances that departed once, however many they were", async () => {
+    departures = Array.from({ length: 3_000 }, (_, i) => `old-${i}`);
+    leadership.publish();
+    const { revision } = leadership.view;
+    leadership.publish();
+    expect(leadership.view.revision).toBe(revision);
+    const first = leadership.view.createUpdate(2, undefined, 0);
+    expect(first.removedTargetIds).toContain("old-2999");
+    await pass(PRESENCE_MS + 1_200, DOMAINS);
+    expect(leadership.view.isComplete).toBe(true);
+    const complete = leadership.view.revision;
+    departures.push("newest");
+    await pass(PRESENCE_MS, DOMAINS);
+    expect(leadership.view.revision).toBe(complete);
+  });
+
   it("waits no longer for a control process than its instances stay with it", async () => {
     await pass(PRESENCE_MS * 4, ["f"]);
     expect(new Set(retired)).toEqual(new Set(["g-2"]));
