--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -3,13 +3,12 @@
  * the others, and the slopes in both.
  */
 import { createClient } from "@connectrpc/connect";
-import { SystemClock } from "../src/clock";
 import { FleetService } from "../src/gen/ploverstage/v1/fleet_pb";
-import { FollowedView, orderByAffinity, ViewWatcher } from "../src/registration";
 import { createRpcTransport } from "../src/rpc";
 import { createConfig } from "../test/platform/createConfig";
 import { type ClusterOptions, PlatformCluster } from "../test/platform/PlatformCluster";
 import type { Bench, Figure } from "./Figure";
+import { createWatcher } from "./support/createWatcher";
 import { getCpuMs, getResidentMb, pause } from "./support/processes";
 
 /** The bench. */
@@ -24,8 +23,6 @@
 const SETTLE_MS = 12_000;
 const MEASURE_MS = 10_000;
 
-const SILENT = { info: () => {}, warn: () => {}, error: () => {} } as never;
-
 /** What one size costs. */
 interface Cost {
   /** Cores. */
@@ -99,21 +96,3 @@
     }
   }
 }
-
-function createWatcher(index: number, seeds: readonly string[]): ViewWatcher {
-  return new ViewWatcher({
-    watcherId: `bench-${index}`,
-    entry: {
-      $typeName: "ploverstage.v1.EntryEndpoint",
-      address: `127.0.0.1:${index + 1}`,
-      failureDomain: "zone-a",
-    },
-    getSeeds: () => seeds,
-    orderCandidates: (addresses) => orderByAffinity(`bench-${index}`, addresses),
-    secret: undefined,
-    view: new FollowedView(),
-    clock: new SystemClock(),
-    logger: SILENT,
-    onChange: () => {},
-  });
-}
--- a/bench/powerLoss.ts
+++ b/bench/powerLoss.ts
@@ -3,13 +3,12 @@
  * a fleet of instances that goes on reporting and entries that go on watching.
  */
 import { readFileSync } from "node:fs";
-import { SystemClock } from "../src/clock";
-import { FollowedView, orderByAffinity, ViewWatcher } from "../src/registration";
 import { createConfig } from "../test/platform/createConfig";
 import { PlatformCluster } from "../test/platform/PlatformCluster";
 import type { ProcessHandle } from "../test/support/ProcessHandle";
 import { Throttle } from "../test/support/Throttle";
 import type { Bench, Figure } from "./Figure";
+import { createWatcher } from "./support/createWatcher";
 import { pause } from "./support/processes";
 
 /** The bench. */
@@ -28,8 +27,6 @@
 const MEASURE_MS = 16_000;
 const POLL_MS = 100;
 
-const SILENT = { info: () => {}, warn: () => {}, error: () => {} } as never;
-
 /** A line of a control process's log; fields that only some events have are optional. */
 interface LogLine {
   readonly event: string;
@@ -117,21 +114,3 @@
     worstStallMs: Math.max(0, ...stalls),
   };
 }
-
-function createWatcher(index: number, seeds: readonly string[]): ViewWatcher {
-  return new ViewWatcher({
-    watcherId: `bench-${index}`,
-    entry: {
-      $typeName: "ploverstage.v1.EntryEndpoint",
-      address: `127.0.0.1:${index + 1}`,
-      failureDomain: "zone-a",
-    },
-    getSeeds: () => seeds,
-    orderCandidates: (addresses) => orderByAffinity(`bench-${index}`, addresses),
-    secret: undefined,
-    view: new FollowedView(),
-    clock: new SystemClock(),
-    logger: SILENT,
-    onChange: () => {},
-  });
-}
--- /dev/null
+++ b/bench/support/createWatcher.ts
@@ -0,0 +1,23 @@
+import { SystemClock } from "../../src/clock";
+import { FollowedView, orderByAffinity, ViewWatcher } from "../../src/registration";
+
+const SILENT = { info: () => {}, warn: () => {}, error: () => {} } as never;
+
+/** Makes a watcher that is to control as an entry of its own. */
+export function createWatcher(index: number, seeds: readonly string[]): ViewWatcher {
+  return new ViewWatcher({
+    watcherId: `bench-${index}`,
+    entry: {
+      $typeName: "ploverstage.v1.EntryEndpoint",
+      address: `127.0.0.1:${index + 1}`,
+      failureDomain: "zone-a",
+    },
+    getSeeds: () => seeds,
+    orderCandidates: (addresses) => orderByAffinity(`bench-${index}`, addresses),
+    secret: undefined,
+    view: new FollowedView(),
+    clock: new SystemClock(),
+    logger: SILENT,
+    onChange: () => {},
+  });
+}
