--- a/src/consensus/RaftNode.ts
+++ b/src/consensus/RaftNode.ts
@@ -20,7 +20,7 @@
   TransferRequestSchema,
 } from "../gen/ploverstage/v1/consensus_pb";
 import { Barriers } from "./Barriers";
-import { ElectionPatience } from "./ElectionPatience";
+import { Election } from "./Election";
 import { MemoryLog } from "./MemoryLog";
 import { getMember, getQuorumSize, getVoters, isVoter } from "./membership";
 import { Outbox } from "./Outbox";
@@ -48,9 +48,6 @@
 
 type MessageBody = ConsensusMessage["body"];
 
-/** What a member said of the lack of a leader holds for so long, milliseconds: as long as most campaigns. */
-const ELECTING_MS = 2_500;
-
 /** Why a member leads no more. */
 export type LeadershipEnd = "no majority answered" | "another term began" | "it votes no more";
 
@@ -61,7 +58,7 @@
   /** The log after the newest snapshot. */
   readonly log: MemoryLog;
   protected readonly timing: Timing;
-  private readonly _random: RandomSource;
+  private readonly _election: Election;
   private _role: Role = "follower";
   private _term: number;
   private _vote: string;
@@ -69,15 +66,9 @@
   private _commitIndex: number;
   private _deliveredIndex: number;
   private _durableIndex: number;
-  private readonly _patience: ElectionPatience;
-  private _leaderContactAt: number;
-  /** When each voter said last that it knows no leader. */
-  private readonly _leaderlessAt = new Map<string, number>();
-  private _electionAt = 0;
   private _heartbeatAt = 0;
   /** When entries were proposed that no message has carried yet. */
   private _appendDueAt: number | undefined;
-  private _votes = new Set<string>();
   private _progress = new Map<string, Progress>();
   private _round = 0;
   private _termStartIndex = 0;
@@ -92,7 +83,7 @@
   constructor(options: RaftNodeOptions) {
     this.id = options.id;
     this.timing = options.timing;
-    this._random = options.random;
+    this._election = new Election(options.now, options.timing, options.random);
     this.log = new MemoryLog(options.membership);
     if (options.snapshot !== undefined) this.log.setSnapshot(options.snapshot);
     for (const entry of options.entries) this.log.addEntry(entry);
@@ -103,10 +94,6 @@
     this._commitIndex = options.snapshot?.index ?? 0;
     this._deliveredIndex = this._commitIndex;
     this._durableIndex = this.log.lastIndex;
-    // A restarted voter does not know whom it heard last, so it waits as if it just had.
-    this._leaderContactAt = options.now;
-    this._patience = new ElectionPatience(options.now, options.timing);
-    this._resetElection(options.now);
   }
 
   /** Gets what this member is. */
@@ -188,9 +175,9 @@
       this._tickLeader(now);
       return;
     }
-    if (now < this._electionAt) return;
+    if (!this._election.isCampaignDue(now)) return;
     if (isVoter(this.membership, this.id)) this._startPreVote(now);
-    this._resetElection(now);
+    this._election.postponeCampaign(now);
   }
 
   /**
@@ -246,14 +233,13 @@
    */
   isElecting(now: number): boolean {
     if (this._role === "leader" || this._leaderId !== "") return false;
-    const leaderless = [...this._leaderlessAt].filter(([, at]) => now - at <= ELECTING_MS);
-    return this._hasMajority(new Set([this.id, ...leaderless.map(([id]) => id)]));
+    return this._hasMajority(new Set([this.id, ...this._election.getLeaderless(now)]));
   }
 
   /** Takes a message from another member. */
   receive(now: number, message: ConsensusMessage): void {
     if (message.to !== this.id) return;
-    if (tellsOfNoLeader(message.body)) this._leaderlessAt.set(message.from, now);
+    if (tellsOfNoLeader(message.body)) this._election.addLeaderless(now, message.from);
     if (message.term > this._term && !this._acceptHigherTerm(now, message)) return;
     if (message.term < this._term) {
       this._answerLowerTerm(message);
@@ -332,7 +318,7 @@
 
   private _hearsLeader(now: number): boolean {
     if (this._role === "leader") return true;
-    return now - this._leaderContactAt < this._patience.minMs;
+    return this._election.hearsLeader(now);
   }
 
   private _isUpToDate(lastIndex: number, lastTerm: number): boolean {
@@ -355,7 +341,7 @@
     if (granted) {
       this._vote = message.from;
       this._noteHardState();
-      this._resetElection(now);
+      this._election.postponeCampaign(now);
     }
     this._sendDurable(message.from, {
       case: "voteResponse",
@@ -364,19 +350,19 @@
   }
 
   private _startPreVote(now: number): void {
-    this._patience.addCampaign(now);
+    this._election.addCampaign(now);
     // Answers to the same question that are still on their way go on counting.
-    if (this._role !== "preCandidate") this._votes = new Set([this.id]);
+    if (this._role !== "preCandidate") this._election.resetVotes([this.id]);
     this._role = "preCandidate";
     this._leaderId = "";
     this._sendVoteRequests("preVoteRequest", this._term + 1);
-    if (this._hasMajority(this._votes)) this._startCampaign(now);
+    if (this._hasMajority(this._election.votes)) this._startCampaign(now);
   }
 
   private _countPreVote(now: number, from: string, granted: boolean, requestedTerm: number): void {
     if (this._role !== "preCandidate" || requestedTerm !== this._term + 1 || !granted) return;
-    this._votes.add(from);
-    if (this._hasMajority(this._votes)) this._startCampaign(now);
+    this._election.addVote(from);
+    if (this._hasMajority(this._election.votes)) this._startCampaign(now);
   }
 
   private _startCampaign(now: number, isTransfer = false): void {
@@ -384,8 +370,8 @@
     this._term += 1;
     this._vote = this.id;
     this._noteHardState();
-    this._votes = new Set();
-    this._resetElection(now);
+    this._election.resetVotes([]);
+    this._election.postponeCampaign(now);
     this._sendVoteRequests("voteRequest", this._term, isTransfer);
     // Its own vote travels like the others', so that it counts only once it is synced.
     this._sendDurable(
@@ -397,8 +383,8 @@
 
   private _countVote(now: number, from: string, granted: boolean): void {
     if (this._role !== "candidate" || !granted) return;
-    this._votes.add(from);
-    if (this._hasMajority(this._votes)) this._becomeLeader(now);
+    this._election.addVote(from);
+    if (this._hasMajority(this._election.votes)) this._becomeLeader(now);
   }
 
   private _hasMajority(ids: ReadonlySet<string>): boolean {
@@ -426,14 +412,13 @@
     this._role = "follower";
     this._leaderId = leaderId;
     this._barriers.clear();
-    this._resetElection(now);
+    this._election.postponeCampaign(now);
   }
 
   private _followLeader(now: number, leaderId: string): void {
     throwIfBroken(this._role !== "leader", "one leader a term", { term: this._term, leaderId });
     this._becomeFollower(now, this._term, leaderId);
-    this._leaderContactAt = now;
-    this._patience.addContact(now);
+    this._election.addLeaderContact(now);
   }
 
   private _becomeLeader(now: number): void {
@@ -479,7 +464,7 @@
   private _hasQuorumContact(now: number): boolean {
     const recent = new Set([this.id]);
     for (const [id, progress] of this._progress) {
-      if (now - progress.answeredAt <= this._patience.maxMs) recent.add(id);
+      if (now - progress.answeredAt <= this._election.contactMs) recent.add(id);
     }
     return this._hasMajority(recent);
   }
@@ -607,7 +592,7 @@
   ): void {
     const progress = this._progress.get(from);
     if (this._role !== "leader" || progress === undefined) return;
-    this._patience.addContact(now);
+    this._election.addFollowerContact(now);
     progress.answeredAt = now;
     progress.hasAnswered = true;
     progress.round = Math.max(progress.round, response.round);
@@ -662,11 +647,6 @@
     return this._hasMajority(ids);
   }
 
-  private _resetElection(now: number): void {
-    const { minMs, maxMs } = this._patience;
-    this._electionAt = now + minMs + this._random.next() * (maxMs - minMs);
-  }
-
   private _sendDurable(to: string, body: MessageBody, term = this._term): void {
     if (this._knows(to, body)) this._outbox.addDurable(this._createMessage(to, body, term));
   }
