--- a/src/registration/Hearing.ts
+++ b/src/registration/Hearing.ts
@@ -55,13 +55,14 @@
 
   /**
    * Gets how long an instance has been silent, as far as it could have been heard, milliseconds.
-   * @param reportedAt - When it reported last.
+   * @param reportedAt - When it reported last; before the term there may have been no leader to hear it.
    */
   getSilentMs(now: number, reportedAt: number): number {
+    const countedFrom = Math.max(reportedAt, this.startedAt);
     const unheardMs = this._gaps.map(({ from, to }) =>
-      Math.max(0, Math.min(now, to) - Math.max(from, reportedAt)),
+      Math.max(0, Math.min(now, to) - Math.max(from, countedFrom)),
     );
-    return now - reportedAt - unheardMs.reduce((sum, ms) => sum + ms, 0);
+    return now - countedFrom - unheardMs.reduce((sum, ms) => sum + ms, 0);
   }
 
   /**
--- a/test/registration/Hearing.test.ts
+++ b/test/registration/Hearing.test.ts
@@ -30,6 +30,10 @@
     expect(hearing.getSilentMs(14_000, 12_200)).toBe(200);
   });
 
+  it("counts no time before the term: without a leader reports were refused", () => {
+    expect(hearing.getSilentMs(12_000, 8_000)).toBe(2_000);
+  });
+
   it("takes no process for held up that does not answer at all", () => {
     expect(look(14_000, [13_900, 13_900], [12_000, 12_000])).toBe(4_000);
   });
