--- a/src/membership/LeadershipWatch.ts
+++ b/src/membership/LeadershipWatch.ts
@@ -77,7 +77,8 @@
     const position = [role, term, leaderId].join();
     if (position === this._position) return;
     this._position = position;
-    this._options.logger.info({ event: "consensus_position", role, term, leader: leaderId });
+    // Every line has a field `role` already: the kind of process.
+    this._options.logger.info({ event: "consensus_position", position: role, term, leader: leaderId });
   }
 
   private _report(): void {
