--- /dev/null
+++ b/test/registration/CallLedger.test.ts
@@ -0,0 +1,34 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { TextMetrics } from "../../src/metrics";
+import { CallLedger } from "../../src/registration/CallLedger";
+
+describe("CallLedger", () => {
+  let lines: object[];
+  let metrics: TextMetrics;
+  let ledger: CallLedger;
+
+  beforeEach(() => {
+    vi.useFakeTimers();
+    lines = [];
+    metrics = new TextMetrics({ role: "control", name: "c" });
+    ledger = new CallLedger({ info: (line: object) => lines.push(line) } as never, metrics);
+  });
+
+  afterEach(() => {
+    ledger.stop();
+    vi.useRealTimers();
+  });
+
+  it("tells once a second what was refused, and nothing where all was served", async () => {
+    ledger.addServed("watch");
+    vi.advanceTimersByTime(1_000);
+    expect(lines).toEqual([]);
+    for (let i = 0; i < 3; i++) ledger.addRefused("watch");
+    await expect(ledger.follow("instance", Promise.reject(new Error("no leader")))).rejects.toThrow();
+    expect(await ledger.follow("relay", Promise.resolve("told"))).toBe("told");
+    vi.advanceTimersByTime(2_000);
+    expect(lines).toEqual([{ event: "calls_refused", served: 1, watch: 3, instance: 1 }]);
+    const text = await metrics.getText();
+    expect(text).toMatch(/control_calls_total\{.*call="watch",outcome="refused".*\} 3/);
+  });
+});
--- a/test/registration/view.test.ts
+++ b/test/registration/view.test.ts
@@ -1,7 +1,7 @@
 import { create } from "@bufbuild/protobuf";
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import { type Target, TargetSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
+import { EntryEndpointSchema, type Target, TargetSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { DeclarationSchema } from "../../src/gen/ploverstage/v1/state_pb";
 import { FleetView, type WatchPosition } from "../../src/registration/FleetView";
 import { FollowedView } from "../../src/registration/FollowedView";
@@ -106,4 +106,25 @@
     follower.follow(1, view);
     expect(follower.followed.declaration?.document).toEqual(new Uint8Array([7]));
   });
+
+  it("tell entries how many they are, and control followers who they are", () => {
+    const view = new FleetView();
+    const entries = ["a:1", "b:1"].map((address) => create(EntryEndpointSchema, { address }));
+    view.setEntries(entries);
+    const [toFollower, toEntry] = [false, true].map((isEntry) => view.createUpdate(1, undefined, 0, isEntry));
+    expect(toFollower).toMatchObject({ entries: { entries }, entryCount: 0 });
+    expect(toEntry!.entries).toBeUndefined();
+    expect(toEntry!.entryCount).toBe(2);
+    for (const update of [toFollower!, toEntry!]) {
+      const followed = new FollowedView();
+      followed.apply(update);
+      expect(followed.entryCount).toBe(2);
+    }
+    const position = view.getPosition();
+    expect(view.createUpdate(1, position, 0, true).entryCount).toBe(0);
+    const { revisionBesideEntries } = view;
+    view.setEntries(entries.slice(1));
+    expect(view.revisionBesideEntries).toBe(revisionBesideEntries);
+    expect(view.revision).toBeGreaterThan(position.revision);
+  });
 });
