--- a/src/registration/FleetView.ts
+++ b/src/registration/FleetView.ts
@@ -130,7 +130,7 @@
    * @param position - `undefined` at the start of a call.
    * @param isEntry - An entry is told only how many entries there are: with 56 of them that start at
    * once, each told of all others as they came, writing lists took 0.26 s of the 1.9 s that a new
-   * leader computed in its first seconds (profile of one run of the bench `powerLoss`).
+   * leader computed in its first seconds (profile of one run of `powerLoss`).
    */
   createUpdate(
     term: number,
--- a/src/rpc/SessionPings.ts
+++ b/src/rpc/SessionPings.ts
@@ -16,7 +16,7 @@
 /**
  * A process that runs its own timer so late, milliseconds, has not looked at answers that came in
  * time. Leaders that were busy cut off members that had just found them, which had them told of
- * everything once more (bench `powerLoss`).
+ * everything once more (measured by `powerLoss`).
  */
 const LATE_MS = 100;
 
--- a/test/consensus/busyMembers.test.ts
+++ b/test/consensus/busyMembers.test.ts
@@ -7,7 +7,7 @@
  *
  * Evidence: with three control processes at a fifth of a core, 222 instances and 56 entries, terms
  * rose from 1 to 9 in 16 s, two members led, the first of them for 1.1 s, and its log gives
- * `another term began` as the reason (bench `powerLoss`).
+ * `another term began` as the reason (measured by `powerLoss`).
  */
 import { describe, expect, it } from "vitest";
 import { BusyMembers } from "./BusyMembers";
--- a/test/registration/FleetLeadership.test.ts
+++ b/test/registration/FleetLeadership.test.ts
@@ -7,7 +7,7 @@
  *
  * Evidence: in the logs of one such day 18 replicas were retired 3.2 s into a term, each with a member
  * logged as `unknown`, after `reports_not_relayed` at all processes until 0.7 s before; with 222
- * instances that never stopped, 8 and 31 of 32 replicas (bench `powerLoss`, two runs).
+ * instances that never stopped, 8 and 31 of 32 replicas (measured by `powerLoss`, two runs).
  */
 import { create } from "@bufbuild/protobuf";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
