--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import { gatewayBench } from "./gateway";
 import { pathBench } from "./path";
 import { plannerBench } from "./planner";
+import { powerLossBench } from "./powerLoss";
 import { propagationBench } from "./propagation";
 import { restartBench } from "./restart";
 import { faultsBench, retryBench, surgeBench } from "./surge";
@@ -24,6 +25,7 @@
   retryBench,
   capacityBench,
   fleetBench,
+  powerLossBench,
   gatewayBench,
 ];
 
--- /dev/null
+++ b/bench/powerLoss.ts
@@ -0,0 +1,132 @@
+/**
+ * `powerLoss`: every control process loses power at once and starts again on a small core, with
+ * a fleet of instances that goes on reporting and entries that go on watching.
+ */
+import { readFileSync } from "node:fs";
+import { SystemClock } from "../src/clock";
+import { FollowedView, orderByAffinity, ViewWatcher } from "../src/registration";
+import { createConfig } from "../test/platform/createConfig";
+import { PlatformCluster } from "../test/platform/PlatformCluster";
+import type { ProcessHandle } from "../test/support/ProcessHandle";
+import { Throttle } from "../test/support/Throttle";
+import type { Bench, Figure } from "./Figure";
+import { pause } from "./support/processes";
+
+/** The bench. */
+export const powerLossBench: Bench = { name: "powerLoss", run };
+
+const INSTANCES = 222;
+const DOMAIN_SIZE = 37;
+const ENTRIES = 56;
+const REPLICA_SIZE = 4;
+const REPORT_MS = 1_200;
+/** Of a core, as the smallest machines for control have. */
+const SHARE = 0.2;
+const SETTLE_MS = 20_000;
+const OFF_MS = 1_000;
+const MEASURE_MS = 16_000;
+const POLL_MS = 100;
+
+const SILENT = { info: () => {}, warn: () => {}, error: () => {} } as never;
+
+/** A line of a control process's log; fields that only some events have are optional. */
+interface LogLine {
+  readonly event: string;
+  readonly time: string;
+  readonly phase?: string;
+  readonly lag_ms?: number;
+}
+
+/** What happened after the power came back, milliseconds from then on. */
+interface Recovery {
+  readonly firstLeaderMs: number;
+  readonly readMs: number;
+  readonly leaders: number;
+  readonly retired: number;
+  readonly worstStallMs: number;
+}
+
+async function run(): Promise<Figure[]> {
+  const recovery = await measure();
+  return [
+    { figure: "first_leader", value: recovery.firstLeaderMs, unit: "ms" },
+    { figure: "configuration_read", value: recovery.readMs, unit: "ms" },
+    { figure: "leaders", value: recovery.leaders, unit: "terms" },
+    { figure: "replicas_retired", value: recovery.retired, unit: "replicas" },
+    { figure: "worst_stall", value: recovery.worstStallMs, unit: "ms" },
+  ];
+}
+
+async function measure(): Promise<Recovery> {
+  const cluster = await PlatformCluster.start(INSTANCES, { reportMs: REPORT_MS, domainSize: DOMAIN_SIZE });
+  const watchers = Array.from({ length: ENTRIES }, (_, i) => createWatcher(i, cluster.rpcAddresses));
+  const throttle = new Throttle(cluster.controls, SHARE);
+  try {
+    const config = createConfig(1);
+    const [llm, app] = config.services;
+    const models = [{ ...llm!.engine!.models[0]!, size: REPLICA_SIZE }];
+    const services = [{ ...llm!, engine: { ...llm!.engine!, models } }, app];
+    while ((await cluster.putConfig(0, { ...config, services }).catch(() => 0)) !== 200) await pause(POLL_MS);
+    for (const watcher of watchers) void watcher.run();
+    await pause(SETTLE_MS);
+    await Promise.all(cluster.controls.map((control) => control.kill()));
+    await pause(OFF_MS);
+    const startedAt = Date.now();
+    for (const control of cluster.controls) control.start();
+    throttle.start();
+    const readMs = await waitForRead(cluster, startedAt);
+    await pause(Math.max(0, startedAt + MEASURE_MS - Date.now()));
+    const lines = cluster.controls.flatMap(readLog).filter((line) => Date.parse(line.time) >= startedAt);
+    return summarize(lines, startedAt, readMs);
+  } finally {
+    throttle.stop();
+    for (const watcher of watchers) watcher.stop();
+    await cluster.stop();
+  }
+}
+
+async function waitForRead(cluster: PlatformCluster, startedAt: number): Promise<number> {
+  for (let i = 0; Date.now() - startedAt < MEASURE_MS; i++) {
+    const { status } = await cluster.getConfig(i % cluster.controls.length).catch(() => ({ status: 0 }));
+    if (status === 200) return Date.now() - startedAt;
+    await pause(POLL_MS);
+  }
+  return Number.POSITIVE_INFINITY;
+}
+
+function readLog(control: ProcessHandle): LogLine[] {
+  return readFileSync(control.logFile, "utf8")
+    .split("\n")
+    .filter((line) => line.startsWith("{"))
+    .map((line) => JSON.parse(line) as LogLine);
+}
+
+function summarize(lines: readonly LogLine[], startedAt: number, readMs: number): Recovery {
+  const began = lines.filter(({ event }) => event === "leadership_began").map(({ time }) => Date.parse(time));
+  const stalls = lines.filter(({ event }) => event === "process_stalled").map((line) => line.lag_ms ?? 0);
+  return {
+    firstLeaderMs: Math.min(...began) - startedAt,
+    readMs,
+    leaders: began.length,
+    retired: lines.filter((line) => line.event === "replica_moved" && line.phase === "RETIRING").length,
+    worstStallMs: Math.max(0, ...stalls),
+  };
+}
+
+function createWatcher(index: number, seeds: readonly string[]): ViewWatcher {
+  return new ViewWatcher({
+    watcherId: `bench-${index}`,
+    entry: {
+      $typeName: "ploverstage.v1.EntryEndpoint",
+      address: `127.0.0.1:${index + 1}`,
+      failureDomain: "zone-a",
+    },
+    getSeeds: () => seeds,
+    orderCandidates: (addresses) => orderByAffinity(`bench-${index}`, addresses),
+    secret: undefined,
+    view: new FollowedView(),
+    clock: new SystemClock(),
+    logger: SILENT,
+    onChange: () => {},
+  });
+}
--- a/test/platform/PlatformCluster.ts
+++ b/test/platform/PlatformCluster.ts
@@ -12,6 +12,8 @@
 const PROGRAM = ["--max-old-space-size=200", "--snapshot-blob", HEAP, "ploverstage"];
 const TEMPLATE = readFileSync("deploy/settings.template", "utf8");
 const CONTROL_IPS = ["127.0.0.11", "127.0.0.12", "127.0.0.13"];
+/** Folders with logs are left behind for whoever wants to read them. */
+const KEEPS_LOGS = process.env.PLOVERSTAGE_KEEP_LOGS !== undefined;
 /** A dead worker is missed after some reports of this length. */
 const HEARTBEAT_MS = 400;
 
@@ -142,7 +144,7 @@
   async stop(): Promise<void> {
     for (const worker of this.workers) worker.crash();
     await Promise.all([...this.controls, this.entry].map((handle) => handle.kill()));
-    rmSync(this._folder, { recursive: true, force: true });
+    if (!KEEPS_LOGS) rmSync(this._folder, { recursive: true, force: true });
   }
 
   private _createProcess(role: "entry" | "control", ip: string): ProcessHandle {
--- a/test/support/ProcessHandle.ts
+++ b/test/support/ProcessHandle.ts
@@ -13,13 +13,14 @@
 export class ProcessHandle {
   readonly name: string;
   private readonly _args: readonly string[];
-  private readonly _logFile: string;
+  /** Where its output is kept, over all its starts. */
+  readonly logFile: string;
   private _child: ChildProcess | undefined;
 
   constructor(name: string, args: readonly string[], logFile: string) {
     this.name = name;
     this._args = args;
-    this._logFile = logFile;
+    this.logFile = logFile;
   }
 
   /** Gets the process id. */
@@ -37,7 +38,7 @@
     const child = spawn(process.execPath, [...NODE_ARGS, ...this._args], {
       stdio: ["ignore", "pipe", "pipe"],
     });
-    const log = createWriteStream(this._logFile, { flags: "a" });
+    const log = createWriteStream(this.logFile, { flags: "a" });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
     this._child = child;
