Log what gives an instance away: conflicts of addresses, grounds of release, ages of the chosen

Control's logs named the head of a replica that was given away as unknown, and nothing else. Now: address_conflict when two instances report from one address (sequences, ages of both), the ground on which a retiring replica's instances were released, the age of the newest report of each instance chosen for a replica, and place_unexpected when an order was carried out after the release of its replica. No decision changes.

--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -6,6 +6,7 @@
 import type { RouteTable } from "../declaration";
 import {
   type InstanceReport,
+  PlaceState,
   type ReportRequest,
   type SuspectRequest,
   type Target,
@@ -17,7 +18,7 @@
 import { FleetView } from "./FleetView";
 import { Hearing } from "./Hearing";
 import type { InstanceOrders } from "./InstanceOrders";
-import { InstanceRegistry, type RegisteredInstance } from "./InstanceRegistry";
+import { type AddressConflict, InstanceRegistry, type RegisteredInstance } from "./InstanceRegistry";
 import { PlanningPace } from "./PlanningPace";
 import { RelayRoster } from "./RelayRoster";
 import { ReplicaController, type ReplicaTimes } from "./ReplicaController";
@@ -61,7 +62,7 @@
   /** What watchers are told. */
   readonly view = new FleetView();
   private readonly _options: FleetLeadershipOptions;
-  private readonly _registry = new InstanceRegistry();
+  private readonly _registry = new InstanceRegistry((conflict) => this._logConflict(conflict));
   private readonly _controller: ReplicaController;
   private readonly _relays = new RelayRoster();
   private readonly _pace = new PlanningPace();
@@ -109,7 +110,8 @@
     this._options.meter.measure("reports", reports.length, () => {
       for (const report of reports) {
         if (report.deregistered || report.leaving) departing.push(report.instanceId);
-        if (!report.deregistered) this._registry.addReport(now - report.ageMs, report);
+        if (report.deregistered) continue;
+        this._addReport(now, report);
       }
     });
     const instanceIds = departing.filter((id) => !machine.hasDeparted(id));
@@ -162,6 +164,44 @@
     this._controller.checkReplica(targetId);
   }
 
+  private _logConflict({ address, known, claimant }: AddressConflict): void {
+    const now = this._options.clock.getMonotonicMs();
+    this._options.logger.info({
+      event: "address_conflict",
+      address,
+      known: known.instanceId,
+      known_sequence: known.sequence,
+      known_reported_ms_ago: Math.round(now - known.reportedAt),
+      claimant: claimant.instanceId,
+      claimant_sequence: claimant.sequence,
+      claimant_reported_ms_ago: Math.round(now - claimant.reportedAt),
+    });
+  }
+
+  private _addReport(now: number, report: InstanceReport): void {
+    const before = this._registry.getInstance(report.instanceId)?.report;
+    const outcome = this._registry.addReport(now - report.ageMs, report);
+    if (outcome === "taken" && before !== undefined) this._logUnexpectedPlace(before, report);
+  }
+
+  /**
+   * An order that was given up on may be carried out seconds later: it shows in an instance that takes
+   * a place in a replica whose instances have been released.
+   */
+  private _logUnexpectedPlace(before: InstanceReport, { instanceId, sequence, place }: InstanceReport): void {
+    if (place === undefined) return;
+    const { replicaId: replica, epoch, state } = place;
+    if (before.place?.replicaId === replica && before.place.epoch === epoch) return;
+    if (this._options.driver.machine.getReplica(replica)?.phase !== ReplicaPhase.RELEASED) return;
+    this._options.logger.warn({
+      event: "place_unexpected",
+      instance: instanceId,
+      sequence,
+      replica,
+      state: PlaceState[state],
+    });
+  }
+
   private async _step(): Promise<void> {
     const startedAt = this._options.clock.getMonotonicMs();
     if (!this._pace.isDue(startedAt, this._getPlanningInputs())) return;
--- a/src/registration/InstanceRegistry.ts
+++ b/src/registration/InstanceRegistry.ts
@@ -23,6 +23,23 @@
 /** What a sign of life came to; `unknown` when the instance has to be told of in full. */
 export type SignOutcome = ReportOutcome | "unknown";
 
+/** What was known of one of two instances at an address. */
+export interface Claim {
+  readonly instanceId: string;
+  readonly sequence: number;
+  /** When the newest report came in that was heard of it. */
+  readonly reportedAt: number;
+}
+
+/** Two instances reported from one address. */
+export interface AddressConflict {
+  readonly address: string;
+  /** The one that was known there before. */
+  readonly known: Claim;
+  /** The one whose report came in now. */
+  readonly claimant: Claim;
+}
+
 /** A silent instance is forgotten after this time. */
 const FORGET_MS = 60_000;
 /** A replaced life that has reported so often since lives still. */
@@ -36,8 +53,16 @@
   private readonly _gone = new Set<string>();
   /** Lives that another one took the address from, with the reports that they sent since. */
   private readonly _replaced = new Map<string, number>();
+  private readonly _onConflict: (conflict: AddressConflict) => void;
   private _revision = 0;
 
+  /**
+   * @param onConflict - Called when an instance reports from an address at which another one is known.
+   */
+  constructor(onConflict: (conflict: AddressConflict) => void = () => {}) {
+    this._onConflict = onConflict;
+  }
+
   /** Gets a number that rises with each change of what instances say. */
   get revision(): number {
     return this._revision;
@@ -70,7 +95,7 @@
     if (this._gone.has(id) || this._isReplaced(id)) return "gone";
     const known = this._instances.get(id);
     if (known !== undefined && report.sequence <= known.sequence) return "late";
-    this._replaceLife(report);
+    this._replaceLife(at, report);
     if (known === undefined || !hasSameContent(known.report, report)) this._revision += 1;
     const { sequence } = report;
     const reportedAt = Math.max(at, known?.reportedAt ?? at);
@@ -113,9 +138,10 @@
   }
 
   /** Two lives can't listen at one address: the older one has ended. */
-  private _replaceLife(report: InstanceReport): void {
+  private _replaceLife(at: number, report: InstanceReport): void {
     const previous = this._lives.get(report.address);
     if (previous !== undefined && previous !== report.instanceId) {
+      this._reportConflict(at, report, previous);
       this._instances.delete(previous);
       this._replaced.set(previous, 0);
     }
@@ -131,4 +157,18 @@
     this._replaced.delete(id);
     return false;
   }
+
+  private _reportConflict(
+    at: number,
+    { address, instanceId, sequence }: InstanceReport,
+    previous: string,
+  ): void {
+    const known = this._instances.get(previous);
+    if (known === undefined) return;
+    this._onConflict({
+      address,
+      known: { instanceId: previous, sequence: known.sequence, reportedAt: known.reportedAt },
+      claimant: { instanceId, sequence, reportedAt: at },
+    });
+  }
 }
--- a/src/registration/ReplicaCloser.ts
+++ b/src/registration/ReplicaCloser.ts
@@ -24,6 +24,12 @@
   readonly stallMs: number;
 }
 
+/**
+ * Why no request can begin in a retiring replica any more: its head has left it, has ended, is broken,
+ * is in a newer replica, or must have broken since a member left.
+ */
+export type EndGround = "headLeft" | "headEnded" | "headBroken" | "headMoved" | "memberLeft";
+
 interface Closing {
   readonly since: number;
   /** Whether requests under way may end first. */
@@ -81,15 +87,26 @@
 
   /** Checks whether no request can begin in a retiring replica any more. */
   isOver(now: number, replica: Replica, times: ClosingTimes): boolean {
+    return this.getEndGround(now, replica, times) !== undefined;
+  }
+
+  /**
+   * Gets the ground on which no request can begin in a retiring replica any more.
+   * @returns `undefined` while one may.
+   */
+  getEndGround(now: number, replica: Replica, times: ClosingTimes): EndGround | undefined {
     const closing = this._closings.get(replica.id);
-    if (closing === undefined) return false;
+    if (closing === undefined) return undefined;
     const head = replica.members[0]!.instanceId;
-    if (closing.hasLeft || this._registry.isGone(head)) return true;
+    if (closing.hasLeft) return "headLeft";
+    if (this._registry.isGone(head)) return "headEnded";
     const place = this._registry.getInstance(head)?.report.place;
     const isOwn = place?.replicaId === replica.id && place.epoch === replica.epoch;
-    if (isOwn && place.state === PlaceState.BROKEN) return true;
-    if (place !== undefined && place.epoch > replica.epoch) return true;
-    return closing.memberLeftAt !== undefined && now - closing.memberLeftAt > times.stallMs + BREAK_MARGIN_MS;
+    if (isOwn && place.state === PlaceState.BROKEN) return "headBroken";
+    if (place !== undefined && place.epoch > replica.epoch) return "headMoved";
+    const { memberLeftAt } = closing;
+    const mustBeBroken = memberLeftAt !== undefined && now - memberLeftAt > times.stallMs + BREAK_MARGIN_MS;
+    return mustBeBroken ? "memberLeft" : undefined;
   }
 
   /**
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -20,7 +20,7 @@
 import { PlanningFactsSource, READY_STATES } from "./PlanningFactsSource";
 import { PresenceDoubts } from "./PresenceDoubts";
 import { LOADED_VERSION } from "./planningConfiguration";
-import { type ClosingTimes, ReplicaCloser } from "./ReplicaCloser";
+import { type ClosingTimes, type EndGround, ReplicaCloser } from "./ReplicaCloser";
 import {
   divideReplicas,
   type EngineService,
@@ -241,7 +241,15 @@
     });
     const replica = result?.kind === "changedReplica" ? result.replica.id : "";
     const instances = members.map((member) => member.id);
-    this._options.logger.info({ event: "replica_formed", replica, model: model.name, instances, reason });
+    const reportedMsAgo = members.map((member) => Math.round(this._getSilentMs(member.id)));
+    this._options.logger.info({
+      event: "replica_formed",
+      replica,
+      model: model.name,
+      instances,
+      reported_ms_ago: reportedMsAgo,
+      reason,
+    });
   }
 
   private async _moveReplica(replica: Replica, phase: ReplicaPhase, reason: string): Promise<void> {
@@ -263,10 +271,17 @@
       replica: replica.id,
       phase: ReplicaPhase[phase],
       reason,
+      ground: phase === ReplicaPhase.RELEASED ? this._describeGround(replica) : undefined,
       places,
     });
   }
 
+  private _describeGround(replica: Replica): EndGround | "neverOpened" | undefined {
+    if (this._wasNeverOpened(replica)) return "neverOpened";
+    const { clock, getTimes } = this._options;
+    return this._closer.getEndGround(clock.getMonotonicMs(), replica, getTimes());
+  }
+
   private _describePlace(replica: Replica, instanceId: string): string {
     const now = this._options.clock.getMonotonicMs();
     const instance = this._options.registry.getInstance(instanceId);
