Ask who runs at an address before an instance is held for ended

Cause: InstanceRegistry took the last report to arrive from an address for that of the instance that runs there, and ReplicaCloser took that for proof that a head had ended. Reports of ended instances reach a new leader from processes that keep them for ten seconds, and through partitions that held them up.

Change: all that claim an address are kept; one question to the address, an order that changes nothing, proves who ended (IdentityChecks). 'elsewhere' in answer to any order is believed. Who is in doubt, or was heard last before the usual silence, is not chosen for a replica. Plain services' instances stay targets while it isn't known which one runs.

Two tests of the registry asserted the wrong rule (the last report to arrive wins, two more reports win it back); they are replaced by tests of the new one, as strict: both kept, proof only by an answer, no proof by silence.

--- a/src/planner/Planner.ts
+++ b/src/planner/Planner.ts
@@ -137,6 +137,7 @@
         this._isPresent(instance) &&
         !instance.isLeaving &&
         !instance.isLoading &&
+        instance.isUncertain !== true &&
         !this._isFlapping(instance),
     );
   }
--- a/src/planner/facts.ts
+++ b/src/planner/facts.ts
@@ -38,6 +38,8 @@
   readonly readsWeights?: boolean;
   /** Model that it loads ahead of need, if it does. */
   readonly stagingModel?: string;
+  /** Whether it may have ended, as far as is known, so that it is not chosen for a replica. */
+  readonly isUncertain?: boolean;
   /** When it was lost lately, ascending. */
   readonly losses: readonly number[];
 }
--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -164,17 +164,16 @@
     this._controller.checkReplica(targetId);
   }
 
-  private _logConflict({ address, known, claimant }: AddressConflict): void {
+  private _logConflict({ address, claimants }: AddressConflict): void {
     const now = this._options.clock.getMonotonicMs();
     this._options.logger.info({
       event: "address_conflict",
       address,
-      known: known.instanceId,
-      known_sequence: known.sequence,
-      known_reported_ms_ago: Math.round(now - known.reportedAt),
-      claimant: claimant.instanceId,
-      claimant_sequence: claimant.sequence,
-      claimant_reported_ms_ago: Math.round(now - claimant.reportedAt),
+      claimants: claimants.map(({ report, sequence, reportedAt }) => ({
+        instance: report.instanceId,
+        sequence,
+        reported_ms_ago: Math.round(now - reportedAt),
+      })),
     });
   }
 
@@ -206,7 +205,7 @@
     const startedAt = this._options.clock.getMonotonicMs();
     if (!this._pace.isDue(startedAt, this._getPlanningInputs())) return;
     this._pace.addStart();
-    this._registry.removeSilent(startedAt);
+    this._registry.removeSilent(startedAt, this._options.getTimes().presenceMs);
     this._updateHearing(startedAt);
     const plannedMs = await this._plan();
     const publishingAt = this._options.clock.getMonotonicMs();
--- a/src/registration/InstanceOrders.ts
+++ b/src/registration/InstanceOrders.ts
@@ -54,12 +54,20 @@
  */
 export type OrderOutcome = "begun" | "done" | "unfit" | "stale" | "elsewhere" | "absent" | "unanswered";
 
+/**
+ * Which instance answered at an address: the one that was asked for, or another one, which proves that
+ * the one asked for has ended; `unknown` when there was no clear answer.
+ */
+export type Identity = "itself" | "another" | "unknown";
+
 /** What asking an instance for a sign of life came to. */
 export type ProbeOutcome = "present" | "silent" | "absent";
 
 /** Gives orders, and asks for a sign of life. */
 export interface InstanceOrders {
-  /** Asks an instance whether it is there; never throws. */
+  /** Asks at an address whether this instance runs there; never throws. */
+  identify(receiver: OrderReceiver, timeoutMs: number): Promise<Identity>;
+  /** Asks whether any instance answers at an address; never throws. */
   probe(receiver: OrderReceiver, timeoutMs: number): Promise<ProbeOutcome>;
   /** Sends one order; never throws. */
   send(receiver: OrderReceiver, order: InstanceOrder): Promise<OrderOutcome>;
--- a/src/registration/InstanceRegistry.ts
+++ b/src/registration/InstanceRegistry.ts
@@ -1,8 +1,11 @@
 /**
  * The instances that registered themselves, as the leader knows them.
  *
- * Soft state: rebuilt from the next reports. An id is one life of an instance; reports
- * of one life carry a rising sequence number, by which a late one is dropped.
+ * Soft state: rebuilt from the next reports. An id is one life of an instance; reports of one life
+ * carry a rising sequence number, by which a late one is dropped. Nothing orders the reports of
+ * different instances at one address: one that has ended may be heard after its successor, from a
+ * process that kept its report or through a partition that held it up. So who reported last proves
+ * nothing. All instances that claim an address are kept until one of them is shown to have ended.
  * Pure: times are monotonic milliseconds given by the caller.
  */
 import type { InstanceReport, InstanceSign } from "../gen/ploverstage/v1/fleet_pb";
@@ -18,46 +21,34 @@
   readonly reportedAt: number;
 }
 
-/** What a report came to. */
-export type ReportOutcome = "taken" | "late" | "gone";
-/** What a sign of life came to; `unknown` when the instance has to be told of in full. */
-export type SignOutcome = ReportOutcome | "unknown";
-
-/** What was known of one of two instances at an address. */
-export interface Claim {
-  readonly instanceId: string;
-  readonly sequence: number;
-  /** When the newest report came in that was heard of it. */
-  readonly reportedAt: number;
-}
-
-/** Two instances reported from one address. */
+/** Several instances reported from one address, where only one can run. */
 export interface AddressConflict {
   readonly address: string;
-  /** The one that was known there before. */
-  readonly known: Claim;
-  /** The one whose report came in now. */
-  readonly claimant: Claim;
+  /** In the order in which they were first heard of; two at the least. */
+  readonly claimants: readonly RegisteredInstance[];
 }
 
+/** What a report came to. */
+export type ReportOutcome = "taken" | "late" | "ended";
+/** What a sign of life came to; `unknown` when the instance has to be told of in full. */
+export type SignOutcome = ReportOutcome | "unknown";
+
 /** A silent instance is forgotten after this time. */
 const FORGET_MS = 60_000;
-/** A replaced life that has reported so often since lives still. */
-const REVIVING_REPORTS = 2;
 
 /** The registered instances. */
 export class InstanceRegistry {
   private readonly _instances = new Map<string, RegisteredInstance>();
-  /** Which life reported from an address last. */
-  private readonly _lives = new Map<string, string>();
-  private readonly _gone = new Set<string>();
-  /** Lives that another one took the address from, with the reports that they sent since. */
-  private readonly _replaced = new Map<string, number>();
+  /** Instances by the address that they reported, in the order in which they were first heard of. */
+  private readonly _claims = new Map<string, Set<string>>();
+  /** Addresses that several instances claim, and when that was first looked at. */
+  private readonly _conflicts = new Map<string, number | undefined>();
+  private readonly _ended = new Set<string>();
   private readonly _onConflict: (conflict: AddressConflict) => void;
   private _revision = 0;
 
   /**
-   * @param onConflict - Called when an instance reports from an address at which another one is known.
+   * @param onConflict - Called when an instance is first heard of at an address that another one has claimed.
    */
   constructor(onConflict: (conflict: AddressConflict) => void = () => {}) {
     this._onConflict = onConflict;
@@ -73,17 +64,25 @@
     return this._instances.get(id);
   }
 
-  /** Gets all instances that are not known to be gone. */
+  /** Gets all instances that are not known to have ended. */
   getInstances(): RegisteredInstance[] {
     return [...this._instances.values()];
   }
 
-  /**
-   * Checks whether an instance is certainly gone: it deregistered, or another life
-   * reported from its address.
-   */
-  isGone(id: string): boolean {
-    return this._gone.has(id) || this._replaced.has(id);
+  /** Checks whether an instance is certain to have ended: another one answered at its address. */
+  hasEnded(id: string): boolean {
+    return this._ended.has(id);
+  }
+
+  /** Checks whether another instance claims the address of this one. */
+  isInConflict(id: string): boolean {
+    const address = this._instances.get(id)?.report.address;
+    return address !== undefined && this._conflicts.has(address);
+  }
+
+  /** Gets the addresses that several instances claim. */
+  getConflicts(): AddressConflict[] {
+    return [...this._conflicts.keys()].map((address) => this._getConflict(address));
   }
 
   /**
@@ -92,14 +91,15 @@
    */
   addReport(at: number, report: InstanceReport): ReportOutcome {
     const id = report.instanceId;
-    if (this._gone.has(id) || this._isReplaced(id)) return "gone";
+    if (this._ended.has(id)) return "ended";
     const known = this._instances.get(id);
     if (known !== undefined && report.sequence <= known.sequence) return "late";
-    this._replaceLife(at, report);
-    if (known === undefined || !hasSameContent(known.report, report)) this._revision += 1;
+    const isNew = known === undefined || !hasSameContent(known.report, report);
     const { sequence } = report;
     const reportedAt = Math.max(at, known?.reportedAt ?? at);
     this._instances.set(id, { report, sequence, firstReportedAt: known?.firstReportedAt ?? at, reportedAt });
+    if (isNew) this._revision += 1;
+    if (known?.report.address !== report.address) this._moveClaim(id, known?.report.address, report.address);
     return "taken";
   }
 
@@ -109,7 +109,7 @@
    */
   addSign(at: number, sign: InstanceSign): SignOutcome {
     const { instanceId: id, sequence, contentSequence } = sign;
-    if (this._gone.has(id)) return "gone";
+    if (this._ended.has(id)) return "ended";
     const known = this._instances.get(id);
     // Another relay may have told of something else meanwhile.
     if (known === undefined || known.report.sequence !== contentSequence) return "unknown";
@@ -118,57 +118,74 @@
     return "taken";
   }
 
-  /** Notes that an instance is gone for good. */
-  removeInstance(id: string): void {
+  /** Notes that another instance answered at the address of this one: it has ended. */
+  addEnd(id: string): void {
+    if (this._ended.has(id)) return;
+    this._ended.add(id);
+    this._forget(id);
+    this._revision += 1;
+  }
+
+  /**
+   * Notes that an instance answered at its address: others that had reported from there have ended.
+   * @param askedAt - When it was asked; who was first heard of later may have followed it.
+   */
+  addPresence(askedAt: number, id: string): void {
     const address = this._instances.get(id)?.report.address;
-    if (address !== undefined && this._lives.get(address) === id) this._lives.delete(address);
+    if (address === undefined) return;
+    for (const { report, firstReportedAt } of this._getConflict(address).claimants) {
+      if (report.instanceId !== id && firstReportedAt <= askedAt) this.addEnd(report.instanceId);
+    }
+  }
+
+  /**
+   * Forgets instances that have been silent for long; of several at one address that could not be asked,
+   * those that are silent while another one reports. Who is forgotten is not held for ended.
+   * @param presenceMs - An instance silent for so long is absent.
+   */
+  removeSilent(now: number, presenceMs: number): void {
+    for (const [id, { reportedAt }] of this._instances) {
+      if (now - reportedAt > FORGET_MS) this._forget(id);
+    }
+    for (const [address, since] of this._conflicts) {
+      if (since === undefined) this._conflicts.set(address, now);
+      else if (now - since > presenceMs) this._forgetSilentClaimants(now, address, presenceMs);
+    }
+  }
+
+  private _forgetSilentClaimants(now: number, address: string, presenceMs: number): void {
+    const { claimants } = this._getConflict(address);
+    const newest = Math.max(...claimants.map(({ reportedAt }) => reportedAt));
+    for (const { report, reportedAt } of claimants) {
+      if (now - reportedAt > presenceMs && reportedAt < newest) this._forget(report.instanceId);
+    }
+  }
+
+  private _forget(id: string): void {
+    const address = this._instances.get(id)?.report.address;
+    if (address === undefined) return;
+    this._moveClaim(id, address, undefined);
     this._instances.delete(id);
-    this._gone.add(id);
     this._revision += 1;
   }
 
-  /** Forgets instances that have been silent for long. */
-  removeSilent(now: number): void {
-    for (const [id, { reportedAt, report }] of this._instances) {
-      if (now - reportedAt <= FORGET_MS) continue;
-      this._instances.delete(id);
-      this._revision += 1;
-      if (this._lives.get(report.address) === id) this._lives.delete(report.address);
+  private _moveClaim(id: string, from: string | undefined, to: string | undefined): void {
+    if (from !== undefined) {
+      const left = this._claims.get(from);
+      left?.delete(id);
+      if (left?.size === 0) this._claims.delete(from);
+      if ((left?.size ?? 0) <= 1) this._conflicts.delete(from);
     }
+    if (to === undefined) return;
+    const claimants = this._claims.get(to) ?? new Set<string>();
+    this._claims.set(to, claimants.add(id));
+    if (claimants.size < 2) return;
+    this._conflicts.set(to, this._conflicts.get(to));
+    this._onConflict(this._getConflict(to));
   }
 
-  /** Two lives can't listen at one address: the older one has ended. */
-  private _replaceLife(at: number, report: InstanceReport): void {
-    const previous = this._lives.get(report.address);
-    if (previous !== undefined && previous !== report.instanceId) {
-      this._reportConflict(at, report, previous);
-      this._instances.delete(previous);
-      this._replaced.set(previous, 0);
-    }
-    this._lives.set(report.address, report.instanceId);
-  }
-
-  /** A last report may arrive after the next life's first; one that goes on reporting lives. */
-  private _isReplaced(id: string): boolean {
-    const reports = this._replaced.get(id);
-    if (reports === undefined) return false;
-    this._replaced.set(id, reports + 1);
-    if (reports + 1 < REVIVING_REPORTS) return true;
-    this._replaced.delete(id);
-    return false;
-  }
-
-  private _reportConflict(
-    at: number,
-    { address, instanceId, sequence }: InstanceReport,
-    previous: string,
-  ): void {
-    const known = this._instances.get(previous);
-    if (known === undefined) return;
-    this._onConflict({
-      address,
-      known: { instanceId: previous, sequence: known.sequence, reportedAt: known.reportedAt },
-      claimant: { instanceId, sequence, reportedAt: at },
-    });
+  private _getConflict(address: string): AddressConflict {
+    const ids = [...(this._claims.get(address) ?? [])];
+    return { address, claimants: ids.map((id) => this._instances.get(id)!) };
   }
 }
--- a/src/registration/OrderDispatcher.ts
+++ b/src/registration/OrderDispatcher.ts
@@ -13,6 +13,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Called with an instance that has ended: another one answered at its address. */
+  readonly onEnd: (instanceId: string) => void;
   /** Gives the limit in force; `undefined` while the weight store counts no loads. */
   readonly getLoadLimit: () => LoadLimit | undefined;
 }
@@ -122,6 +124,7 @@
     const outcome = await orders.send(receiver, order);
     this._busy.delete(instanceId);
     this._answerCount += 1;
+    if (outcome === "elsewhere") this._options.onEnd(instanceId);
     const tookMs = Math.round(clock.getMonotonicMs() - now);
     metrics.increment("instance_orders", 1, { order: order.kind, outcome });
     logger.info({ event: "order_sent", instance: instanceId, order, outcome, took_ms: tookMs });
--- a/src/registration/PlanningFactsSource.ts
+++ b/src/registration/PlanningFactsSource.ts
@@ -36,17 +36,21 @@
     this._options = options;
   }
 
-  /** Gets the facts of this moment. */
+  /**
+   * Gets the facts of this moment.
+   * @param presenceMs - An instance silent for so long is absent.
+   */
   createFacts(
     now: number,
     serviceName: string,
     replicas: readonly Replica[],
     over: ReadonlySet<string>,
+    presenceMs: number,
   ): PlanningFacts {
     const instances = this._options.registry
       .getInstances()
       .filter((instance) => instance.report.service === serviceName)
-      .map((instance) => this._createInstanceFacts(now, instance, replicas));
+      .map((instance) => this._createInstanceFacts(now, instance, replicas, presenceMs));
     instances.push(...this._createUnheardFacts(now, replicas));
     return {
       instances,
@@ -68,7 +72,7 @@
     return replicas.flatMap((replica) => {
       const unheard = replica.members.filter((member) => {
         const { instanceId } = member;
-        return registry.getInstance(instanceId) === undefined && !registry.isGone(instanceId);
+        return registry.getInstance(instanceId) === undefined && !registry.hasEnded(instanceId);
       });
       return unheard.map((member) => ({
         id: InstanceId(member.instanceId),
@@ -90,6 +94,14 @@
     });
   }
 
+  /**
+   * Silence that nobody could hear says nothing against an instance that serves, nor anything for one
+   * that is to be chosen: ended ones, last heard of 8 s before a term began, were chosen in it.
+   */
+  private _isUncertain(now: number, { report, reportedAt }: RegisteredInstance, presenceMs: number): boolean {
+    return now - reportedAt > presenceMs || this._options.registry.isInConflict(report.instanceId);
+  }
+
   /** Only the time in which an instance could have been heard counts against it. */
   private _getAnsweredAt(now: number, instanceId: string, reportedAt: number): number {
     const { doubts, hearing } = this._options;
@@ -98,9 +110,11 @@
 
   private _createInstanceFacts(
     now: number,
-    { report, reportedAt }: RegisteredInstance,
+    instance: RegisteredInstance,
     replicas: readonly Replica[],
+    presenceMs: number,
   ): InstanceFacts {
+    const { report, reportedAt } = instance;
     const { instanceId, place } = report;
     const { dispatcher } = this._options;
     const stagingModel = dispatcher.getStagingModel(now, instanceId, report.stagedModels);
@@ -125,6 +139,7 @@
       isLoading: dispatcher.isBusy(instanceId) || joined !== undefined || stagingModel !== undefined,
       readsWeights: joinsCold || stagingModel !== undefined || dispatcher.isToldToLoad(now, instanceId),
       stagingModel,
+      isUncertain: this._isUncertain(now, instance, presenceMs),
       losses: [],
     };
   }
--- a/src/registration/ReplicaCloser.ts
+++ b/src/registration/ReplicaCloser.ts
@@ -99,7 +99,8 @@
     if (closing === undefined) return undefined;
     const head = replica.members[0]!.instanceId;
     if (closing.hasLeft) return "headLeft";
-    if (this._registry.isGone(head)) return "headEnded";
+    // Only what an instance answered itself counts: instances were given away by reports of ended ones.
+    if (this._registry.hasEnded(head)) return "headEnded";
     const place = this._registry.getInstance(head)?.report.place;
     const isOwn = place?.replicaId === replica.id && place.epoch === replica.epoch;
     if (isOwn && place.state === PlaceState.BROKEN) return "headBroken";
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -12,6 +12,7 @@
 import type { Logger, Metrics } from "../metrics";
 import { type Action, type InstanceFacts, REASON } from "../planner";
 import type { Hearing } from "./Hearing";
+import { IdentityChecks } from "./IdentityChecks";
 import type { InstanceOrder, InstanceOrders, OrderReceiver } from "./InstanceOrders";
 import type { InstanceRegistry } from "./InstanceRegistry";
 import type { LoadLimit } from "./LoadLimiter";
@@ -67,6 +68,7 @@
   private readonly _dispatcher: OrderDispatcher;
   private readonly _facts: PlanningFactsSource;
   private readonly _doubts = new PresenceDoubts();
+  private readonly _identities: IdentityChecks;
   private readonly _probedAt = new Map<string, number>();
   private _isStepping = false;
 
@@ -77,7 +79,12 @@
     this._options = options;
     const { registry, hearing, driver } = options;
     this._closer = new ReplicaCloser(registry);
-    this._dispatcher = new OrderDispatcher({ ...options, getLoadLimit: () => this._getLoadLimit() });
+    this._identities = new IdentityChecks(options);
+    this._dispatcher = new OrderDispatcher({
+      ...options,
+      onEnd: (instanceId) => registry.addEnd(instanceId),
+      getLoadLimit: () => this._getLoadLimit(),
+    });
     this._facts = new PlanningFactsSource({
       machine: () => driver.machine,
       registry,
@@ -157,6 +164,7 @@
   }
 
   private _decide(now: number): Action[] {
+    this._identities.checkConflicts(now);
     const services = this._getEngineServices();
     if (services.length === 0) return [];
     const { driver, getTimes } = this._options;
--- a/src/registration/ServicePlanner.ts
+++ b/src/registration/ServicePlanner.ts
@@ -59,7 +59,7 @@
     over: ReadonlySet<string>,
     times: PlanningTimes,
   ): Action[] {
-    const facts = this._options.facts.createFacts(now, service.name, replicas, over);
+    const facts = this._options.facts.createFacts(now, service.name, replicas, over, times.presenceMs);
     this._firstFormation.update(facts);
     const { configuration, summary } = createPlanningConfiguration(now, service.engine, facts, {
       ...times,
--- a/src/registration/planningConfiguration.ts
+++ b/src/registration/planningConfiguration.ts
@@ -1,7 +1,7 @@
 /** Makes the planner's configuration out of a service's declaration and the instances that are there. Pure. */
 import type { EngineProfile } from "../declaration";
 import { ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
-import type { PlanningConfiguration, PlanningFacts } from "../planner";
+import type { InstanceFacts, PlanningConfiguration, PlanningFacts } from "../planner";
 import type { LoadLimit } from "./LoadLimiter";
 import { countFirstLoads } from "./loadLimits";
 import { sizeGroups } from "./sizeGroups";
@@ -35,12 +35,10 @@
   facts: PlanningFacts,
   { presenceMs, reserve, isFirstFormation, loadLimit }: PlanningBounds,
 ): { configuration: PlanningConfiguration; summary: SizingSummary } {
-  const instancesByDomain = new Map<string, number>();
-  for (const instance of facts.instances) {
-    if (instance.isLeaving || now - instance.answeredAt > presenceMs) continue;
-    const count = instancesByDomain.get(instance.fabricDomain) ?? 0;
-    instancesByDomain.set(instance.fabricDomain, count + 1);
-  }
+  const present = facts.instances.filter(
+    (instance) => !instance.isLeaving && now - instance.answeredAt <= presenceMs,
+  );
+  const instancesByDomain = countByDomain(present);
   const servingByModel = new Map<string, number>();
   for (const replica of facts.replicas) {
     if (replica.phase === ReplicaPhase.RETIRING) continue;
@@ -83,6 +81,15 @@
   return { configuration, summary };
 }
 
+/** Of instances that claim the same address only one runs. */
+function countByDomain(instances: readonly InstanceFacts[]): Map<string, number> {
+  const addresses = new Map<string, Set<string>>();
+  for (const { fabricDomain, address } of instances) {
+    addresses.set(fabricDomain, (addresses.get(fabricDomain) ?? new Set()).add(address));
+  }
+  return new Map([...addresses].map(([domain, { size }]) => [domain, size]));
+}
+
 /**
  * Gets the model that most instances of each fabric domain hold or are about to.
  *
--- /dev/null
+++ b/test/registration/IdentityChecks.test.ts
@@ -0,0 +1,92 @@
+import { create } from "@bufbuild/protobuf";
+import { beforeEach, describe, expect, it } from "vitest";
+import { InstanceReportSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
+import type { Identity, OrderReceiver } from "../../src/registration";
+import { IdentityChecks } from "../../src/registration/IdentityChecks";
+import { InstanceRegistry } from "../../src/registration/InstanceRegistry";
+
+const ADDRESS = "10.0.0.1:80";
+/** Longer than any pause between two questions. */
+const LATER_MS = 1_000;
+
+describe("IdentityChecks", () => {
+  let now: number;
+  let asked: OrderReceiver[];
+  /** What runs at the address; `undefined` when nobody answers. */
+  let running: string | undefined;
+  let registry: InstanceRegistry;
+  let checks: IdentityChecks;
+
+  beforeEach(() => {
+    now = 10_000;
+    asked = [];
+    running = undefined;
+    registry = new InstanceRegistry();
+    checks = new IdentityChecks({
+      registry,
+      orders: { identify: (receiver) => answer(receiver) },
+      clock: { getMonotonicMs: () => now, getWallMs: () => now },
+      logger: { info: () => {} } as never,
+    });
+    report("first");
+    report("second");
+  });
+
+  function answer(receiver: OrderReceiver): Promise<Identity> {
+    asked.push(receiver);
+    if (running === undefined) return Promise.resolve("unknown");
+    return Promise.resolve(running === receiver.instanceId ? "itself" : "another");
+  }
+
+  function report(instanceId: string): void {
+    registry.addReport(now, create(InstanceReportSchema, { instanceId, sequence: 1, address: ADDRESS }));
+  }
+
+  async function check(): Promise<void> {
+    now += LATER_MS;
+    checks.checkConflicts(now);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+
+  it("holds for ended whoever is not at the address, by one question, whichever runs there", async () => {
+    running = "second";
+    await check();
+    expect(asked).toEqual([{ instanceId: "first", address: ADDRESS }]);
+    expect(registry.hasEnded("first")).toBe(true);
+    expect(registry.hasEnded("second")).toBe(false);
+    running = "second";
+    report("third");
+    await check();
+    expect(asked.length).toBe(2);
+    expect(registry.hasEnded("third")).toBe(true);
+    expect(registry.getConflicts()).toEqual([]);
+    await check();
+    expect(asked.length).toBe(2);
+  });
+
+  it("takes no missing answer for proof, and asks the others in turn", async () => {
+    await check();
+    await check();
+    expect(asked.map(({ instanceId }) => instanceId)).toEqual(["first", "second"]);
+    expect(registry.hasEnded("first") || registry.hasEnded("second")).toBe(false);
+    running = "first";
+    await check();
+    expect(registry.hasEnded("second")).toBe(true);
+  });
+
+  it("asks no more often than a moment ago, and once at a time", async () => {
+    await check();
+    checks.checkConflicts(now + 10);
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(asked.length).toBe(1);
+    checks.checkConflicts(now + LATER_MS);
+    checks.checkConflicts(now + LATER_MS);
+    expect(asked.length).toBe(2);
+  });
+
+  it("asks nobody where an address is claimed once", async () => {
+    registry.addEnd("first");
+    await check();
+    expect(asked).toEqual([]);
+  });
+});
--- a/test/registration/OrderDispatcher.test.ts
+++ b/test/registration/OrderDispatcher.test.ts
@@ -16,10 +16,12 @@
           return Promise.resolve("begun");
         },
         probe: () => Promise.resolve("present"),
+        identify: () => Promise.resolve("itself"),
       },
       clock: { getMonotonicMs: () => 0, getWallMs: () => 0 },
       logger: { info: () => {} } as never,
       metrics: new SilentMetrics(),
+      onEnd: () => {},
       getLoadLimit: () => undefined,
     });
     const sent = Array.from({ length: INSTANCES }, (_, i) =>
--- a/test/registration/PlanningFactsSource.test.ts
+++ b/test/registration/PlanningFactsSource.test.ts
@@ -11,6 +11,7 @@
 import { createInstances, createReplica } from "../support/planning";
 
 const NOW = 5_000;
+const PRESENCE_MS = 3_000;
 const SERVICE = "llm";
 
 describe("PlanningFactsSource", () => {
@@ -22,10 +23,15 @@
   beforeEach(() => {
     registry = new InstanceRegistry();
     dispatcher = new OrderDispatcher({
-      orders: { send: () => Promise.resolve("begun"), probe: () => Promise.resolve("present") },
+      orders: {
+        send: () => Promise.resolve("begun"),
+        probe: () => Promise.resolve("present"),
+        identify: () => Promise.resolve("itself"),
+      },
       clock: { getMonotonicMs: () => NOW, getWallMs: () => NOW },
       logger: { info: () => {} } as never,
       metrics: { increment: () => {} } as never,
+      onEnd: () => {},
       getLoadLimit: () => undefined,
     });
     source = new PlanningFactsSource({
@@ -44,7 +50,7 @@
   }
 
   function getReadsWeights(now = NOW): Record<string, boolean | undefined> {
-    const { instances } = source.createFacts(now, SERVICE, [replica], new Set());
+    const { instances } = source.createFacts(now, SERVICE, [replica], new Set(), PRESENCE_MS);
     return Object.fromEntries(instances.map((instance) => [instance.id, instance.readsWeights]));
   }
 
--- a/test/registration/ReplicaController.test.ts
+++ b/test/registration/ReplicaController.test.ts
@@ -30,6 +30,7 @@
       hearing: new Hearing(now),
       orders: {
         send: () => Promise.resolve("done"),
+        identify: () => Promise.resolve("itself"),
         probe: (receiver) => {
           if (receiver.instanceId !== "f1") return Promise.resolve("present");
           now += PROBE_MS;
--- a/test/registration/ServicePlanner.test.ts
+++ b/test/registration/ServicePlanner.test.ts
@@ -53,7 +53,11 @@
       driver: driver as unknown as ConsensusDriver,
       registry,
       hearing: new Hearing(0),
-      orders: { send: () => Promise.resolve("done"), probe: () => Promise.resolve("present") },
+      orders: {
+        send: () => Promise.resolve("done"),
+        probe: () => Promise.resolve("present"),
+        identify: () => Promise.resolve("itself"),
+      },
       clock: { getMonotonicMs: () => 100, getWallMs: () => 100 },
       logger: { info: () => {} } as never,
       metrics: { increment: () => {} } as never,
--- a/test/registration/ownership/FleetModel.ts
+++ b/test/registration/ownership/FleetModel.ts
@@ -20,7 +20,13 @@
 import { type Command, CommandSchema, ReplicaPhase } from "../../../src/gen/ploverstage/v1/state_pb";
 import { SilentMetrics } from "../../../src/metrics";
 import { REASON } from "../../../src/planner/Planner";
-import type { InstanceOrder, OrderOutcome, OrderReceiver, ProbeOutcome } from "../../../src/registration";
+import type {
+  Identity,
+  InstanceOrder,
+  OrderOutcome,
+  OrderReceiver,
+  ProbeOutcome,
+} from "../../../src/registration";
 import { EntryRoster } from "../../../src/registration/EntryRoster";
 import { FleetLeadership } from "../../../src/registration/FleetLeadership";
 import { ReportRelay } from "../../../src/registration/ReportRelay";
@@ -296,6 +302,7 @@
       orders: {
         send: (receiver: OrderReceiver, order: InstanceOrder) => this._send(receiver, order),
         probe: (receiver: OrderReceiver) => this._probe(receiver),
+        identify: (receiver: OrderReceiver, timeoutMs: number) => this._identify(receiver, timeoutMs),
       },
       clock,
       logger: { info: () => {}, warn: () => {} } as never,
@@ -410,6 +417,18 @@
     return this._instances.get(place.members[0]!)?.takesRequestsOf(place) ?? false;
   }
 
+  /** Asked by an order, which may be lost as any other. */
+  private async _identify({ instanceId, address }: OrderReceiver, timeoutMs: number): Promise<Identity> {
+    const { lost, unanswered, late } = this.faults;
+    const isLost = this._random.next() < lost + unanswered + late;
+    await this._wait(ORDER_MS);
+    const listener = this._getListener(address);
+    if (listener === undefined) return "unknown";
+    if (isLost || listener.isCut) await this._wait(timeoutMs);
+    if (isLost || listener.isCut) return "unknown";
+    return listener.id === instanceId ? "itself" : "another";
+  }
+
   private async _probe({ address }: OrderReceiver): Promise<ProbeOutcome> {
     await this._wait(ORDER_MS);
     const listener = this._getListener(address);
--- a/test/registration/registry.test.ts
+++ b/test/registration/registry.test.ts
@@ -29,24 +29,54 @@
     expect(registry.getInstance("a")?.report.slots).toBe(5);
   });
 
-  it("takes a life for gone once another one reports from its address", () => {
+  const address = "10.0.0.1:80";
+
+  function addTwo(): InstanceRegistry {
     const registry = new InstanceRegistry();
-    registry.addReport(0, createReport("a", 1, { address: "10.0.0.1:80" }));
-    registry.addReport(1, createReport("b", 1, { address: "10.0.0.1:80" }));
-    expect(registry.isGone("a")).toBe(true);
+    registry.addReport(0, createReport("a", 1, { address }));
+    registry.addReport(1, createReport("b", 1, { address }));
+    return registry;
+  }
+
+  it("keeps all that claim an address until one of them answered there", () => {
+    const registry = addTwo();
+    expect(registry.isInConflict("a") && registry.isInConflict("b")).toBe(true);
+    expect(registry.hasEnded("a") || registry.hasEnded("b")).toBe(false);
+    registry.addEnd("a");
+    expect(registry.hasEnded("a")).toBe(true);
     expect(registry.getInstance("a")).toBeUndefined();
-    expect(registry.addReport(2, createReport("a", 2, { address: "10.0.0.1:80" }))).toBe("gone");
+    expect(registry.addReport(2, createReport("a", 2, { address }))).toBe("ended");
     expect(registry.getInstance("b")).toBeDefined();
+    expect(registry.isInConflict("b")).toBe(false);
+    expect(registry.getConflicts()).toEqual([]);
   });
 
-  it("believes a life again that goes on reporting", () => {
-    const registry = new InstanceRegistry();
-    registry.addReport(0, createReport("new", 1, { address: "10.0.0.1:80" }));
-    registry.addReport(1, createReport("old", 9, { address: "10.0.0.1:80" }));
-    registry.addReport(2, createReport("new", 2, { address: "10.0.0.1:80" }));
-    registry.addReport(3, createReport("new", 3, { address: "10.0.0.1:80" }));
-    expect(registry.getInstance("new")).toBeDefined();
-    expect(registry.isGone("old")).toBe(true);
+  it("takes an answer for proof against all that were heard of at the address before the question", () => {
+    const registry = addTwo();
+    registry.addReport(6, createReport("c", 1, { address }));
+    registry.addPresence(5, "a");
+    expect(registry.hasEnded("b")).toBe(true);
+    expect(registry.hasEnded("c")).toBe(false);
+    expect(registry.isInConflict("a")).toBe(true);
+    registry.addPresence(7, "c");
+    expect(registry.hasEnded("a")).toBe(true);
+    expect(registry.isInConflict("c")).toBe(false);
+  });
+
+  it("forgets who is silent at a claimed address, and holds it not for ended, where nobody could be asked", () => {
+    const registry = addTwo();
+    const presenceMs = 3_000;
+    registry.removeSilent(1_000, presenceMs);
+    for (let sequence = 2; sequence < 5; sequence++) {
+      registry.addReport(sequence * 1_200, createReport("b", sequence, { address }));
+    }
+    registry.removeSilent(3_900, presenceMs);
+    expect(registry.getInstance("a")).toBeDefined();
+    registry.removeSilent(4_100, presenceMs);
+    expect(registry.getInstance("a")).toBeUndefined();
+    expect(registry.hasEnded("a")).toBe(false);
+    expect(registry.isInConflict("b")).toBe(false);
+    expect(registry.addReport(4_200, createReport("a", 2, { address }))).toBe("taken");
   });
 });
 
@@ -139,7 +169,7 @@
     broken.report("head", 2, PlaceState.BROKEN);
     expect(broken.closer.isOver(10, replica, TIMES)).toBe(true);
     const gone = setUp(false);
-    gone.registry.removeInstance("head");
+    gone.registry.addEnd("head");
     expect(gone.closer.isOver(10, replica, TIMES)).toBe(true);
   });
 
