Fencing tokens on orders; heads that are in a released replica again leave it first

Change: each order carries a token that rises with term and order, so that engines which check tokens refuse late orders and those of deposed leaders. For those that don't (StrayHeads): such a head is told to leave again, and nobody still in its replica takes another place until it has. A refused token is no proof that a head has left. A member that was not heard of in a term, while another instance claims its address, is asked for as well, so that leaving old reports out delays no repair.

--- a/src/registration/IdentityChecks.ts
+++ b/src/registration/IdentityChecks.ts
@@ -8,8 +8,8 @@
  */
 import type { Clock } from "../clock";
 import type { Logger } from "../metrics";
-import type { InstanceOrders } from "./InstanceOrders";
-import type { AddressConflict, InstanceRegistry } from "./InstanceRegistry";
+import type { InstanceOrders, OrderReceiver } from "./InstanceOrders";
+import type { InstanceRegistry } from "./InstanceRegistry";
 
 /** What the checks work with. */
 export interface IdentityChecksOptions {
@@ -38,35 +38,51 @@
     this._options = options;
   }
 
-  /** Asks at each address that several instances claim, unless it was asked a moment ago. */
-  checkConflicts(now: number): void {
-    const conflicts = this._options.registry.getConflicts();
-    const addresses = new Set(conflicts.map(({ address }) => address));
-    for (const address of this._asked.keys()) if (!addresses.has(address)) this._asked.delete(address);
-    for (const conflict of conflicts) {
-      const { address } = conflict;
+  /**
+   * Asks at each address that several instances claim, unless it was asked a moment ago.
+   * @param members - Instances that the agreed state gives places: one that was not heard of in this term
+   * claims its address as well. Else the replica of one that has ended, with another one heard of at its
+   * address, stood until the usual silence was over.
+   */
+  checkConflicts(now: number, members: readonly OrderReceiver[]): void {
+    const conflicts = this._getConflicts(members);
+    for (const address of this._asked.keys()) if (!conflicts.has(address)) this._asked.delete(address);
+    for (const [address, claimants] of conflicts) {
       const endedAt = this._asked.get(address)?.endedAt ?? Number.NEGATIVE_INFINITY;
-      if (!this._asking.has(address) && now - endedAt >= PAUSE_MS) void this._ask(now, conflict);
+      if (!this._asking.has(address) && now - endedAt >= PAUSE_MS) void this._ask(now, address, claimants);
+    }
+  }
+
+  /** Gets ids by address. */
+  private _getConflicts(members: readonly OrderReceiver[]): ReadonlyMap<string, readonly string[]> {
+    const { registry } = this._options;
+    const conflicts = new Map<string, readonly string[]>();
+    for (const { address } of registry.getConflicts()) conflicts.set(address, registry.getClaimants(address));
+    for (const { instanceId, address } of members) {
+      if (registry.getInstance(instanceId) !== undefined || registry.hasEnded(instanceId)) continue;
+      const claimants = registry.getClaimants(address);
+      if (claimants.length > 0) conflicts.set(address, [instanceId, ...claimants]);
     }
+    return conflicts;
   }
 
   /** One claimant at a time: either answer tells of it or of all the others. */
-  private async _ask(now: number, { address, claimants }: AddressConflict): Promise<void> {
+  private async _ask(now: number, address: string, claimants: readonly string[]): Promise<void> {
     const { registry, orders, clock, logger } = this._options;
     const count = this._asked.get(address)?.count ?? 0;
-    const { instanceId } = claimants[count % claimants.length]!.report;
+    const instanceId = claimants[count % claimants.length]!;
     this._asking.add(address);
     const identity = await orders.identify({ instanceId, address }, ANSWER_MS);
     this._asking.delete(address);
     this._asked.set(address, { count: count + 1, endedAt: clock.getMonotonicMs() });
     if (identity === "another") registry.addEnd(instanceId);
-    if (identity === "itself") registry.addPresence(now, instanceId);
+    if (identity === "itself") registry.addPresence(now, instanceId, address);
     logger.info({
       event: "identity_checked",
       address,
       instance: instanceId,
       identity,
-      claimants: claimants.map(({ report }) => report.instanceId),
+      claimants,
       took_ms: Math.round(clock.getMonotonicMs() - now),
     });
   }
--- a/src/registration/InstanceOrders.ts
+++ b/src/registration/InstanceOrders.ts
@@ -49,7 +49,7 @@
 
 /**
  * What an order came to: `begun` or `done`; `unfit` for the instance's state; `stale`
- * against a newer epoch; `elsewhere` when another life has the address; `absent` when
+ * against a newer epoch or fencing token; `elsewhere` when another life has the address; `absent` when
  * nothing listens there; `unanswered` when it may be carried out yet, even much later.
  */
 export type OrderOutcome = "begun" | "done" | "unfit" | "stale" | "elsewhere" | "absent" | "unanswered";
@@ -69,6 +69,10 @@
   identify(receiver: OrderReceiver, timeoutMs: number): Promise<Identity>;
   /** Asks whether any instance answers at an address; never throws. */
   probe(receiver: OrderReceiver, timeoutMs: number): Promise<ProbeOutcome>;
-  /** Sends one order; never throws. */
-  send(receiver: OrderReceiver, order: InstanceOrder): Promise<OrderOutcome>;
+  /**
+   * Sends one order; never throws.
+   * @param fence - Fencing token: an engine that checks tokens refuses one below the highest that it has
+   * seen as `stale`.
+   */
+  send(receiver: OrderReceiver, order: InstanceOrder, fence: number): Promise<OrderOutcome>;
 }
--- a/src/registration/InstanceRegistry.ts
+++ b/src/registration/InstanceRegistry.ts
@@ -80,6 +80,11 @@
     return address !== undefined && this._conflicts.has(address);
   }
 
+  /** Gets the instances that claim an address, in the order in which they were first heard of. */
+  getClaimants(address: string): string[] {
+    return [...(this._claims.get(address) ?? [])];
+  }
+
   /** Gets the addresses that several instances claim. */
   getConflicts(): AddressConflict[] {
     return [...this._conflicts.keys()].map((address) => this._getConflict(address));
@@ -130,9 +135,7 @@
    * Notes that an instance answered at its address: others that had reported from there have ended.
    * @param askedAt - When it was asked; who was first heard of later may have followed it.
    */
-  addPresence(askedAt: number, id: string): void {
-    const address = this._instances.get(id)?.report.address;
-    if (address === undefined) return;
+  addPresence(askedAt: number, id: string, address: string): void {
     for (const { report, firstReportedAt } of this._getConflict(address).claimants) {
       if (report.instanceId !== id && firstReportedAt <= askedAt) this.addEnd(report.instanceId);
     }
@@ -185,7 +188,6 @@
   }
 
   private _getConflict(address: string): AddressConflict {
-    const ids = [...(this._claims.get(address) ?? [])];
-    return { address, claimants: ids.map((id) => this._instances.get(id)!) };
+    return { address, claimants: this.getClaimants(address).map((id) => this._instances.get(id)!) };
   }
 }
--- a/src/registration/OrderDispatcher.ts
+++ b/src/registration/OrderDispatcher.ts
@@ -9,6 +9,8 @@
 
 /** What a dispatcher works with. */
 export interface OrderDispatcherOptions {
+  /** The leader's term. */
+  readonly term: number;
   readonly orders: InstanceOrders;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -39,6 +41,12 @@
  */
 const ORDERS_PER_TURN = 8;
 
+/**
+ * Orders that a term has fencing tokens for: far beyond what it ever sends, and tokens stay exact as
+ * doubles for two million terms.
+ */
+const FENCES_PER_TERM = 2 ** 32;
+
 /** Sends the orders of one term. */
 export class OrderDispatcher {
   private readonly _options: OrderDispatcherOptions;
@@ -51,12 +59,14 @@
   /** When an instance was last told to load. */
   private readonly _toldToLoadAt = new Map<string, number>();
   private _answerCount = 0;
+  private _fence: number;
 
   /**
    * @param options - Orders, clock and the limit on loads.
    */
   constructor(options: OrderDispatcherOptions) {
     this._options = options;
+    this._fence = options.term * FENCES_PER_TERM;
   }
 
   /** Gets how many orders have come to an end, answered or not. */
@@ -120,8 +130,11 @@
     const { instanceId } = receiver;
     this._busy.add(instanceId);
     this._sentAt.set(getOrderKey(instanceId, order), now);
+    // Rises with each order and term: what is carried out late, or sent by a deposed leader, is refused.
+    this._fence += 1;
+    const fence = this._fence;
     await this._turns.enter();
-    const outcome = await orders.send(receiver, order);
+    const outcome = await orders.send(receiver, order, fence);
     this._busy.delete(instanceId);
     this._answerCount += 1;
     if (outcome === "elsewhere") this._options.onEnd(instanceId);
--- a/src/registration/ReplicaCloser.ts
+++ b/src/registration/ReplicaCloser.ts
@@ -49,9 +49,10 @@
 /**
  * Outcomes after which the instance is certainly not in the replica that the order named. A refused
  * connection is none of them: a partition that resets connections looks the same from here, while
- * entries go on reaching the head, and instances released then were in two replicas.
+ * entries go on reaching the head, and instances released then were in two replicas. Nor is a refused
+ * fencing token: it tells of a newer leader, not of the instance's place.
  */
-const ENDED: ReadonlySet<OrderOutcome> = new Set(["done", "begun", "unfit", "stale", "elsewhere"]);
+export const LEFT_OUTCOMES: ReadonlySet<OrderOutcome> = new Set(["done", "begun", "unfit", "elsewhere"]);
 
 /** The retiring replicas of one term. */
 export class ReplicaCloser {
@@ -152,7 +153,7 @@
       return;
     }
     if (isHead) closing.leaveAsks += 1;
-    if (!ENDED.has(outcome)) return;
+    if (!LEFT_OUTCOMES.has(outcome)) return;
     if (isHead) closing.hasLeft = true;
     else closing.memberLeftAt ??= now;
   }
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -13,7 +13,7 @@
 import { type Action, type InstanceFacts, REASON } from "../planner";
 import type { Hearing } from "./Hearing";
 import { IdentityChecks } from "./IdentityChecks";
-import type { InstanceOrder, InstanceOrders, OrderReceiver } from "./InstanceOrders";
+import type { InstanceOrder, InstanceOrders, OrderOutcome, OrderReceiver } from "./InstanceOrders";
 import type { InstanceRegistry } from "./InstanceRegistry";
 import type { LoadLimit } from "./LoadLimiter";
 import { createLoadLimit } from "./loadLimits";
@@ -21,7 +21,7 @@
 import { PlanningFactsSource, READY_STATES } from "./PlanningFactsSource";
 import { PresenceDoubts } from "./PresenceDoubts";
 import { LOADED_VERSION } from "./planningConfiguration";
-import { type ClosingTimes, type EndGround, ReplicaCloser } from "./ReplicaCloser";
+import { type ClosingTimes, type EndGround, LEFT_OUTCOMES, ReplicaCloser } from "./ReplicaCloser";
 import {
   divideReplicas,
   type EngineService,
@@ -29,6 +29,7 @@
   type PlanningTimes,
   ServicePlanner,
 } from "./ServicePlanner";
+import { StrayHeads } from "./StrayHeads";
 
 /** Times and bounds of the replicas' control, milliseconds. */
 export interface ReplicaTimes extends ClosingTimes, PlanningTimes {}
@@ -69,6 +70,7 @@
   private readonly _facts: PlanningFactsSource;
   private readonly _doubts = new PresenceDoubts();
   private readonly _identities: IdentityChecks;
+  private readonly _strays: StrayHeads;
   private readonly _probedAt = new Map<string, number>();
   private _isStepping = false;
 
@@ -80,8 +82,10 @@
     const { registry, hearing, driver } = options;
     this._closer = new ReplicaCloser(registry);
     this._identities = new IdentityChecks(options);
+    this._strays = new StrayHeads(registry, () => driver.machine);
     this._dispatcher = new OrderDispatcher({
       ...options,
+      term: driver.node.term,
       onEnd: (instanceId) => registry.addEnd(instanceId),
       getLoadLimit: () => this._getLoadLimit(),
     });
@@ -89,6 +93,7 @@
       machine: () => driver.machine,
       registry,
       dispatcher: this._dispatcher,
+      strays: this._strays,
       doubts: this._doubts,
       hearing,
     });
@@ -164,12 +169,16 @@
   }
 
   private _decide(now: number): Action[] {
-    this._identities.checkConflicts(now);
     const services = this._getEngineServices();
     if (services.length === 0) return [];
     const { driver, getTimes } = this._options;
     const times = getTimes();
+    for (const replica of this._strays.getReplicas()) this._expelHead(replica);
     const replicas = driver.machine.getReplicas();
+    this._identities.checkConflicts(
+      now,
+      replicas.flatMap(({ members }) => members),
+    );
     const retiring = replicas.filter((replica) => replica.phase === ReplicaPhase.RETIRING);
     this._closer.setRetiring(now, retiring, (replica) => replica.reason !== REASON.lost);
     for (const replica of retiring) this._closeReplica(now, replica);
@@ -299,6 +308,7 @@
   }
 
   private _joinInstance(replica: Replica, instance: InstanceFacts): void {
+    if (this._strays.isHeldBack(instance.id)) return;
     const members = replica.members.map((member) => member.instanceId);
     const { id: replicaId, epoch, model } = replica;
     const order: InstanceOrder = { kind: "join", replicaId, epoch, model, members };
@@ -332,10 +342,25 @@
       void this._dispatcher.send(due.receiver, due.order).then((outcome) => {
         if (outcome === undefined) return;
         this._closer.addOutcome(this._options.clock.getMonotonicMs(), replica, due, outcome);
+        const isHead = due.receiver.instanceId === replica.members[0]!.instanceId;
+        if (isHead && due.order.kind === "leave") this._noteLeave(replica, outcome);
       });
     }
   }
 
+  /** A head that is in a released replica again has to leave it again. */
+  private _expelHead(replica: Replica): void {
+    const order: InstanceOrder = { kind: "leave", replicaId: replica.id, epoch: replica.epoch };
+    void this._dispatcher.send(replica.members[0]!, order).then((outcome) => {
+      if (outcome !== undefined) this._noteLeave(replica, outcome);
+    });
+  }
+
+  private _noteLeave(replica: Replica, outcome: OrderOutcome): void {
+    if (!LEFT_OUTCOMES.has(outcome)) return;
+    this._strays.addLeave(this._options.clock.getMonotonicMs(), replica.id);
+  }
+
   /**
    * All services load from one store: it bears what the strictest of them declares. Only a
    * service that has it for itself bounds its first loads by their number at a time.
--- /dev/null
+++ b/src/registration/StrayHeads.ts
@@ -0,0 +1,68 @@
+/**
+ * Finds heads that took their place again in a replica that was released.
+ *
+ * An order to join that got no answer may be carried out seconds later, after the head has left: it is a
+ * head again, and an order to open of the same kind, or of a leader that does not know that it was
+ * deposed, opens it. Engines that check fencing tokens refuse both. For those that don't, such a head is
+ * told to leave again, and nobody who is still in its replica takes another place until it has: else they
+ * were in two replicas at once (4 of 400 seeds of a model with deposed leaders and a third of all orders
+ * late; none with it). Pure: times are monotonic milliseconds given by the caller.
+ */
+import { PlaceState } from "../gen/ploverstage/v1/fleet_pb";
+import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
+import type { StateMachine } from "../state";
+import type { InstanceRegistry } from "./InstanceRegistry";
+
+/** A broken head takes no requests. */
+const TAKEN_STATES = new Set([PlaceState.JOINING, PlaceState.READY, PlaceState.OPEN, PlaceState.CLOSING]);
+
+/** The stray heads that one leader knows of. */
+export class StrayHeads {
+  private readonly _registry: InstanceRegistry;
+  private readonly _getMachine: () => StateMachine;
+  /** By replica: when its head was last known to be out of it. */
+  private readonly _leftAt = new Map<string, number>();
+
+  /**
+   * @param registry - What instances say of their places.
+   * @param getMachine - Gives the agreed state.
+   */
+  constructor(registry: InstanceRegistry, getMachine: () => StateMachine) {
+    this._registry = registry;
+    this._getMachine = getMachine;
+  }
+
+  /** Notes that a head answered that it is out of its replica. */
+  addLeave(now: number, replicaId: string): void {
+    this._leftAt.set(replicaId, now);
+  }
+
+  /** Gets the released replicas whose heads are in them again. */
+  getReplicas(): Replica[] {
+    return this._registry.getInstances().flatMap(({ report }) => {
+      const replica = this._getReleased(report.place?.replicaId);
+      if (replica === undefined || replica.members[0]!.instanceId !== report.instanceId) return [];
+      return this._isStray(replica) ? [replica] : [];
+    });
+  }
+
+  /** Checks whether an instance is in a released replica whose head is in it again. */
+  isHeldBack(instanceId: string): boolean {
+    const replica = this._getReleased(this._registry.getInstance(instanceId)?.report.place?.replicaId);
+    return replica !== undefined && this._isStray(replica);
+  }
+
+  /** What never served was never ordered to open; what is not known may be newer than what is known here. */
+  private _getReleased(replicaId: string | undefined): Replica | undefined {
+    const replica = replicaId === undefined ? undefined : this._getMachine().getReplica(replicaId);
+    return replica?.phase === ReplicaPhase.RELEASED && replica.servedAtIndex > 0 ? replica : undefined;
+  }
+
+  private _isStray({ id, epoch, members }: Replica): boolean {
+    const head = this._registry.getInstance(members[0]!.instanceId);
+    const place = head?.report.place;
+    if (head === undefined || place?.replicaId !== id || place.epoch !== epoch) return false;
+    const leftAt = this._leftAt.get(id) ?? Number.NEGATIVE_INFINITY;
+    return TAKEN_STATES.has(place.state) && head.reportedAt > leftAt;
+  }
+}
--- a/test/registration/IdentityChecks.test.ts
+++ b/test/registration/IdentityChecks.test.ts
@@ -14,6 +14,8 @@
   let asked: OrderReceiver[];
   /** What runs at the address; `undefined` when nobody answers. */
   let running: string | undefined;
+  /** Instances that the agreed state gives places. */
+  let members: OrderReceiver[];
   let registry: InstanceRegistry;
   let checks: IdentityChecks;
 
@@ -21,6 +23,7 @@
     now = 10_000;
     asked = [];
     running = undefined;
+    members = [];
     registry = new InstanceRegistry();
     checks = new IdentityChecks({
       registry,
@@ -44,7 +47,7 @@
 
   async function check(): Promise<void> {
     now += LATER_MS;
-    checks.checkConflicts(now);
+    checks.checkConflicts(now, members);
     await new Promise((resolve) => setImmediate(resolve));
   }
 
@@ -76,11 +79,11 @@
 
   it("asks no more often than a moment ago, and once at a time", async () => {
     await check();
-    checks.checkConflicts(now + 10);
+    checks.checkConflicts(now + 10, members);
     await new Promise((resolve) => setImmediate(resolve));
     expect(asked.length).toBe(1);
-    checks.checkConflicts(now + LATER_MS);
-    checks.checkConflicts(now + LATER_MS);
+    checks.checkConflicts(now + LATER_MS, members);
+    checks.checkConflicts(now + LATER_MS, members);
     expect(asked.length).toBe(2);
   });
 
@@ -89,4 +92,19 @@
     await check();
     expect(asked).toEqual([]);
   });
+
+  it("asks for a member that was not heard of, once another one is heard of at its address", async () => {
+    const address = "10.0.0.2:80";
+    members = [{ instanceId: "member", address }];
+    running = "second";
+    await check();
+    expect(asked.map(({ instanceId }) => instanceId)).toEqual(["first"]);
+    registry.addReport(now, create(InstanceReportSchema, { instanceId: "next", sequence: 1, address }));
+    running = "next";
+    await check();
+    expect(asked.at(-1)).toEqual({ instanceId: "member", address });
+    expect(registry.hasEnded("member")).toBe(true);
+    await check();
+    expect(asked.length).toBe(2);
+  });
 });
--- a/test/registration/OrderDispatcher.test.ts
+++ b/test/registration/OrderDispatcher.test.ts
@@ -10,6 +10,7 @@
   it("begins the orders of a large fleet a few a turn, and every one of them", async () => {
     let begun = 0;
     const dispatcher = new OrderDispatcher({
+      term: 1,
       orders: {
         send: () => {
           begun += 1;
@@ -39,4 +40,57 @@
     expect(most).toBeLessThanOrEqual(MAX_PER_TURN);
     expect(await Promise.all(sent)).toEqual(sent.map(() => "begun"));
   });
+
+  it("gives each order a higher fencing token, and those of a later term higher ones still", async () => {
+    const fences: number[] = [];
+    for (const term of [1, 2]) {
+      const dispatcher = new OrderDispatcher({
+        term,
+        orders: {
+          send: (_receiver, _order, fence) => {
+            fences.push(fence);
+            return Promise.resolve("done");
+          },
+          probe: () => Promise.resolve("present"),
+          identify: () => Promise.resolve("itself"),
+        },
+        clock: { getMonotonicMs: () => 0, getWallMs: () => 0 },
+        logger: { info: () => {} } as never,
+        metrics: new SilentMetrics(),
+        onEnd: () => {},
+        getLoadLimit: () => undefined,
+      });
+      for (const epoch of [1, 2, 3]) {
+        await dispatcher.send(
+          { instanceId: "i", address: "i:1" },
+          { kind: "leave", replicaId: `r-${epoch}`, epoch },
+        );
+      }
+    }
+    expect(fences.length).toBe(6);
+    expect(new Set(fences).size).toBe(6);
+    expect([...fences].sort((a, b) => a - b)).toEqual(fences);
+  });
+
+  it("notes an instance for ended when another one answers in its place", async () => {
+    const ended: string[] = [];
+    const dispatcher = new OrderDispatcher({
+      term: 1,
+      orders: {
+        send: () => Promise.resolve("elsewhere"),
+        probe: () => Promise.resolve("present"),
+        identify: () => Promise.resolve("itself"),
+      },
+      clock: { getMonotonicMs: () => 0, getWallMs: () => 0 },
+      logger: { info: () => {} } as never,
+      metrics: new SilentMetrics(),
+      onEnd: (instanceId) => ended.push(instanceId),
+      getLoadLimit: () => undefined,
+    });
+    await dispatcher.send(
+      { instanceId: "i", address: "i:1" },
+      { kind: "join", replicaId: "r", epoch: 1, model: "m", members: ["i"] },
+    );
+    expect(ended).toEqual(["i"]);
+  });
 });
--- a/test/registration/PlanningFactsSource.test.ts
+++ b/test/registration/PlanningFactsSource.test.ts
@@ -7,6 +7,7 @@
 import { OrderDispatcher } from "../../src/registration/OrderDispatcher";
 import { PlanningFactsSource } from "../../src/registration/PlanningFactsSource";
 import { PresenceDoubts } from "../../src/registration/PresenceDoubts";
+import { StrayHeads } from "../../src/registration/StrayHeads";
 import type { StateMachine } from "../../src/state";
 import { createInstances, createReplica } from "../support/planning";
 
@@ -23,6 +24,7 @@
   beforeEach(() => {
     registry = new InstanceRegistry();
     dispatcher = new OrderDispatcher({
+      term: 1,
       orders: {
         send: () => Promise.resolve("begun"),
         probe: () => Promise.resolve("present"),
@@ -38,6 +40,7 @@
       machine: () => ({ hasDeparted: () => false }) as unknown as StateMachine,
       registry,
       dispatcher,
+      strays: new StrayHeads(registry, () => ({ getReplica: () => undefined }) as unknown as StateMachine),
       doubts: new PresenceDoubts(),
       hearing: new Hearing(0),
     });
--- a/test/registration/ReplicaController.test.ts
+++ b/test/registration/ReplicaController.test.ts
@@ -25,7 +25,7 @@
     events = [];
     registry = new InstanceRegistry();
     controller = new ReplicaController({
-      driver: { machine: { getReplica: () => replica } } as unknown as ConsensusDriver,
+      driver: { node: { term: 1 }, machine: { getReplica: () => replica } } as unknown as ConsensusDriver,
       registry,
       hearing: new Hearing(now),
       orders: {
--- a/test/registration/ServicePlanner.test.ts
+++ b/test/registration/ServicePlanner.test.ts
@@ -35,6 +35,7 @@
     const registry = new InstanceRegistry();
     const formed: string[] = [];
     const driver = {
+      node: { term: 1 },
       machine: { getReplicas: () => [], hasDeparted: () => false },
       propose: (body: { value: { model: string } }) => {
         formed.push(body.value.model);
--- a/test/registration/ownership/FleetModel.ts
+++ b/test/registration/ownership/FleetModel.ts
@@ -90,11 +90,15 @@
   private _term = 0;
   private _lives = 0;
 
+  private readonly _checksFences: boolean;
+
   /**
    * Needs fake timers.
    * @param seed - Of everything that is drawn.
+   * @param checksFences - Whether instances refuse orders with an outdated fencing token.
    */
-  constructor(seed: number) {
+  constructor(seed: number, checksFences = false) {
+    this._checksFences = checksFences;
     this._random = new SeededRandom(seed);
     this._hosts = DOMAINS.flatMap((fabricDomain) =>
       Array.from({ length: HOSTS_PER_DOMAIN }, (_, i) => ({
@@ -199,7 +203,11 @@
   }
 
   private _startLife(host: Host): void {
-    const instance = new InstanceModel(`${host.address.split(":")[0]}-${++this._lives}`, host);
+    const instance = new InstanceModel(
+      `${host.address.split(":")[0]}-${++this._lives}`,
+      host,
+      this._checksFences,
+    );
     this._instances.set(instance.id, instance);
     const until = this._cutUntil.get(host.address) ?? 0;
     instance.isCut = until > this._now;
@@ -300,7 +308,8 @@
     controller.leadership = new FleetLeadership({
       driver: this._createDriver(controller),
       orders: {
-        send: (receiver: OrderReceiver, order: InstanceOrder) => this._send(receiver, order),
+        send: (receiver: OrderReceiver, order: InstanceOrder, fence: number) =>
+          this._send(receiver, order, fence),
         probe: (receiver: OrderReceiver) => this._probe(receiver),
         identify: (receiver: OrderReceiver, timeoutMs: number) => this._identify(receiver, timeoutMs),
       },
@@ -369,7 +378,7 @@
     if (isWell) this.givenUp.push(`${replica.id} at ${this._now}`);
   }
 
-  private async _send(receiver: OrderReceiver, order: InstanceOrder): Promise<OrderOutcome> {
+  private async _send(receiver: OrderReceiver, order: InstanceOrder, fence: number): Promise<OrderOutcome> {
     const drawn = this._random.next();
     const { lost, unanswered, late } = this.faults;
     await this._wait(ORDER_MS);
@@ -377,15 +386,17 @@
     if (listener === undefined) return "absent";
     if (listener.isCut || drawn < lost) return this._miss();
     if (drawn < lost + unanswered) {
-      this._carryOut(receiver, order);
+      this._carryOut(receiver, order, fence);
       return this._miss();
     }
     if (drawn < lost + unanswered + late) {
       const [shortest, longest] = LATE_MS;
-      this._after(shortest + this._drawNumber(longest - shortest), () => this._carryOut(receiver, order));
+      this._after(shortest + this._drawNumber(longest - shortest), () =>
+        this._carryOut(receiver, order, fence),
+      );
       return this._miss();
     }
-    return this._carryOut(receiver, order);
+    return this._carryOut(receiver, order, fence);
   }
 
   private async _miss(): Promise<OrderOutcome> {
@@ -397,13 +408,13 @@
     return new Promise((resolve) => setTimeout(resolve, milliseconds));
   }
 
-  private _carryOut(receiver: OrderReceiver, order: InstanceOrder): OrderOutcome {
+  private _carryOut(receiver: OrderReceiver, order: InstanceOrder, fence: number): OrderOutcome {
     const listener = this._getListener(receiver.address);
     if (listener === undefined) return "absent";
     if (listener.id !== receiver.instanceId) return "elsewhere";
     const before = listener.place;
     const isTaking = before !== undefined && this._mayTakeRequests(before);
-    const outcome = listener.take(this._now, order, (place) => this._loseMember(place, listener.id));
+    const outcome = listener.take(this._now, order, fence, (place) => this._loseMember(place, listener.id));
     const { place } = listener;
     if (isTaking && place !== undefined && place.replicaId !== before.replicaId) {
       this.shared.push(
--- a/test/registration/ownership/InstanceModel.ts
+++ b/test/registration/ownership/InstanceModel.ts
@@ -49,10 +49,14 @@
   sequence = 0;
   place: Place | undefined;
   private _newestEpoch = 0;
+  private _newestFence = 0;
 
-  constructor(id: string, host: Host) {
+  private readonly _checksFences: boolean;
+
+  constructor(id: string, host: Host, checksFences: boolean) {
     this.id = id;
     this.host = host;
+    this._checksFences = checksFences;
   }
 
   /** Checks whether requests may begin in the replica of which it is the head. */
@@ -85,7 +89,14 @@
    * Carries an order out.
    * @param onPlaceGivenUp - Called with the place that it had until now.
    */
-  take(now: number, order: InstanceOrder, onPlaceGivenUp: (place: Place) => void): OrderOutcome {
+  take(
+    now: number,
+    order: InstanceOrder,
+    fence: number,
+    onPlaceGivenUp: (place: Place) => void,
+  ): OrderOutcome {
+    if (this._checksFences && fence < this._newestFence) return "stale";
+    this._newestFence = Math.max(fence, this._newestFence);
     if (order.kind === "stage") {
       this.host.staged = order.model;
       return "begun";
--- a/test/registration/ownership/ownership.test.ts
+++ b/test/registration/ownership/ownership.test.ts
@@ -49,11 +49,12 @@
 async function play(
   seeds: readonly number[],
   trouble: (fleet: FleetModel) => Promise<void>,
+  checksFences = false,
 ): Promise<Outcome> {
   const shared: string[] = [];
   const unrecovered: number[] = [];
   for (const seed of seeds) {
-    const fleet = new FleetModel(seed);
+    const fleet = new FleetModel(seed, checksFences);
     await fleet.run(FORMATION_MS);
     await trouble(fleet);
     fleet.faults = RELIABLE;
@@ -115,4 +116,9 @@
     const seeds = [...SEEDS, ...REOPENING_SEEDS];
     expect(await play(seeds, deposeWithLateOrders)).toEqual({ shared: [], unrecovered: [] });
   });
+
+  it("that check fencing tokens are so as well, and take the orders of each new leader", async () => {
+    const seeds = [...SEEDS, ...REOPENING_SEEDS];
+    expect(await play(seeds, deposeWithLateOrders, true)).toEqual({ shared: [], unrecovered: [] });
+  });
 });
