--- a/src/consensus/ElectionPatience.ts
+++ b/src/consensus/ElectionPatience.ts
@@ -33,7 +33,8 @@
   private _heardAt: number;
   /** Term of the leader that was heard last, and since when it was heard without a long silence. */
   private _term: number | undefined;
-  private _keptUpSince: number;
+  /** A member that was just started can't tell how long the leader that it finds has led. */
+  private _keptUpSince = Number.NEGATIVE_INFINITY;
   private _regularSince: number;
 
   /**
@@ -42,7 +43,6 @@
   constructor(now: number, timing: Timing) {
     this._timing = timing;
     this._heardAt = now;
-    this._keptUpSince = now;
     this._regularSince = now;
   }
 
@@ -67,7 +67,7 @@
     const isLongSilence = now - this._heardAt > this.minMs * LONG_SILENCE;
     const isOther = term !== this._term;
     if (isLongSilence && !(isOther && this._hadKeptUp())) this._double(now);
-    if (isLongSilence || isOther) this._keptUpSince = now;
+    if (this._term !== undefined && (isLongSilence || isOther)) this._keptUpSince = now;
     this._campaigns = 0;
     this._heardAt = now;
     this._term = term;
@@ -76,9 +76,8 @@
     this._regularSince = now;
   }
 
-  /** Whoever has just started knows of no leader that was slow. */
   private _hadKeptUp(): boolean {
-    return this._term === undefined || this._heardAt - this._keptUpSince >= this.maxMs * KEPT_UP;
+    return this._heardAt - this._keptUpSince >= this.maxMs * KEPT_UP;
   }
 
   private _double(now: number): void {
--- a/test/consensus/ElectionPatience.test.ts
+++ b/test/consensus/ElectionPatience.test.ts
@@ -53,11 +53,19 @@
   });
 
   it("doubles when another leader is heard after one that fell silent soon: it was slow", () => {
-    hearRegularly(100, 300, 1);
-    patience.addContact(1_200, 2);
+    hearRegularly(100, 1_100, 1);
+    hearRegularly(1_200, 1_400, 2);
+    patience.addContact(2_300, 3);
     expect(patience.minMs).toBe(1_000);
   });
 
+  it("stays when the first leader that a new member finds dies soon: it may have led for long", () => {
+    patience.addContact(900, 7);
+    patience.addContact(1_000, 7);
+    patience.addContact(1_900, 8);
+    expect(patience.minMs).toBe(500);
+  });
+
   it("doubles when a leader that had kept up is heard again itself", () => {
     hearRegularly(100, 1_100, 1);
     patience.addContact(2_000, 1);
