Ask no instance of a service without engines who it is

Now they are not asked at all; of several at an address the silent one is forgotten. Test in IdentityChecks. Comments within the line.

--- a/src/consensus/ElectionPatience.ts
+++ b/src/consensus/ElectionPatience.ts
@@ -4,8 +4,8 @@
  * On machines that are overloaded a message waits for as long as a voter does: campaigns overtake each
  * other, and a leader that computes for a while is voted out, which makes for more work. Campaigns
  * that come to nothing, and each long silence of a leader that was slow, double the patience; a leader
- * that is heard regularly halves it again. With 222 instances, 56 entries and three members at a fifth of a core each,
- * there was no leader within 15 s in three runs without it (measured by `powerLoss`).
+ * that is heard regularly halves it again. With 222 instances, 56 entries and three members at a fifth of
+ * a core each, there was no leader within 15 s in three runs without it (measured by `powerLoss`).
  * Pure: times are monotonic milliseconds given by the caller.
  */
 import type { Timing } from "./Timing";
--- a/src/registration/IdentityChecks.ts
+++ b/src/registration/IdentityChecks.ts
@@ -3,8 +3,8 @@
  *
  * The answer of the instance itself is the only proof: reports of ended instances reach a leader after
  * those of their successors, 0.1 to 9.8 s old in the first 0.3 s of terms. Believing the last report
- * instead gave up 8, 9 and 9 replicas within a second of a change of leader, and gave
- * away instances whose head was open (logs of three days with partitions, restarts and killed leaders).
+ * instead gave up 8, 9 and 9 replicas within a second of a change of leader, and gave away instances
+ * whose head was open (logs of three days with partitions, restarts and killed leaders).
  */
 import type { Clock } from "../clock";
 import type { Logger } from "../metrics";
@@ -43,9 +43,10 @@
    * @param members - Instances that the agreed state gives places: one that was not heard of in this term
    * claims its address as well. Else the replica of one that has ended, with another one heard of at its
    * address, stood until the usual silence was over.
+   * @param engineServices - Services whose instances take orders: no others are asked.
    */
-  checkConflicts(now: number, members: readonly OrderReceiver[]): void {
-    const conflicts = this._getConflicts(members);
+  checkConflicts(now: number, members: readonly OrderReceiver[], engineServices: ReadonlySet<string>): void {
+    const conflicts = this._getConflicts(members, engineServices);
     for (const address of this._asked.keys()) if (!conflicts.has(address)) this._asked.delete(address);
     for (const [address, claimants] of conflicts) {
       const endedAt = this._asked.get(address)?.endedAt ?? Number.NEGATIVE_INFINITY;
@@ -54,10 +55,16 @@
   }
 
   /** Gets ids by address. */
-  private _getConflicts(members: readonly OrderReceiver[]): ReadonlyMap<string, readonly string[]> {
+  private _getConflicts(
+    members: readonly OrderReceiver[],
+    engineServices: ReadonlySet<string>,
+  ): ReadonlyMap<string, readonly string[]> {
     const { registry } = this._options;
     const conflicts = new Map<string, readonly string[]>();
-    for (const { address } of registry.getConflicts()) conflicts.set(address, registry.getClaimants(address));
+    for (const { address, claimants } of registry.getConflicts()) {
+      if (!claimants.some(({ report }) => engineServices.has(report.service))) continue;
+      conflicts.set(address, registry.getClaimants(address));
+    }
     for (const { instanceId, address } of members) {
       if (registry.getInstance(instanceId) !== undefined || registry.hasEnded(instanceId)) continue;
       const claimants = registry.getClaimants(address);
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -178,6 +178,7 @@
     this._identities.checkConflicts(
       now,
       replicas.flatMap(({ members }) => members),
+      new Set(services.map(({ name }) => name)),
     );
     const retiring = replicas.filter((replica) => replica.phase === ReplicaPhase.RETIRING);
     this._closer.setRetiring(now, retiring, (replica) => replica.reason !== REASON.lost);
--- a/test/registration/IdentityChecks.test.ts
+++ b/test/registration/IdentityChecks.test.ts
@@ -5,6 +5,8 @@
 import { IdentityChecks } from "../../src/registration/IdentityChecks";
 import { InstanceRegistry } from "../../src/registration/InstanceRegistry";
 
+const SERVICE = "llm";
+const ENGINE_SERVICES = new Set([SERVICE]);
 const ADDRESS = "10.0.0.1:80";
 /** Longer than any pause between two questions. */
 const LATER_MS = 1_000;
@@ -41,13 +43,13 @@
     return Promise.resolve(running === receiver.instanceId ? "itself" : "another");
   }
 
-  function report(instanceId: string): void {
-    registry.addReport(now, create(InstanceReportSchema, { instanceId, sequence: 1, address: ADDRESS }));
+  function report(instanceId: string, service = SERVICE, address = ADDRESS): void {
+    registry.addReport(now, create(InstanceReportSchema, { instanceId, sequence: 1, service, address }));
   }
 
   async function check(): Promise<void> {
     now += LATER_MS;
-    checks.checkConflicts(now, members);
+    checks.checkConflicts(now, members, ENGINE_SERVICES);
     await new Promise((resolve) => setImmediate(resolve));
   }
 
@@ -79,11 +81,11 @@
 
   it("asks no more often than a moment ago, and once at a time", async () => {
     await check();
-    checks.checkConflicts(now + 10, members);
+    checks.checkConflicts(now + 10, members, ENGINE_SERVICES);
     await new Promise((resolve) => setImmediate(resolve));
     expect(asked.length).toBe(1);
-    checks.checkConflicts(now + LATER_MS, members);
-    checks.checkConflicts(now + LATER_MS, members);
+    checks.checkConflicts(now + LATER_MS, members, ENGINE_SERVICES);
+    checks.checkConflicts(now + LATER_MS, members, ENGINE_SERVICES);
     expect(asked.length).toBe(2);
   });
 
@@ -99,7 +101,7 @@
     running = "second";
     await check();
     expect(asked.map(({ instanceId }) => instanceId)).toEqual(["first"]);
-    registry.addReport(now, create(InstanceReportSchema, { instanceId: "next", sequence: 1, address }));
+    report("next", SERVICE, address);
     running = "next";
     await check();
     expect(asked.at(-1)).toEqual({ instanceId: "member", address });
@@ -107,4 +109,13 @@
     await check();
     expect(asked.length).toBe(2);
   });
+
+  it("asks no instance of a service without engines: it takes no orders", async () => {
+    const address = "10.0.0.3:80";
+    running = "first";
+    report("plain", "board", address);
+    report("next", "board", address);
+    await check();
+    expect(asked.map((receiver) => receiver.address)).toEqual([ADDRESS]);
+  });
 });
