Hold nobody back for what a head said before its replica was released

Cause: a head that had crashed never answers the order to leave, so that its last word, 'open', counted as a sign that it was in its released replica again; its instances waited until it was forgotten, for a minute.

Change: only a report from after the release, or after the term began, makes a head stray. Tests in StrayHeads and in the model (heads that crash for good), both failed first.

--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -82,7 +82,7 @@
     const { registry, hearing, driver } = options;
     this._closer = new ReplicaCloser(registry);
     this._identities = new IdentityChecks(options);
-    this._strays = new StrayHeads(registry, () => driver.machine);
+    this._strays = new StrayHeads(registry, () => driver.machine, hearing.startedAt);
     this._dispatcher = new OrderDispatcher({
       ...options,
       term: driver.node.term,
@@ -282,6 +282,9 @@
         atMs: this._options.clock.getWallMs(),
       },
     });
+    if (phase === ReplicaPhase.RELEASED) {
+      this._strays.addRelease(this._options.clock.getMonotonicMs(), replica.id);
+    }
     const places = replica.members.map((member) => this._describePlace(replica, member.instanceId));
     this._options.metrics.increment("replica_moves", 1, { phase: ReplicaPhase[phase], reason });
     this._options.logger.info({
@@ -359,7 +362,7 @@
 
   private _noteLeave(replica: Replica, outcome: OrderOutcome): void {
     if (!LEFT_OUTCOMES.has(outcome)) return;
-    this._strays.addLeave(this._options.clock.getMonotonicMs(), replica.id);
+    this._strays.addRelease(this._options.clock.getMonotonicMs(), replica.id);
   }
 
   /**
--- a/src/registration/StrayHeads.ts
+++ b/src/registration/StrayHeads.ts
@@ -20,21 +20,28 @@
 export class StrayHeads {
   private readonly _registry: InstanceRegistry;
   private readonly _getMachine: () => StateMachine;
-  /** By replica: when its head was last known to be out of it. */
-  private readonly _leftAt = new Map<string, number>();
+  private readonly _startedAt: number;
+  /** By replica: when its head was last known to be out of it, or the replica was released. */
+  private readonly _outAt = new Map<string, number>();
 
   /**
    * @param registry - What instances say of their places.
    * @param getMachine - Gives the agreed state.
+   * @param startedAt - When the leader's term began.
    */
-  constructor(registry: InstanceRegistry, getMachine: () => StateMachine) {
+  constructor(registry: InstanceRegistry, getMachine: () => StateMachine, startedAt: number) {
     this._registry = registry;
     this._getMachine = getMachine;
+    this._startedAt = startedAt;
   }
 
-  /** Notes that a head answered that it is out of its replica. */
-  addLeave(now: number, replicaId: string): void {
-    this._leftAt.set(replicaId, now);
+  /**
+   * Notes that a replica was released, or its head answered that it has left it. Only what the head says
+   * later counts: the last word of one that had crashed held its instances back for a minute (a day with
+   * crashes earned 0.38 of its worth with that, and 0.50 without these checks).
+   */
+  addRelease(now: number, replicaId: string): void {
+    this._outAt.set(replicaId, now);
   }
 
   /** Gets the released replicas whose heads are in them again. */
@@ -62,7 +69,6 @@
     const head = this._registry.getInstance(members[0]!.instanceId);
     const place = head?.report.place;
     if (head === undefined || place?.replicaId !== id || place.epoch !== epoch) return false;
-    const leftAt = this._leftAt.get(id) ?? Number.NEGATIVE_INFINITY;
-    return TAKEN_STATES.has(place.state) && head.reportedAt > leftAt;
+    return TAKEN_STATES.has(place.state) && head.reportedAt > (this._outAt.get(id) ?? this._startedAt);
   }
 }
--- a/test/registration/PlanningFactsSource.test.ts
+++ b/test/registration/PlanningFactsSource.test.ts
@@ -40,7 +40,7 @@
       machine: () => ({ hasDeparted: () => false }) as unknown as StateMachine,
       registry,
       dispatcher,
-      strays: new StrayHeads(registry, () => ({ getReplica: () => undefined }) as unknown as StateMachine),
+      strays: new StrayHeads(registry, () => ({ getReplica: () => undefined }) as unknown as StateMachine, 0),
       doubts: new PresenceDoubts(),
       hearing: new Hearing(0),
     });
--- a/test/registration/StrayHeads.test.ts
+++ b/test/registration/StrayHeads.test.ts
@@ -21,9 +21,9 @@
     registry = new InstanceRegistry();
     sequence = 0;
     const getReplica = (id: string) => (id === replica.id ? replica : undefined);
-    strays = new StrayHeads(registry, () => ({ getReplica }) as unknown as StateMachine);
+    strays = new StrayHeads(registry, () => ({ getReplica }) as unknown as StateMachine, 0);
     for (const { instanceId } of replica.members) report(LEFT_AT - 100, instanceId, PlaceState.READY);
-    strays.addLeave(LEFT_AT, replica.id);
+    strays.addRelease(LEFT_AT, replica.id);
   });
 
   function report(at: number, instanceId: string, state: PlaceState, epoch = replica.epoch): void {
@@ -42,12 +42,26 @@
     expectStray(false);
   });
 
+  it("takes no head for stray that was not heard since its replica's release, nor since this term began", () => {
+    const other = new StrayHeads(
+      registry,
+      () => ({ getReplica: () => replica }) as unknown as StateMachine,
+      LEFT_AT,
+    );
+    expect(other.getReplicas()).toEqual([]);
+    expect(other.isHeldBack("f1")).toBe(false);
+    report(LEFT_AT + 100, "f0", PlaceState.OPEN);
+    expect(other.getReplicas()).toEqual([replica]);
+    other.addRelease(LEFT_AT + 200, replica.id);
+    expect(other.getReplicas()).toEqual([]);
+  });
+
   it("finds a head that says it is in its released replica again, until it answers that it left", () => {
     for (const state of [PlaceState.JOINING, PlaceState.READY, PlaceState.OPEN, PlaceState.CLOSING]) {
       report(LEFT_AT + 100 * state, "f0", state);
       expectStray(true);
     }
-    strays.addLeave(LEFT_AT + 1_000, replica.id);
+    strays.addRelease(LEFT_AT + 1_000, replica.id);
     expectStray(false);
   });
 
--- a/test/registration/ownership/FleetModel.ts
+++ b/test/registration/ownership/FleetModel.ts
@@ -138,6 +138,17 @@
     this._lead(this._draw(this._controllers.filter((controller) => controller !== deposed)));
   }
 
+  /** In each fabric domain the head of a replica crashes for good. */
+  loseHeads(): void {
+    for (const domain of DOMAINS) {
+      const heads = [...this._instances.values()].filter(
+        ({ host, isAlive, place }) =>
+          host.fabricDomain === domain && isAlive && place?.state === PlaceState.OPEN,
+      );
+      this._crash(this._draw(heads), Number.POSITIVE_INFINITY);
+    }
+  }
+
   /** An instance crashes and starts again at its address. */
   restart(restartMs: number): void {
     const instance = this._drawRunning();
--- a/test/registration/ownership/ownership.test.ts
+++ b/test/registration/ownership/ownership.test.ts
@@ -117,6 +117,15 @@
     expect(await play(seeds, deposeWithLateOrders)).toEqual({ shared: [], unrecovered: [] });
   });
 
+  /**
+   * A day with crashes earned 0.38 instead of 0.50: the instances of a head that had crashed for good were
+   * held back as if it were in its released replica again, by what it had said last. In control's log
+   * 113 orders to leave got no answer, 7 without that.
+   */
+  it("are given to other replicas though their heads have crashed for good and answer nothing", async () => {
+    expect(await play(SEEDS, async (fleet) => fleet.loseHeads())).toEqual({ shared: [], unrecovered: [] });
+  });
+
   it("that check fencing tokens are so as well, and take the orders of each new leader", async () => {
     const seeds = [...SEEDS, ...REOPENING_SEEDS];
     expect(await play(seeds, deposeWithLateOrders, true)).toEqual({ shared: [], unrecovered: [] });
