--- a/src/registration/StrayHeads.ts
+++ b/src/registration/StrayHeads.ts
@@ -6,7 +6,7 @@
  * deposed, opens it. Engines that check fencing tokens refuse both. For those that don't, such a head is
  * told to leave again, and nobody who is still in its replica takes another place until it has: else they
  * were in two replicas at once (4 of 400 seeds of a model with deposed leaders and a third of all orders
- * late; none with it). Pure: times are monotonic milliseconds given by the caller.
+ * late; 1 of 195 with it). Pure: times are monotonic milliseconds given by the caller.
  */
 import { PlaceState } from "../gen/ploverstage/v1/fleet_pb";
 import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
