--- a/test/platform/PlatformCluster.ts
+++ b/test/platform/PlatformCluster.ts
@@ -1,11 +1,11 @@
 /** The system as it runs on the platform: real processes, with workers in this one. */
-import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { appendFileSync, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { ProcessHandle } from "../support/ProcessHandle";
 import { getFreeAddresses } from "../support/ports";
 import { renderTemplate } from "./renderTemplate";
-import { WorkerStandin } from "./WorkerStandin";
+import { type WorkerEvent, WorkerStandin } from "./WorkerStandin";
 
 const HEAP = process.env.PLOVERSTAGE_PLATFORM_HEAP ?? "dist/test/platform.blob";
 /** Arguments of Node as in the deploy file. */
@@ -105,6 +105,7 @@
       reportMs,
       isRelayed: areWorkersRelayed,
       getWorker: (other) => this.workers.find((candidate) => candidate.id === other),
+      onEvent: KEEPS_LOGS ? (event) => this._logEvent(event) : undefined,
     });
     this.workers.push(worker);
     await worker.start();
@@ -153,6 +154,12 @@
     if (!KEEPS_LOGS) rmSync(this._folder, { recursive: true, force: true });
   }
 
+  /** What workers did stands beside the processes' logs, with times of the same clock. */
+  private _logEvent(event: WorkerEvent): void {
+    const line = JSON.stringify({ time: new Date().toISOString(), ...event });
+    appendFileSync(join(this._folder, "workers.log"), `${line}\n`);
+  }
+
   private _createProcess(role: "entry" | "control", ip: string): ProcessHandle {
     const name = `${role}-${ip.split(".").at(-1)}`;
     const [rpc, control, directory, front, ready] = this._ports;
