Let one of several members that ask for votes at once go on, and the others support it

Ruled out: longer draws (the answers take as long as the draws are apart: 0.3 to 0.75 s each way); a fixed rank at the first start only (the same happens after each loss of power). Change: a member that asks refuses a rival with the same log whose id comes after its own, and gives its own question up for one whose id comes before.

busyMembers, 100 starts each, first leader later than 4 s: 15 and 31 (three and five members) before, 0 and 0 after. Deaths of leaders one after the other are missed within 1.5 s as before (the same file).

--- a/src/consensus/RaftNode.ts
+++ b/src/consensus/RaftNode.ts
@@ -328,13 +328,28 @@
 
   private _answerPreVote(now: number, message: ConsensusMessage, lastIndex: number, lastTerm: number): void {
     const granted =
-      message.term > this._term && !this._hearsLeader(now) && this._isUpToDate(lastIndex, lastTerm);
+      message.term > this._term &&
+      !this._hearsLeader(now) &&
+      this._isUpToDate(lastIndex, lastTerm) &&
+      !this._precedes(message.from, lastIndex, lastTerm);
+    if (granted && this._role === "preCandidate") this._becomeFollower(now, this._term, "");
     this._sendDurable(message.from, {
       case: "preVoteResponse",
       value: { $typeName: "ploverstage.v1.PreVoteResponse", granted, requestedTerm: message.term },
     });
   }
 
+  /**
+   * Of members that ask at the same time and could win alike, the first by id goes on and the others
+   * support it. Members that start together all became candidates, each with its own vote: with answers
+   * after 0.1 to 0.4 s the first leader of three began later than 4 s in 15 starts of 100, of five in 31,
+   * and in none with this (`busyMembers`).
+   */
+  private _precedes(from: string, lastIndex: number, lastTerm: number): boolean {
+    const isRival = lastTerm === this.log.lastTerm && lastIndex === this.log.lastIndex;
+    return this._role === "preCandidate" && isRival && this.id < from;
+  }
+
   private _answerVote(now: number, message: ConsensusMessage, lastIndex: number, lastTerm: number): void {
     const isFree = this._vote === "" || this._vote === message.from;
     const granted = isFree && this._role === "follower" && this._isUpToDate(lastIndex, lastTerm);
