Give a connection between our processes up that does not come up within 1.5 s

Trace: three entries are cut from control from 6.3 to 16.3 s; two of them find it at 23.1 s, each try at each process given up after 0.7 s though control works and a process that was started again found it in 45 ms. Their connections were still coming up: the system sends the first packet again after 1, 3, 7 and 15 s, and each try waits for the same connection. Ruled out: control (no refusal, no stall), entries that stay with a process that has nothing to show (they had lost it 23 s before). Change: openSocket destroys a connection that is not up after 1.5 s; the next try makes a new one.

--- a/src/registration/ReplicaCloser.ts
+++ b/src/registration/ReplicaCloser.ts
@@ -99,14 +99,14 @@
     }
   }
 
-  /** Checks whether no request can begin in a retiring replica any more. */
+  /** Checks whether a retiring replica is over: its instances may be chosen again. */
   isOver(now: number, replica: Replica, times: ClosingTimes): boolean {
     return this.getEndGround(now, replica, times) !== undefined;
   }
 
   /**
-   * Gets the ground on which no request can begin in a retiring replica any more.
-   * @returns `undefined` while one may.
+   * Gets the ground on which a retiring replica is over.
+   * @returns `undefined` while it is not.
    */
   getEndGround(now: number, replica: Replica, times: ClosingTimes): EndGround | undefined {
     const closing = this._closings.get(replica.id);
--- a/src/rpc/createRpcTransport.ts
+++ b/src/rpc/createRpcTransport.ts
@@ -2,6 +2,7 @@
 import type { Transport } from "@connectrpc/connect";
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import { GuardedSessionManager } from "./GuardedSessionManager";
+import { openSocket } from "./openSocket";
 import { createSecretSender } from "./secrets";
 
 /** A peer that doesn't answer a ping for so long is cut off. */
@@ -21,6 +22,8 @@
     httpVersion: "2",
     interceptors: secret === undefined ? [] : [createSecretSender(secret)],
     acceptCompression: [],
-    sessionManager: new GuardedSessionManager(new Http2SessionManager(baseUrl, pings)),
+    sessionManager: new GuardedSessionManager(
+      new Http2SessionManager(baseUrl, pings, { createConnection: () => openSocket(address) }),
+    ),
   });
 }
--- /dev/null
+++ b/src/rpc/openSocket.ts
@@ -0,0 +1,22 @@
+/** Connections of our own protocol that come up in time or not at all. */
+import { connect, type Socket } from "node:net";
+import { splitAddress } from "../http";
+
+/**
+ * A connection that does not come up within this time is given up, milliseconds: longer than a link that is
+ * choked keeps packets, shorter than the pause between two tries of the system. That pause doubles while a
+ * partition lasts: entries that had been cut off for 10 s found control 6.8 s after the cut was over, and
+ * went by an outdated declaration meanwhile (log of one day, two plays of two).
+ */
+export const CONNECT_MS = 1_500;
+
+/** Opens a connection to host:port; it is destroyed with an error where it does not come up in time. */
+export function openSocket(address: string, connectMs = CONNECT_MS): Socket {
+  const { host, port } = splitAddress(address);
+  const socket = connect({ host, port });
+  const fail = () => socket.destroy(new Error(`no connection to ${address} within ${connectMs} ms`));
+  const timer = setTimeout(fail, connectMs);
+  socket.once("connect", () => clearTimeout(timer));
+  socket.once("close", () => clearTimeout(timer));
+  return socket;
+}
