--- a/test/consensus/busyMembers.test.ts
+++ b/test/consensus/busyMembers.test.ts
@@ -41,7 +41,7 @@
  * slower than the one before since refused callers came back meanwhile, the first leader began 6.3 s after
  * the founders' start in place of 1.3 s; replicas were formed after traffic had begun, when loading takes
  * ten times as long. Evidence: control's log of the day (three candidates each of terms 1 and 2), and
- * four starts of ten of the same day with one leader; the bench `firstStart` shows the same.
+ * six starts of the same day, three of them with two or three leaders; the bench `firstStart` shows the same.
  */
 describe("members that start together on small machines", () => {
   const BUSY = { waits: [100, 400], firstWork: 0 } as const;
