--- /dev/null
+++ b/bench/lives.ts
@@ -0,0 +1,107 @@
+/**
+ * `lives`: an instance ends and starts again: how long until it runs a request, under its id and under
+ * another one, in a small and in a large fleet; and what checking reports costs.
+ */
+import { readHeartbeat } from "../platform/PlatformReports";
+import { checkReport } from "../src/registration/checkReport";
+import { createConfig } from "../test/platform/createConfig";
+import { PlatformCluster } from "../test/platform/PlatformCluster";
+import type { WorkerStandin } from "../test/platform/WorkerStandin";
+import type { Bench, Figure } from "./Figure";
+import { pause } from "./support/processes";
+
+/** The bench. */
+export const livesBench: Bench = { name: "lives", run };
+
+const FEW_INSTANCES = 3;
+const MANY_INSTANCES = 222;
+const DOMAIN_SIZE = 37;
+const REPORT_MS = 1_200;
+const REPORT_COUNT = 500;
+const ROUNDS = 5;
+const POLL_MS = 20;
+const PATIENCE_MS = 20_000;
+/** Of the largest fleet within one pause between two reports. */
+const HEARTBEATS = 12_000;
+const HEARTBEAT = JSON.stringify({
+  service: "huvo11a",
+  address: "10.128.0.9:8080",
+  zone: "zone-a",
+  version: "v1",
+  slots: 18,
+  state: "ready",
+  coldRemainingMs: 0,
+  stage: "both",
+  models: [{ name: "daka510000", version: 1, adapters: [] }],
+  staged: ["daka510000"],
+  group: { name: "g-7", epoch: 12, rank: 3, state: "ready" },
+  seqNo: 4,
+  born: 1_786_000_000_123,
+});
+
+async function run(): Promise<Figure[]> {
+  const few = await measure(FEW_INSTANCES);
+  const many = await measure(MANY_INSTANCES);
+  return [
+    { figure: `same_id_${FEW_INSTANCES}`, value: few.sameIdMs, unit: "ms" },
+    { figure: `other_id_${FEW_INSTANCES}`, value: few.otherIdMs, unit: "ms" },
+    { figure: `same_id_${MANY_INSTANCES}`, value: many.sameIdMs, unit: "ms" },
+    { figure: `other_id_${MANY_INSTANCES}`, value: many.otherIdMs, unit: "ms" },
+    { figure: "check_ratio", value: measureChecks(), unit: "ratio" },
+  ];
+}
+
+/** The longest of some rounds. */
+interface Restarts {
+  readonly sameIdMs: number;
+  readonly otherIdMs: number;
+}
+
+async function measure(engines: number): Promise<Restarts> {
+  const cluster = await PlatformCluster.start(engines, {
+    reportMs: REPORT_MS,
+    domainSize: DOMAIN_SIZE,
+    firstReportCount: REPORT_COUNT,
+  });
+  try {
+    while ((await cluster.putConfig(0, createConfig(1)).catch(() => 0)) !== 200) await pause(POLL_MS);
+    let worker = cluster.workers.find(({ id }) => id === "app-0")!;
+    await waitForRun(cluster, worker);
+    const same: number[] = [];
+    const other: number[] = [];
+    for (let round = 0; round < ROUNDS; round++) {
+      worker = await cluster.restartWorker(worker, { reportCount: 0 });
+      same.push(await waitForRun(cluster, worker));
+      worker.crash();
+      worker = await cluster.addWorker(`app-${round + 1}`, "app", "", { reportCount: REPORT_COUNT });
+      other.push(await waitForRun(cluster, worker));
+    }
+    return { sameIdMs: Math.max(...same), otherIdMs: Math.max(...other) };
+  } finally {
+    await cluster.stop();
+  }
+}
+
+async function waitForRun(cluster: PlatformCluster, worker: WorkerStandin): Promise<number> {
+  const startedAt = performance.now();
+  while (worker.ran.length === 0 && performance.now() - startedAt < PATIENCE_MS) {
+    await cluster.call("/app/x").catch(() => undefined);
+    await pause(POLL_MS);
+  }
+  return worker.ran.length > 0 ? performance.now() - startedAt : Number.POSITIVE_INFINITY;
+}
+
+/** Processor time of reading and checking against that of reading alone. */
+function measureChecks(): number {
+  const time = (action: () => void) => {
+    const before = process.cpuUsage();
+    for (let i = 0; i < HEARTBEATS; i++) action();
+    const { user, system } = process.cpuUsage(before);
+    return user + system;
+  };
+  const read = () => void readHeartbeat("i-7f3a91c2", HEARTBEAT);
+  const readAndCheck = () => checkReport(readHeartbeat("i-7f3a91c2", HEARTBEAT));
+  time(readAndCheck);
+  const [without, withCheck] = [time(read), time(readAndCheck)];
+  return withCheck / without;
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,7 @@
 import { firstStartBench } from "./firstStart";
 import { fleetBench } from "./fleet";
 import { gatewayBench } from "./gateway";
+import { livesBench } from "./lives";
 import { pathBench } from "./path";
 import { plannerBench } from "./planner";
 import { powerLossBench } from "./powerLoss";
@@ -28,6 +29,7 @@
   fleetBench,
   powerLossBench,
   firstStartBench,
+  livesBench,
   gatewayBench,
 ];
 
