Sight: a failed request's digest, and how long each broken answer had been coming

Two tries that failed could not be told to be the same request, nor whether an endpoint had answered any of it before it broke off: both are needed to tell a request that ends endpoints from one that was only there.

--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage } from "node:http";
 import type { Clock } from "../clock";
 import type { RandomSource } from "../consensus";
+import { getRequestDigest, type RequestDigest } from "../containment";
 import type { Route } from "../declaration";
 import { LostAnswer, UnreachableEndpoint } from "../errors";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
@@ -60,6 +61,8 @@
   readonly reason: string;
   readonly wasNotRun: boolean;
   readonly tookMs: number;
+  /** How long its answer had been coming; `undefined` where nothing of one had come. */
+  readonly answeredForMs: number | undefined;
 }
 
 /** An attempt whose endpoint has begun to answer. */
@@ -72,9 +75,11 @@
 }
 
 /** Why an attempt failed. */
-export type AttemptFailure = Omit<FailedAttempt, "target" | "instance" | "tookMs"> & {
+export type AttemptFailure = Pick<FailedAttempt, "reason" | "wasNotRun"> & {
   /** Whether an endpoint got any of it. */
   readonly wasSent: boolean;
+  /** When the first of its answer came, if any did; monotonic milliseconds. */
+  readonly answeredAt?: number | undefined;
 };
 
 const CONNECT_MS = 300;
@@ -99,6 +104,7 @@
   private _mayHaveRun = false;
   private readonly _over = new AbortController();
   private _current: AbortController | undefined;
+  private _digest: RequestDigest | undefined;
 
   /**
    * @param request - The request.
@@ -114,6 +120,12 @@
     return this._sent;
   }
 
+  /** Gets what tells whether another request is the same one. */
+  get digest(): RequestDigest {
+    this._digest ??= getRequestDigest(this.request);
+    return this._digest;
+  }
+
   /** Ends the attempt under way: the caller is gone, or its time is over. */
   cancel(): void {
     this._over.abort();
@@ -346,6 +358,7 @@
       reason: failure.reason,
       wasNotRun: failure.wasNotRun,
       tookMs: Math.round(now - startedAt),
+      answeredForMs: failure.answeredAt === undefined ? undefined : Math.round(now - failure.answeredAt),
     });
     // A caller that left says nothing about the endpoint.
     if (this.isOver) return;
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -314,6 +314,8 @@
       took_ms: tookMs,
       sent: exchange?.sentCount ?? 0,
       failures: exchange?.failures,
+      // Whether two tries that failed were the same request.
+      digest: exchange === undefined || exchange.failures.length === 0 ? undefined : exchange.digest,
       ...details,
     });
   }
--- a/src/gateway/StreamExchange.ts
+++ b/src/gateway/StreamExchange.ts
@@ -125,6 +125,7 @@
   private async _relay(attempt: BegunAttempt): Promise<RelayEnd> {
     const splitter = new EventSplitter();
     let heardAt = attempt.startedAt;
+    let answeredAt: number | undefined;
     const pace = this._exchange.tools.pool.getPace(attempt.target.id);
     let endStream: (() => void) | undefined;
     const stopWatch = this._exchange.watchSilence(
@@ -138,6 +139,7 @@
         if (endStream === undefined) endStream = pace?.startStream(now);
         else pace?.addEvent(now, now - heardAt);
         heardAt = now;
+        answeredAt ??= now;
         this._exchange.tools.pool.addSign(now, attempt.target.id);
         for (const event of splitter.addBytes(chunk)) await this._passOn(attempt, event.bytes, event.id);
         // The caller may have been slow to take them.
@@ -149,6 +151,7 @@
         reason: `its stream broke off: ${explainFailure(cause, attempt.abort)}`,
         wasNotRun: false,
         wasSent: true,
+        answeredAt,
       });
       return "brokeOff";
     } finally {
--- a/test/gateway/explanation.test.ts
+++ b/test/gateway/explanation.test.ts
@@ -13,6 +13,7 @@
   readonly code: string;
   readonly failures: readonly FailedAttempt[];
   readonly longestGapMs: number;
+  readonly digest: string;
 }
 
 const GAP_OBJECTIVE_MS = 50;
@@ -23,8 +24,8 @@
   afterEach(() => harness.stop());
 
   /** Calls with an id of its own, and reads what the log says of it. */
-  async function callAndExplain(id: string): Promise<EndedRequest> {
-    await harness.call({ headers: { "x-id": id } });
+  async function callAndExplain(id: string, body = "hello"): Promise<EndedRequest> {
+    await harness.call({ headers: { "x-id": id }, body });
     const lines = await waitUntil("its end is logged", () => {
       const found = harness.logLines.filter((line) => line.includes(`"request":"${id}"`));
       return found.length > 0 ? found : undefined;
@@ -64,6 +65,25 @@
     expect(await countRequests("cut", "")).toBe(true);
   });
 
+  it("where the same request fails again and again: which tries were the same one, and whether it was answered at all", async () => {
+    const cut = streamEvents([], "cut");
+    harness = await GatewayHarness.start([cut, streamEvents([1], "cut")], {
+      kind: "stream",
+      isResumable: true,
+    });
+    const [first, again, other] = [
+      await callAndExplain("try-1", "the same"),
+      await callAndExplain("try-2", "the same"),
+      await callAndExplain("try-3", "another"),
+    ];
+    expect(first.digest).toMatch(/^[\w-]{22}$/);
+    expect(again.digest).toBe(first.digest);
+    expect(other.digest).not.toBe(first.digest);
+    const [unanswered, answered] = first.failures;
+    expect(unanswered).not.toHaveProperty("answeredForMs");
+    expect(answered!.answeredForMs).toBeGreaterThanOrEqual(0);
+  });
+
   it("where it was late: how long the endpoint that stood still was waited for", async () => {
     harness = await GatewayHarness.start([streamThenStall([1, 2, 3], 20), streamEvents([4], "whole")], {
       kind: "stream",
