--- a/test/platform/PlatformCluster.ts
+++ b/test/platform/PlatformCluster.ts
@@ -12,6 +12,7 @@
 /** Arguments of Node as in the deploy file. */
 const PROGRAM = ["--max-old-space-size=200", "--snapshot-blob", HEAP, "ploverstage"];
 const TEMPLATE = readFileSync("deploy/settings.template", "utf8");
+const FIRST_ENTRY_IP = 1;
 const FIRST_CONTROL_IP = 11;
 const DEFAULT_CONTROLS = 3;
 /** Folders with logs are left behind for whoever wants to read them. */
@@ -23,6 +24,8 @@
 export interface PlatformAnswer {
   readonly status: number;
   readonly body: string;
+  /** When to come back, seconds, where that is said. */
+  readonly retryAfterS: number | undefined;
 }
 
 /** What a system is started with. */
@@ -31,6 +34,10 @@
   readonly reportMs?: number;
   /** How long workers take to join, milliseconds. */
   readonly joinMs?: number;
+  /** Entries, nine at most; one if not given. */
+  readonly entries?: number;
+  /** A worker that a request crashed starts again after this time, milliseconds, under another id. */
+  readonly returnMs?: number;
   /** Control processes, all of them voters; three if not given. */
   readonly controls?: number;
   /** Control processes that every process is told of, the first ones; all if not given. */
@@ -47,6 +54,13 @@
   readonly areWorkersRelayed?: boolean;
 }
 
+/** What a client sends, and where. */
+export interface PlatformCall {
+  /** Number of the entry; the first one if not given. */
+  readonly entry?: number;
+  readonly body?: string;
+}
+
 /** How a worker starts. */
 export type WorkerInit = Pick<WorkerOptions, "born" | "reportCount" | "staged">;
 
@@ -54,11 +68,16 @@
 export class PlatformCluster {
   readonly controls: ProcessHandle[] = [];
   readonly workers: WorkerStandin[] = [];
+  readonly entries: ProcessHandle[] = [];
+  /** When requests that crash workers reached one, monotonic milliseconds. */
+  readonly crashingRequests: number[] = [];
+  /** When requests crashed workers, monotonic milliseconds. */
+  readonly crashes: number[] = [];
   private readonly _folder = mkdtempSync(join(tmpdir(), "platform-"));
   private _ports: number[] = [];
-  private _entry: ProcessHandle | undefined;
   private _throttle: Throttle | undefined;
   private _requests = 0;
+  private _isStopping = false;
   private readonly _options: ClusterOptions;
   private readonly _controlIps: readonly string[];
 
@@ -76,8 +95,9 @@
     for (const ip of cluster._controlIps) cluster.controls.push(cluster._createProcess("control", ip));
     const { controlShare } = options;
     if (controlShare !== undefined) cluster._throttle = new Throttle(cluster.controls, controlShare);
-    cluster._entry = cluster._createProcess("entry", "127.0.0.1");
-    for (const handle of [...cluster.controls, cluster._entry]) handle.start();
+    const entryIps = Array.from({ length: options.entries ?? 1 }, (_, i) => getEntryIp(i));
+    for (const ip of entryIps) cluster.entries.push(cluster._createProcess("entry", ip));
+    for (const handle of [...cluster.controls, ...cluster.entries]) handle.start();
     cluster._throttle?.start();
     const first = { reportCount: options.firstReportCount };
     await cluster.addWorker("app-0", "app", "", first);
@@ -98,9 +118,9 @@
     return this._controlIps.map((ip) => `${ip}:${this._ports[0]}`);
   }
 
-  /** Gets the entry's process. */
+  /** Gets the first entry's process. */
   get entry(): ProcessHandle {
-    return this._entry!;
+    return this.entries[0]!;
   }
 
   /** Gets the entry's metrics as text. */
@@ -139,6 +159,8 @@
       isRelayed: areWorkersRelayed,
       getLives: (other) => this.workers.filter((candidate) => candidate.id === other),
       onEvent: KEEPS_LOGS ? (event) => this._logEvent(event) : undefined,
+      onCrashingRequest: () => this.crashingRequests.push(performance.now()),
+      onCrash: () => this._bringBack(worker),
     });
     this.workers.push(worker);
     await worker.start();
@@ -163,11 +185,15 @@
     return { status: answer.status, body: await answer.text() };
   }
 
-  /** Calls the entry as a client does. */
-  async call(path: string, headers: Record<string, string> = {}): Promise<PlatformAnswer> {
-    const answer = await fetch(`http://127.0.0.1:${this._ports[3]}${path}`, {
+  /** Calls an entry as a client does. */
+  async call(
+    path: string,
+    headers: Record<string, string> = {},
+    { entry = 0, body = "hello" }: PlatformCall = {},
+  ): Promise<PlatformAnswer> {
+    const answer = await fetch(`http://${getEntryIp(entry)}:${this._ports[3]}${path}`, {
       method: "POST",
-      body: "hello",
+      body,
       headers: {
         // fetch sets the host itself; the entry takes the port off.
         "x-ploverstage-request-id": `call-${this._requests++}`,
@@ -177,17 +203,31 @@
       },
       signal: AbortSignal.timeout(8_000),
     });
-    return { status: answer.status, body: await answer.text() };
+    const retryAfter = answer.headers.get("retry-after");
+    const retryAfterS = retryAfter === null ? undefined : Number(retryAfter);
+    return { status: answer.status, body: await answer.text(), retryAfterS };
   }
 
   /** Ends what it started. */
   async stop(): Promise<void> {
     this._throttle?.stop();
+    this._isStopping = true;
     for (const worker of this.workers) worker.crash();
-    await Promise.all([...this.controls, this.entry].map((handle) => handle.kill()));
+    await Promise.all([...this.controls, ...this.entries].map((handle) => handle.kill()));
     if (!KEEPS_LOGS) rmSync(this._folder, { recursive: true, force: true });
   }
 
+  /** Notes that a request crashed a worker, which comes back under another id if it is to. */
+  private _bringBack({ id, service, domain, staged }: WorkerStandin): void {
+    this.crashes.push(performance.now());
+    const { returnMs } = this._options;
+    if (returnMs === undefined) return;
+    const nextId = `${id}-${this.crashes.length}`;
+    setTimeout(() => {
+      if (!this._isStopping) void this.addWorker(nextId, service, domain, { staged });
+    }, returnMs).unref();
+  }
+
   /** What workers did stands beside the processes' logs, with times of the same clock. */
   private _logEvent(event: WorkerEvent): void {
     const line = JSON.stringify({ time: new Date().toISOString(), ...event });
@@ -231,3 +271,8 @@
     return new ProcessHandle(name, [...PROGRAM, role, file], join(this._folder, `${name}.log`));
   }
 }
+
+/** Gets the address of an entry; clients name it as their host. */
+export function getEntryIp(index: number): string {
+  return `127.0.0.${FIRST_ENTRY_IP + index}`;
+}
--- a/test/platform/WorkerStandin.ts
+++ b/test/platform/WorkerStandin.ts
@@ -27,8 +27,17 @@
   readonly getLives?: (id: string) => readonly WorkerStandin[];
   /** Called with what it does: orders that it takes, and its end. */
   readonly onEvent?: (event: WorkerEvent) => void;
+  /** Called when a request that crashes workers reaches it, whether it runs it or not. */
+  readonly onCrashingRequest?: () => void;
+  /** Called after a request has crashed it. */
+  readonly onCrash?: () => void;
 }
 
+/** A request with this body crashes each worker that runs it. */
+export const CRASHING_BODY = "a body that crashes workers";
+/** It does so a moment after its run began, before anything of an answer but its head. */
+const CRASH_MS = 45;
+
 /** Something that a worker did. */
 export interface WorkerEvent {
   readonly worker: string;
@@ -221,7 +230,17 @@
     } else if (request.url === "/-/report")
       response.end(JSON.stringify({ seqNo: this._sequence, born: this._born }));
     else if (request.url === "/-/order") this._order(JSON.parse(Buffer.concat(chunks).toString()), response);
-    else this._serve(request, Buffer.concat(chunks).toString(), response);
+    else {
+      const body = Buffer.concat(chunks).toString();
+      if (body === CRASHING_BODY) this._options.onCrashingRequest?.();
+      this._serve(request, body, response);
+    }
+  }
+
+  private _crashByRequest(): void {
+    if (this._hasEnded) return;
+    this.crash();
+    this._options.onCrash?.();
   }
 
   private _order(
@@ -302,13 +321,16 @@
     const id = String(request.headers["x-ploverstage-request-id"]);
     this.ran.push(id);
     this._checkGroup(id);
+    if (body === CRASHING_BODY) setTimeout(() => this._crashByRequest(), CRASH_MS);
     const headers = { "x-ploverstage-request-id": id, "x-ploverstage-response-seal": `seal-${id}` };
     if (this._options.domain === "") {
+      if (body === CRASHING_BODY) return;
       response.writeHead(200, headers);
       response.end(`${request.headers["x-ploverstage-tenant"]} ${request.method} ${request.url} ${body}`);
       return;
     }
     response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
+    if (body === CRASHING_BODY) return void response.flushHeaders();
     this._stream(Number(request.headers["last-event-id"] ?? 0), response);
   }
 
