Keep a request away from endpoints that ends those that run it

Cause: nothing of a request outlived its own try. An entry remembered what a target had done, nobody what a request had, so that each try of a request that ends whatever runs it ended as many instances as its route allows attempts, at each entry anew.

Now an entry that sees an answer break off asks whether the instance still takes connections; where it doesn't, that is a crash under the request (its caller, method, path and body). Crashes in a row, each run begun in knowledge of the one before, are joined over all entries through the agreed state and told to all with the view. Two keep the request away where it alone broke off unanswered, else three; any good end clears it. Ruled out: an entry that holds on to an instance that is gone (the 1.8 s of the record are the queue of the last head that was left).

--- a/src/containment/index.ts
+++ b/src/containment/index.ts
@@ -1,2 +1,7 @@
 /** What requests did to the endpoints that ran them, and which requests are kept away from endpoints. */
+export { CrashLedger, KEPT_CRASH_RECORDS, type ObservedCrash } from "./CrashLedger";
+export { CrashTable } from "./CrashTable";
+export { checkCrashRecord } from "./checkCrashRecord";
+export { getCrashDepth, isCrashRecordKnown, joinCrashRecords } from "./crashRecords";
 export { getRequestDigest, type RequestContent, type RequestDigest } from "./RequestDigest";
+export { createRelease, isReleaseDue, KEEP_AWAY_MS } from "./release";
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -115,6 +115,16 @@
   }
 }
 
+/** An account of a request and crashes under it that no entry of this version would give. */
+export class InvalidCrashRecord extends Data.TaggedError("InvalidCrashRecord")<{
+  readonly field: string;
+  readonly reason: string;
+}> {
+  override get message(): string {
+    return `the account of crashes can't be used: ${this.field}: ${this.reason}`;
+  }
+}
+
 /** An engine or service that refused an order or request before running it. */
 export class RefusedOrder extends Data.TaggedError("RefusedOrder")<{
   readonly instance: string;
--- /dev/null
+++ b/src/gateway/CrashWatch.ts
@@ -0,0 +1,95 @@
+/**
+ * Watches what requests do to the endpoints that run them, and says which are kept away.
+ *
+ * A request that ends whatever runs it would otherwise go from one instance to the next, at this entry and at all
+ * others, as often as its caller asks: one such request a second ended 38 heads of replicas in 20 s, and of the other
+ * requests of its model nearly none was served (a recorded day). With it two instances end under each.
+ */
+import type { CrashLedger, RequestDigest } from "../containment";
+import type { Target } from "../gen/ploverstage/v1/fleet_pb";
+import type { Logger, Metrics } from "../metrics";
+import { EndedLives } from "./EndedLives";
+
+/** An attempt whose endpoint broke off. */
+export interface BrokenAttempt {
+  readonly target: Target;
+  readonly requestId: string;
+  /** When it was sent; monotonic milliseconds. */
+  readonly startedAt: number;
+  readonly brokeAt: number;
+  /** When the first of an answer came, if any did. */
+  readonly answeredAt: number | undefined;
+}
+
+/** What a watch works with. */
+export interface CrashWatchOptions {
+  readonly ledger: CrashLedger;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Called when there is something to tell the others. */
+  readonly onNews: () => void;
+}
+
+/**
+ * A request that was answered for longer is not what ended its endpoint: those that were ended one 40 to 100 ms
+ * after their run had begun, before an event in all cases that were traced.
+ */
+const EARLY_MS = 300;
+
+/** The watch of one entry. */
+export class CrashWatch {
+  private readonly _options: CrashWatchOptions;
+  private readonly _ended = new EndedLives();
+
+  /**
+   * @param options - What is known, and whom to tell.
+   */
+  constructor(options: CrashWatchOptions) {
+    this._options = options;
+  }
+
+  /**
+   * Checks whether a request is kept away from endpoints.
+   * @param getDigest - Called only where anything is known of any request.
+   */
+  isKeptAway(getDigest: () => RequestDigest): boolean {
+    const { ledger } = this._options;
+    return !ledger.isEmpty && ledger.isKeptAway(getDigest());
+  }
+
+  /** Notes that an endpoint broke off; it counts once the endpoint is proved to have ended. */
+  async addBreak(digest: RequestDigest, attempt: BrokenAttempt): Promise<void> {
+    const { target, startedAt, brokeAt, answeredAt, requestId } = attempt;
+    if (answeredAt !== undefined && brokeAt - answeredAt > EARLY_MS) return;
+    if (!(await this._ended.hasEnded(target))) return;
+    const { ledger, logger, metrics, onNews } = this._options;
+    const wasAnswered = answeredAt !== undefined;
+    const depth = ledger.addCrash({ digest, life: target.id, startedAt, brokeAt, wasAnswered });
+    metrics.increment("gateway_crashes", 1, { answered: String(wasAnswered) });
+    logger.warn({
+      event: "instance_crashed",
+      request: requestId,
+      digest,
+      target: target.id,
+      instance: target.instanceId,
+      ran_ms: Math.round(brokeAt - startedAt),
+      answered: wasAnswered,
+      depth,
+      kept_away: ledger.isKeptAway(digest),
+    });
+    onNews();
+  }
+
+  /**
+   * Notes that a request came to a good end.
+   * @param getDigest - Called only where anything is known of any request.
+   */
+  addGoodEnd(now: number, getDigest: () => RequestDigest): void {
+    const { ledger, logger, onNews } = this._options;
+    if (ledger.isEmpty) return;
+    const digest = getDigest();
+    if (!ledger.addGoodEnd(now, digest)) return;
+    logger.info({ event: "request_cleared", digest });
+    onNews();
+  }
+}
--- /dev/null
+++ b/src/gateway/EndedLives.ts
@@ -0,0 +1,56 @@
+/**
+ * Finds out whether an instance has ended, where an answer of it broke off.
+ *
+ * Connections are reset and answers are cut for many reasons. One whose port refuses connections a moment
+ * later is gone; a silent one may be cut off, and one that takes connections is there.
+ */
+import { connect } from "node:net";
+import type { Target } from "../gen/ploverstage/v1/fleet_pb";
+import { splitAddress } from "../http";
+
+/** A connection within a region comes up or is refused in a few milliseconds. */
+const CONNECT_MS = 300;
+/** A process that crashes may close its connections before its port. */
+const TRIES = 3;
+const PAUSE_MS = 30;
+/** Lives that were asked for lately; those of one moment share the answer. */
+const KEPT_ANSWERS = 256;
+
+/** Asks the addresses of instances. */
+export class EndedLives {
+  private readonly _asked = new Map<string, Promise<boolean>>();
+
+  /** Checks whether a target's address refuses connections. */
+  hasEnded({ id, address }: Target): Promise<boolean> {
+    const known = this._asked.get(id);
+    if (known !== undefined) return known;
+    const asked = this._ask(id, address);
+    this._asked.set(id, asked);
+    if (this._asked.size > KEPT_ANSWERS) this._asked.delete(this._asked.keys().next().value!);
+    return asked;
+  }
+
+  private async _ask(id: string, address: string): Promise<boolean> {
+    for (let i = 0; i < TRIES; i++) {
+      if (await refusesConnections(address)) return true;
+      await new Promise((resolve) => setTimeout(resolve, PAUSE_MS));
+    }
+    // It is there, or cut off: what breaks off next is asked for anew.
+    this._asked.delete(id);
+    return false;
+  }
+}
+
+function refusesConnections(address: string): Promise<boolean> {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve) => {
+    const socket = connect({ host, port, timeout: CONNECT_MS });
+    const end = (isRefused: boolean) => {
+      socket.destroy();
+      resolve(isRefused);
+    };
+    socket.once("connect", () => end(false));
+    socket.once("timeout", () => end(false));
+    socket.once("error", (cause: NodeJS.ErrnoException) => end(cause.code === "ECONNREFUSED"));
+  });
+}
--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -13,8 +13,9 @@
 import { LostAnswer, UnreachableEndpoint } from "../errors";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
 import type { HttpClient } from "../http";
+import type { CrashWatch } from "./CrashWatch";
 import type { CallFacts, Dialect } from "./Dialect";
-import { createNotRun, createUnknown, type GatewayRefusal } from "./GatewayRefusal";
+import { createKeptAway, createNotRun, createUnknown, type GatewayRefusal } from "./GatewayRefusal";
 import { isSilentTooLong, mayRepeat } from "./patience";
 import { getReturnMs } from "./returnTime";
 import type { GatePass, StreamGate } from "./StreamGate";
@@ -46,6 +47,8 @@
   readonly pool: TargetPool;
   /** Holds streams back while endpoints are overloaded. */
   readonly gate: StreamGate;
+  /** Knows which requests are kept away from endpoints. */
+  readonly crashes: CrashWatch;
   /** Takes one repeat from the entries' budget, if there is one. */
   readonly takeRetry: () => boolean;
   /** Spreads refused callers. */
@@ -80,6 +83,8 @@
   readonly wasSent: boolean;
   /** When the first of its answer came, if any did; monotonic milliseconds. */
   readonly answeredAt?: number | undefined;
+  /** Whether the endpoint broke off, and not this entry. */
+  readonly wasBroken?: boolean;
 };
 
 const CONNECT_MS = 300;
@@ -174,8 +179,15 @@
     return this.request.deadlineAt - this.getNow();
   }
 
+  /** Checks whether the request is kept away from endpoints, for what it did to those that ran it. */
+  get isKeptAway(): boolean {
+    return this.tools.crashes.isKeptAway(() => this.digest);
+  }
+
   /** Chooses a target that this request has not been sent to. */
   chooseTarget(): Target | undefined {
+    // Asked before each attempt: what it does may have shown at another entry while it waited here.
+    if (this.isKeptAway) return undefined;
     const { service, call } = this.request;
     const { pool } = this.tools;
     return pool.chooseTarget(this.getNow(), { service, model: call.model, excluded: this._tried });
@@ -257,6 +269,7 @@
   endAttempt(attempt: BegunAttempt): void {
     attempt.end();
     this.tools.pool.addSuccess(attempt.target.id);
+    this.tools.crashes.addGoodEnd(this.getNow(), () => this.digest);
   }
 
   /** Makes the caller's final answer after the attempts that failed. */
@@ -266,6 +279,7 @@
       const isLate = this.getLeftMs() <= MIN_LEFT_MS;
       return createUnknown(isLate ? "time_over" : "answer_lost", last?.reason ?? "the time is over");
     }
+    if (this.isKeptAway) return createKeptAway();
     if (last === undefined) {
       const { service, call } = this.request;
       const what = call.model === "" ? service : `${service}/${call.model}`;
@@ -346,7 +360,12 @@
   }
 
   private _explain(cause: unknown, wasSent: boolean, abort: AbortController): AttemptFailure {
-    return { reason: explainFailure(cause, abort), wasNotRun: !wasSent, wasSent };
+    return {
+      reason: explainFailure(cause, abort),
+      wasNotRun: !wasSent,
+      wasSent,
+      wasBroken: wasBroken(abort),
+    };
   }
 
   private _addFailure(target: Target, failure: AttemptFailure, startedAt: number): void {
@@ -364,7 +383,24 @@
     if (this.isOver) return;
     this.tools.pool.addFailure(now, target.id);
     this.tools.onSuspicion(target, !failure.wasSent);
+    if (failure.wasBroken === true && failure.wasSent)
+      this._addBreak(target, startedAt, now, failure.answeredAt);
   }
+
+  private _addBreak(
+    target: Target,
+    startedAt: number,
+    brokeAt: number,
+    answeredAt: number | undefined,
+  ): void {
+    const { requestId } = this.request.call;
+    void this.tools.crashes.addBreak(this.digest, { target, requestId, startedAt, brokeAt, answeredAt });
+  }
+}
+
+/** Checks whether the other side ended an attempt: what this entry gives up says nothing of an instance. */
+export function wasBroken(abort: AbortController): boolean {
+  return !abort.signal.aborted;
 }
 
 /** Gets why an attempt ended: what aborted it says more than what that looked like on the connection. */
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -10,12 +10,21 @@
 import { Effect, type Scope } from "effect";
 import { getProcessorMs, SystemClock } from "../clock";
 import { SeededRandom } from "../consensus";
+import { CrashLedger } from "../containment";
 import { type DeclarationFormat, RouteTable, unpackDocument } from "../declaration";
+import type { ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
 import { HttpClient, splitAddress } from "../http";
 import type { Logger, Metrics } from "../metrics";
-import { FollowedView, orderByAffinity, SuspicionReporter, ViewWatcher } from "../registration";
+import {
+  CrashReporter,
+  FollowedView,
+  orderByAffinity,
+  SuspicionReporter,
+  ViewWatcher,
+} from "../registration";
 import { type RetryBound, SharedRetryBudget } from "../routing";
 import type { GatewaySettings, LiveSettings } from "../settings";
+import { CrashWatch } from "./CrashWatch";
 import type { Dialect } from "./Dialect";
 import { GatewayServer } from "./GatewayServer";
 import { StreamGate } from "./StreamGate";
@@ -57,6 +66,10 @@
       () => Effect.promise(() => stopGracefully(options, parts)),
     );
     yield* serveReadiness(options, parts);
+    yield* Effect.acquireRelease(
+      Effect.sync(() => parts.reporter.start()),
+      () => Effect.sync(() => parts.reporter.stop()),
+    );
     void parts.watcher.run();
     options.logger.info({
       event: "gateway_started",
@@ -77,7 +90,13 @@
   const budget = new SharedRetryBudget(() => getRetryBound(live.current));
   const getEntryCount = () => Math.max(1, view.entryCount);
   let routes: RouteTable | undefined;
-  const onChange = () => {
+  const ledger = new CrashLedger();
+  const crashes = new CrashWatch({ ledger, logger, metrics, onNews: () => reporter.sendSoon() });
+  const onChange = ({ crashRecords }: ViewUpdate) => {
+    if (crashRecords.length > 0) {
+      ledger.addAgreed(clock.getMonotonicMs(), crashRecords);
+      metrics.gauge("gateway_kept_away", ledger.countKeptAway());
+    }
     const targets = view.getTargets();
     pool.setTargets(targets);
     suspicions.retain(new Set(targets.map((target) => target.id)));
@@ -98,6 +117,7 @@
       client,
       dialect,
       pool,
+      crashes,
       gate: new StreamGate(clock, (service, model) => getFirstWindow(pool, getEntryCount(), service, model)),
       random,
       takeRetry: () => budget.takeRetry(clock.getMonotonicMs(), getEntryCount()),
@@ -131,7 +151,8 @@
     onChange,
   });
   const suspicions = new SuspicionReporter(watcher, clock, SUSPICION_PAUSE_MS);
-  return { clock, client, server, watcher, getRoutes: () => routes };
+  const reporter = new CrashReporter(ledger, watcher, logger);
+  return { clock, client, server, watcher, reporter, getRoutes: () => routes };
 }
 
 /** An entry that starts takes its share of what the endpoints run at once for its first window. */
--- a/src/gateway/GatewayRefusal.ts
+++ b/src/gateway/GatewayRefusal.ts
@@ -1,5 +1,6 @@
 /** Why the gateway itself ends a request, as the caller is told. */
 import { Data } from "effect";
+import { KEEP_AWAY_MS } from "../containment";
 
 /** Reasons, as logs and answers name them. */
 export type GatewayRefusalCode =
@@ -11,6 +12,7 @@
   | "stopping"
   | "no_target"
   | "overloaded"
+  | "kept_away"
   | "endpoint_unreachable"
   | "endpoint_refused"
   | "answer_lost"
@@ -35,6 +37,13 @@
   return new GatewayRefusal({ status: 503, code, reason, retryAfterMs });
 }
 
+/** Makes the refusal of a request that is kept away from endpoints: it did not run, and is not to for minutes. */
+export function createKeptAway(): GatewayRefusal {
+  const reason =
+    "the last endpoints that ran this request ended while they did, so that it is not run for a while";
+  return createNotRun("kept_away", reason, KEEP_AWAY_MS);
+}
+
 /** Makes the refusal of a request that may have run. */
 export function createUnknown(code: GatewayRefusalCode, reason: string): GatewayRefusal {
   const status = code === "time_over" ? 504 : 502;
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -164,6 +164,8 @@
     const exchange = new Exchange(request, this._options.tools);
     progress.exchange = exchange;
     this._options.onRequest();
+    // At once, before it waits for room: no endpoint is to run it.
+    if (exchange.isKeptAway) throw exchange.createRefusal();
     response.once("close", () => {
       if (!response.writableFinished) exchange.cancel();
     });
@@ -315,12 +317,16 @@
       sent: exchange?.sentCount ?? 0,
       failures: exchange?.failures,
       // Whether two tries that failed were the same request.
-      digest: exchange === undefined || exchange.failures.length === 0 ? undefined : exchange.digest,
+      digest: isDigestTold(exchange, code) ? exchange?.digest : undefined,
       ...details,
     });
   }
 }
 
+function isDigestTold(exchange: Exchange | undefined, code: string): boolean {
+  return exchange !== undefined && (exchange.failures.length > 0 || code === "kept_away");
+}
+
 function getOrganisation(
   routes: RouteTable,
   route: Route,
--- a/src/gateway/PlainExchange.ts
+++ b/src/gateway/PlainExchange.ts
@@ -1,6 +1,6 @@
 /** Runs a request whose answer is one body: taken in whole before any of it goes out. */
 import type { IncomingMessage } from "node:http";
-import { type AttemptFailure, type BegunAttempt, type Exchange, hasBegun } from "./Exchange";
+import { type AttemptFailure, type BegunAttempt, type Exchange, hasBegun, wasBroken } from "./Exchange";
 import { isFramed } from "./headers";
 import { getAnswerPatienceMs, mayRepeat } from "./patience";
 
@@ -88,6 +88,7 @@
         reason: `its answer broke off: ${reason}`,
         wasNotRun: false,
         wasSent: true,
+        wasBroken: wasBroken(attempt.abort),
       });
       return undefined;
     }
--- a/src/gateway/StreamExchange.ts
+++ b/src/gateway/StreamExchange.ts
@@ -8,7 +8,14 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { LostAnswer } from "../errors";
 import { EventSplitter } from "./EventSplitter";
-import { type AttemptFailure, type BegunAttempt, type Exchange, explainFailure, hasBegun } from "./Exchange";
+import {
+  type AttemptFailure,
+  type BegunAttempt,
+  type Exchange,
+  explainFailure,
+  hasBegun,
+  wasBroken,
+} from "./Exchange";
 import { endWithConnection } from "./endWithConnection";
 import { getEndToEndHeaders, isFramed } from "./headers";
 import { getAnswerPatienceMs, getGapPatienceMs, mayRepeat } from "./patience";
@@ -152,6 +159,7 @@
         wasNotRun: false,
         wasSent: true,
         answeredAt,
+        wasBroken: wasBroken(attempt.abort),
       });
       return "brokeOff";
     } finally {
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -153,6 +153,7 @@
         meter,
         getLeadership,
         relaySuspicion: (suspicion) => relay.reportSuspicion(suspicion),
+        relayCrashes: (crashes) => relay.reportCrashes(crashes),
         relayEntries: () => relay.sender.sendNow(),
       });
     });
--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -12,9 +12,15 @@
   type Target,
   TargetSchema,
 } from "../gen/ploverstage/v1/fleet_pb";
-import { InstanceLifeSchema, type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
+import {
+  type CrashRecord,
+  InstanceLifeSchema,
+  type Replica,
+  ReplicaPhase,
+} from "../gen/ploverstage/v1/state_pb";
 import { getLifeKey, type Life } from "../ids";
 import type { Logger, Metrics, WorkMeter } from "../metrics";
+import { CrashRegistry } from "./CrashRegistry";
 import { type EntryRoster, sortEntries } from "./EntryRoster";
 import { FleetView } from "./FleetView";
 import { Hearing } from "./Hearing";
@@ -71,6 +77,7 @@
   private readonly _registry: InstanceRegistry;
   private readonly _controller: ReplicaController;
   private readonly _relays = new RelayRoster();
+  private readonly _crashes: CrashRegistry;
   private readonly _pace = new PlanningPace();
   private readonly _hearing: Hearing;
   private _timer: NodeJS.Timeout | undefined;
@@ -83,6 +90,7 @@
     this._options = options;
     this.term = options.driver.node.term;
     this._hearing = new Hearing(options.clock.getMonotonicMs());
+    this._crashes = new CrashRegistry(options);
     const listener = {
       onConflict: (conflict: AddressConflict) => this._logConflict(conflict),
       onEnd: (life: Life, ground: LifeEnd) => this._logEnd(life, ground),
@@ -199,6 +207,15 @@
     this._controller.checkReplica(targetId);
   }
 
+  /** Takes over what an entry saw of requests under which instances ended; resolves once it is agreed on. */
+  async addCrashes(records: readonly CrashRecord[]): Promise<void> {
+    await this._crashes.addRecords(records);
+    const before = this.view.revision;
+    // At once, and without the rest of the view: the request comes again within a fraction of a second.
+    this._crashes.publish(this.view);
+    if (this.view.revision !== before) this._options.onChange();
+  }
+
   private _logConflict({ address, claimants }: AddressConflict): void {
     const now = this._options.clock.getMonotonicMs();
     this._options.logger.info({
@@ -246,6 +263,7 @@
 
   private async _step(): Promise<void> {
     const startedAt = this._options.clock.getMonotonicMs();
+    void this._releaseRequests(startedAt);
     if (!this._pace.isDue(startedAt, this._getPlanningInputs())) return;
     this._pace.addStart();
     this._registry.removeSilent(startedAt, this._options.getTimes().presenceMs);
@@ -266,6 +284,15 @@
     return [driver.node.commitIndex, ...revisions].join();
   }
 
+  private async _releaseRequests(now: number): Promise<void> {
+    try {
+      await this._crashes.releaseDue(now);
+    } catch (cause) {
+      // They are looked for again a moment later, here or by the next leader.
+      this._options.logger.warn({ event: "requests_not_released", reason: String(cause) });
+    }
+  }
+
   /** Gives how long planning computed, milliseconds. */
   private async _plan(): Promise<number> {
     try {
@@ -282,6 +309,7 @@
     this._updateHearing(now);
     const before = this.view.revision;
     this.view.setDeclaration(driver.machine.getDeclaration());
+    this._crashes.publish(this.view);
     this.view.setTargets(this._createTargets(now));
     // Once the view is complete, watchers hold nothing but what it told them.
     if (!this.view.isComplete) this.view.removeTargets(this._getUnusable());
--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -10,6 +10,7 @@
 import {
   type EntryEndpoint,
   FleetService,
+  type ReportCrashesRequest,
   type SuspectRequest,
   type ViewUpdate,
 } from "../gen/ploverstage/v1/fleet_pb";
@@ -49,6 +50,8 @@
 
 /** Entries keep watching a process that has lost the leader for so long: an election is shorter. */
 const WATCH_PATIENCE_MS = 3_000;
+/** An entry that told of crashes waits half a second for an answer. */
+const CRASHES_MS = 450;
 /** A target that several entries suspect is reported no more often than this. */
 const SUSPICION_PAUSE_MS = 300;
 
@@ -152,6 +155,15 @@
     this._suspicions.report(suspicion);
   }
 
+  /**
+   * Passes on what an entry saw of requests under which instances ended; resolves once it is agreed on.
+   * @throws UnreachableControl - When no leader took it in time: the entry tells it again.
+   */
+  async reportCrashes(crashes: ReportCrashesRequest): Promise<void> {
+    const relayed = { ...crashes, relayed: true };
+    await this.client.call((leader, timeoutMs) => leader.reportCrashes(relayed, { timeoutMs }), CRASHES_MS);
+  }
+
   private _isInTouch(patienceMs: number): boolean {
     const now = this._options.clock.getMonotonicMs();
     const { driver, getLeadership } = this._options;
--- a/src/registration/FleetView.ts
+++ b/src/registration/FleetView.ts
@@ -4,6 +4,7 @@
  * Each change has a revision, so that a watcher is sent only what it lacks. Pure.
  */
 import { create, equals } from "@bufbuild/protobuf";
+import { KEPT_CRASH_RECORDS } from "../containment";
 import {
   type EntryEndpoint,
   EntryListSchema,
@@ -12,7 +13,7 @@
   type ViewUpdate,
   ViewUpdateSchema,
 } from "../gen/ploverstage/v1/fleet_pb";
-import type { Declaration } from "../gen/ploverstage/v1/state_pb";
+import { type CrashRecord, CrashRecordSchema, type Declaration } from "../gen/ploverstage/v1/state_pb";
 
 /** How far a watcher was told. */
 export interface WatchPosition {
@@ -26,12 +27,18 @@
   readonly revision: number;
 }
 
+interface RevisedCrashRecord {
+  readonly record: CrashRecord;
+  readonly revision: number;
+}
+
 /** Removed targets kept, so that watchers can be told of them. */
 const KEPT_REMOVALS = 1_000;
 
 /** A revisioned view. */
 export class FleetView {
   private readonly _targets = new Map<string, RevisedTarget>();
+  private readonly _crashRecords = new Map<string, RevisedCrashRecord>();
   private _entries: readonly EntryEndpoint[] = [];
   private _controlAddresses: readonly string[] = [];
   private _declaration: Declaration | undefined;
@@ -120,6 +127,20 @@
     this._advance();
   }
 
+  /** Adds what changed of the accounts of crashes; the oldest ones go, beyond those that are agreed on. */
+  addCrashRecords(records: readonly CrashRecord[]): void {
+    for (const record of records) {
+      const known = this._crashRecords.get(record.digest)?.record;
+      if (known !== undefined && equals(CrashRecordSchema, known, record)) continue;
+      this._crashRecords.delete(record.digest);
+      this._crashRecords.set(record.digest, { record, revision: this._advance() });
+    }
+    for (const digest of this._crashRecords.keys()) {
+      if (this._crashRecords.size <= KEPT_CRASH_RECORDS) return;
+      this._crashRecords.delete(digest);
+    }
+  }
+
   /** Gets the number of the newest change of anything but the entries. */
   get revisionBesideEntries(): number {
     return this._revisionBesideEntries;
@@ -153,6 +174,7 @@
         hasNewEntries && !isEntry ? create(EntryListSchema, { entries: [...this._entries] }) : undefined,
       entryCount: hasNewEntries && isEntry ? this._entries.length : 0,
       controlAddresses: this._controlRevision > since ? [...this._controlAddresses] : [],
+      crashRecords: this._getCrashRecordsSince(since),
     });
   }
 
@@ -168,6 +190,13 @@
     return this._revision;
   }
 
+  private _getCrashRecordsSince(revision: number): CrashRecord[] {
+    // The table is mostly empty, and this is asked for each watcher and change.
+    if (this._crashRecords.size === 0) return [];
+    const changed = [...this._crashRecords.values()].filter((item) => item.revision > revision);
+    return changed.map(({ record }) => record);
+  }
+
   private _forgetRemovals(): void {
     if (this._targets.size <= KEPT_REMOVALS) return;
     for (const [id, { target }] of this._targets) {
--- a/src/registration/FollowedView.ts
+++ b/src/registration/FollowedView.ts
@@ -4,8 +4,9 @@
  * Updates of an older term are dropped, and so is a declaration below the one held:
  * what a watcher acts on never goes back. Pure.
  */
+import { CrashTable, KEPT_CRASH_RECORDS } from "../containment";
 import type { EntryEndpoint, Target, ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
-import type { Declaration } from "../gen/ploverstage/v1/state_pb";
+import type { CrashRecord, Declaration } from "../gen/ploverstage/v1/state_pb";
 
 /** Term of a view that no leader has confirmed in this process's life: every leader's is higher. */
 export const RECOVERED_TERM = 0;
@@ -17,6 +18,7 @@
   private _entryCount = 0;
   private _controlAddresses: readonly string[] = [];
   private _declaration: Declaration | undefined;
+  private readonly _crashes = new CrashTable(KEPT_CRASH_RECORDS);
   private _term = RECOVERED_TERM;
 
   /** Gets the term of the leader that was heard last. */
@@ -49,6 +51,11 @@
     return this._controlAddresses;
   }
 
+  /** Gets what is known of requests under which instances ended. */
+  getCrashRecords(): CrashRecord[] {
+    return this._crashes.getRecords();
+  }
+
   /**
    * Takes an update over.
    * @returns Whether it came from the newest leader heard of.
@@ -68,6 +75,7 @@
       this._entryCount = update.entries?.entries.length ?? update.entryCount;
     }
     if (update.controlAddresses.length > 0) this._controlAddresses = update.controlAddresses;
+    for (const record of update.crashRecords) this._crashes.addRecord(record);
     return true;
   }
 }
--- a/src/registration/RelayedView.ts
+++ b/src/registration/RelayedView.ts
@@ -18,7 +18,7 @@
    */
   constructor(followed: FollowedView) {
     this._followed = followed;
-    this._source = { term: followed.term, view: new FleetView() };
+    this._source = this._createSource();
     this._copyFollowed();
   }
 
@@ -30,13 +30,21 @@
   /** Passes on an update that the followed view has taken over. */
   addUpdate(update: ViewUpdate): void {
     const { term } = this._followed;
-    if (term !== this._source.term) this._source = { term, view: new FleetView() };
+    if (term !== this._source.term) this._source = this._createSource();
     this._copyFollowed();
     const { view } = this._source;
+    view.addCrashRecords(update.crashRecords);
     view.removeTargets(update.removedTargetIds);
     if (update.complete) view.setComplete();
   }
 
+  /** What a request did outlasts each term: no watcher is shown less of it than another one was. */
+  private _createSource(): ViewSource {
+    const view = new FleetView();
+    view.addCrashRecords(this._followed.getCrashRecords());
+    return { term: this._followed.term, view };
+  }
+
   private _copyFollowed(): void {
     const { view } = this._source;
     view.setTargets(this._followed.getTargets());
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -3,11 +3,12 @@
  * the call breaks.
  */
 import type { MessageInitShape } from "@bufbuild/protobuf";
-import { type Client, ConnectError, createClient } from "@connectrpc/connect";
+import { type Client, Code, ConnectError, createClient } from "@connectrpc/connect";
 import type { Clock } from "../clock";
 import {
   type EntryEndpoint,
   FleetService,
+  type ReportCrashesRequestSchema,
   type SuspectRequestSchema,
   type ViewUpdate,
 } from "../gen/ploverstage/v1/fleet_pb";
@@ -83,6 +84,11 @@
     return now - this._heardAt;
   }
 
+  /** Gets whether a control process is followed now. */
+  get isConnected(): boolean {
+    return this._isConnected;
+  }
+
   /** Gets the control process that is followed, or asked; "" before the first one. */
   get currentAddress(): string {
     return this._current;
@@ -118,6 +124,15 @@
       .catch(() => {});
   }
 
+  /**
+   * Tells control of requests under which instances ended.
+   * @throws ConnectError - When that may be lost.
+   */
+  async reportCrashes(crashes: MessageInitShape<typeof ReportCrashesRequestSchema>): Promise<void> {
+    if (!this._isConnected) throw new ConnectError("no control process is followed", Code.Unavailable);
+    await this._getClient(this._current).reportCrashes(crashes, { timeoutMs: SUSPICION_MS });
+  }
+
   /** Tells control that this entry stops; callers are sent elsewhere from then on. */
   async announceStop(): Promise<void> {
     const { watcherId, entry } = this._options;
--- a/src/registration/fleetRoutes.ts
+++ b/src/registration/fleetRoutes.ts
@@ -2,7 +2,12 @@
 import type { ConnectRouter } from "@connectrpc/connect";
 import type { Clock } from "../clock";
 import type { ConsensusDriver } from "../consensus";
-import { FleetService, type SuspectRequest, type WatchRequest } from "../gen/ploverstage/v1/fleet_pb";
+import {
+  FleetService,
+  type ReportCrashesRequest,
+  type SuspectRequest,
+  type WatchRequest,
+} from "../gen/ploverstage/v1/fleet_pb";
 import type { LeaderGuard } from "../membership";
 import type { WorkMeter } from "../metrics";
 import { createLeaderRefusal } from "../rpc";
@@ -23,6 +28,8 @@
   readonly getLeadership: () => FleetLeadership | undefined;
   /** Passes on to the leader what an entry saw. */
   readonly relaySuspicion: (suspicion: SuspectRequest) => void;
+  /** Passes on to the leader what an entry saw of requests under which instances ended. */
+  readonly relayCrashes: (crashes: ReportCrashesRequest) => Promise<void>;
   /** Resolves once the leader was told which entries watch this process. */
   readonly relayEntries: () => Promise<void>;
 }
@@ -76,6 +83,11 @@
       else leadership.addSuspicion(request);
       return {};
     },
+    async reportCrashes(request) {
+      if (getLeadership() === undefined && !request.relayed) await options.relayCrashes(request);
+      else await guard.propose((leadership) => leadership.addCrashes(request.records));
+      return {};
+    },
   });
 }
 
--- a/src/registration/index.ts
+++ b/src/registration/index.ts
@@ -1,5 +1,6 @@
 /** Control of instances that register themselves, and the view of them that entries follow. */
 export { orderByAffinity } from "./affinity";
+export { CrashReporter } from "./CrashReporter";
 export { type FleetControlOptions, startFleetControl } from "./FleetControlProcess";
 export { FollowedView } from "./FollowedView";
 export type * from "./InstanceOrders";
--- a/src/state/Result.ts
+++ b/src/state/Result.ts
@@ -52,6 +52,11 @@
   readonly kind: "recordedDepartures";
 }
 
+/** What entries told of crashes is on record. */
+export interface RecordedCrashes {
+  readonly kind: "recordedCrashes";
+}
+
 /** Any result of a command. */
 export type Result =
   | AcceptedConfiguration
@@ -62,4 +67,5 @@
   | ExistingClaim
   | SettledClaim
   | HeldDeclaration
-  | RecordedDepartures;
+  | RecordedDepartures
+  | RecordedCrashes;
--- a/src/state/StateMachine.ts
+++ b/src/state/StateMachine.ts
@@ -6,6 +6,7 @@
  */
 import { clone, create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { getConfigurationDigest } from "../configuration/ConfigurationPatch";
+import { CrashTable, KEPT_CRASH_RECORDS } from "../containment";
 import type { LogEntry } from "../gen/ploverstage/v1/consensus_pb";
 import {
   type ClaimRequest,
@@ -13,6 +14,7 @@
   CommandSchema,
   type ConfigurationVersion,
   ConfigurationVersionSchema,
+  type CrashRecord,
   type Declaration,
   DeclarationSchema,
   type Departure,
@@ -20,6 +22,7 @@
   type FormReplica,
   type MoveReplica,
   type PutDeclaration,
+  type RecordCrashes,
   type RecordDepartures,
   type Replica,
   ReplicaPhase,
@@ -48,6 +51,8 @@
   private readonly _state: State;
   private readonly _claimOrder: ClaimOrder;
   private readonly _departed: Map<LifeKey, Departure>;
+  private readonly _crashes = new CrashTable(KEPT_CRASH_RECORDS);
+  private _crashIndex = 0;
 
   /**
    * @param snapshot - An encoded state to start from.
@@ -57,6 +62,10 @@
       snapshot === undefined ? create(StateSchema, { nextEpoch: 1 }) : fromBinary(StateSchema, snapshot);
     this._claimOrder = new ClaimOrder(Object.values(this._state.claims));
     this._departed = new Map(this._state.departures.map((departure) => [getLifeKey(departure), departure]));
+    for (const record of this._state.crashRecords) {
+      this._crashes.addRecord(record);
+      this._crashIndex = Math.max(this._crashIndex, record.changedAtIndex);
+    }
   }
 
   /** Gets the index of the newest entry applied. */
@@ -133,8 +142,29 @@
     return [...this._departed.values()];
   }
 
+  /** Gets the log index of the newest change to what is recorded of crashes. */
+  get crashIndex(): number {
+    return this._crashIndex;
+  }
+
+  /** Gets what is recorded of requests under which instances ended. */
+  getCrashRecords(): CrashRecord[] {
+    return this._crashes.getRecords();
+  }
+
+  /** Gets what is recorded of a request under which instances ended. */
+  getCrashRecord(digest: string): CrashRecord | undefined {
+    return this._crashes.getRecord(digest);
+  }
+
+  /** Checks whether a request is kept away from endpoints, for what it did to those that ran it. */
+  isKeptAway(digest: string): boolean {
+    return this._crashes.isKeptAway(digest);
+  }
+
   /** Encodes the state for a snapshot. */
   encode(): Uint8Array {
+    this._state.crashRecords = this._crashes.getRecords();
     return toBinary(StateSchema, this._state);
   }
 
@@ -161,6 +191,8 @@
         return this._putDeclaration(command.value);
       case "recordDepartures":
         return this._recordDepartures(entry.index, command.value);
+      case "recordCrashes":
+        return this._recordCrashes(entry.index, command.value);
       default:
         return undefined;
     }
@@ -333,6 +365,19 @@
     return { kind: "recordedDepartures" };
   }
 
+  private _recordCrashes(index: number, { records, atMs }: RecordCrashes): Result {
+    const crashedAtMs = this._advanceClock(atMs);
+    for (const record of records) {
+      const joined = this._crashes.addRecord(record);
+      if (joined === undefined) continue;
+      // The account is the table's own.
+      joined.changedAtIndex = index;
+      joined.crashedAtMs = crashedAtMs;
+      this._crashIndex = index;
+    }
+    return { kind: "recordedCrashes" };
+  }
+
   private _advanceClock(atMs: number): number {
     this._state.clockMs = Math.max(this._state.clockMs, atMs);
     return this._state.clockMs;
--- /dev/null
+++ b/test/containment/CrashLedger.test.ts
@@ -0,0 +1,124 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { CrashLedger, CrashTable, KEPT_CRASH_RECORDS, type RequestDigest } from "../../src/containment";
+
+const GUILTY = "guilty" as RequestDigest;
+const POPULAR = "popular" as RequestDigest;
+
+/** Entries and what they have agreed on, as the agreed state joins it. */
+class Fleet {
+  readonly agreed = new CrashTable(KEPT_CRASH_RECORDS);
+  readonly entries: readonly CrashLedger[];
+  private _now = 0;
+
+  constructor(count: number) {
+    this.entries = Array.from({ length: count }, () => new CrashLedger());
+  }
+
+  get now(): number {
+    return this._now;
+  }
+
+  /** A run that ends its instance 50 ms later. */
+  crash(entry: number, digest: RequestDigest, life: string): number {
+    const startedAt = this._now;
+    this._now += 50;
+    const crash = { digest, life, startedAt, brokeAt: this._now, wasAnswered: false };
+    return this.entries[entry]!.addCrash(crash);
+  }
+
+  goodEnd(entry: number, digest: RequestDigest): void {
+    this.entries[entry]!.addGoodEnd(this._now, digest);
+  }
+
+  /** What an entry has to tell is agreed on, and all are told. */
+  tell(entry: number): void {
+    for (const record of this.entries[entry]!.takePending()) this.agreed.addRecord(record);
+    for (const ledger of this.entries) ledger.addAgreed(this._now, this.agreed.getRecords());
+  }
+}
+
+describe("CrashLedger", () => {
+  it("counts crashes in a row over all entries once they are told", () => {
+    const fleet = new Fleet(2);
+    expect(fleet.crash(0, GUILTY, "a")).toBe(1);
+    fleet.tell(0);
+    expect(fleet.crash(1, GUILTY, "b")).toBe(2);
+    expect(fleet.entries[1]!.isKeptAway(GUILTY)).toBe(true);
+    expect(fleet.entries[0]!.isKeptAway(GUILTY)).toBe(false);
+    fleet.tell(1);
+    expect(fleet.entries[0]!.isKeptAway(GUILTY)).toBe(true);
+    expect(fleet.entries.map((ledger) => ledger.hasPending)).toEqual([false, false]);
+  });
+
+  it("counts runs that had begun before anything was known as one, however many instances ended", () => {
+    const ledger = new CrashLedger();
+    for (let i = 0; i < 30; i++) {
+      const crash = { digest: POPULAR, life: `rack-${i}`, startedAt: 0, brokeAt: 100, wasAnswered: false };
+      expect(ledger.addCrash(crash)).toBe(1);
+    }
+    expect(ledger.isKeptAway(POPULAR)).toBe(false);
+  });
+
+  it("begins anew after a good end, at whichever entry that was", () => {
+    const fleet = new Fleet(3);
+    for (let i = 0; i < 11; i++) {
+      fleet.crash(i % 3, POPULAR, `life-${i}`);
+      fleet.tell(i % 3);
+      fleet.goodEnd((i + 1) % 3, POPULAR);
+      fleet.tell((i + 1) % 3);
+    }
+    expect(fleet.entries.some((ledger) => ledger.isKeptAway(POPULAR))).toBe(false);
+  });
+
+  it("comes to the same at all entries, in whatever order and however often they tell", () => {
+    const step = fc.record({
+      entry: fc.integer({ min: 0, max: 3 }),
+      kind: fc.constantFrom("crash", "goodEnd", "tell"),
+      digest: fc.constantFrom(GUILTY, POPULAR),
+      life: fc.constantFrom("a", "b", "c", "d", "e"),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 40 }), (steps) => {
+        const fleet = new Fleet(4);
+        for (const { entry, kind, digest, life } of steps) {
+          if (kind === "crash") fleet.crash(entry, digest, life);
+          else if (kind === "goodEnd") fleet.goodEnd(entry, digest);
+          else fleet.tell(entry);
+        }
+        for (const entry of [0, 1, 2, 3, 0, 1, 2, 3]) fleet.tell(entry);
+        for (const digest of [GUILTY, POPULAR]) {
+          const verdicts = fleet.entries.map((ledger) => ledger.isKeptAway(digest));
+          expect(new Set([...verdicts, fleet.agreed.isKeptAway(digest)]).size).toBe(1);
+        }
+        expect(fleet.entries.map((ledger) => ledger.hasPending)).toEqual([false, false, false, false]);
+      }),
+    );
+  });
+
+  it("lets what ends every instance end three of them at most once each is told of", () => {
+    fc.assert(
+      fc.property(fc.array(fc.integer({ min: 0, max: 8 }), { minLength: 4, maxLength: 30 }), (tries) => {
+        const fleet = new Fleet(9);
+        let crashes = 0;
+        for (const entry of tries) {
+          if (fleet.entries[entry]!.isKeptAway(GUILTY)) continue;
+          fleet.crash(entry, GUILTY, `life-${crashes++}`);
+          // Another request broke off at the same instance, and never came again.
+          const life = `life-${crashes - 1}`;
+          const beside = { life, startedAt: fleet.now - 10, brokeAt: fleet.now, wasAnswered: false };
+          fleet.entries[entry]!.addCrash({ ...beside, digest: `beside-${crashes}` as RequestDigest });
+          fleet.tell(entry);
+        }
+        expect(crashes).toBeLessThanOrEqual(3);
+      }),
+    );
+  });
+
+  it("tells no more of what the agreed state has no room for", () => {
+    const fleet = new Fleet(1);
+    fleet.crash(0, GUILTY, "a");
+    for (let i = 0; i < 100; i++) fleet.entries[0]!.takePending();
+    expect(fleet.entries[0]!.hasPending).toBe(false);
+  });
+});
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -5,9 +5,11 @@
 import { pino } from "pino";
 import { SystemClock } from "../../src/clock";
 import { SeededRandom } from "../../src/consensus";
+import { CrashLedger } from "../../src/containment";
 import { type Declaration, type Route, RouteTable } from "../../src/declaration";
 import type { AttemptFacts, CallFacts, Dialect } from "../../src/gateway";
 import { dropHeaders } from "../../src/gateway";
+import { CrashWatch } from "../../src/gateway/CrashWatch";
 import { GatewayServer } from "../../src/gateway/GatewayServer";
 import { StreamGate } from "../../src/gateway/StreamGate";
 import { TargetPool } from "../../src/gateway/TargetPool";
@@ -22,6 +24,8 @@
   readonly headers: IncomingMessage["headers"];
   readonly rawHeaders: readonly string[];
   readonly body: string;
+  /** Number of the endpoint. */
+  readonly index: number;
 }
 
 /** Answers a request at an endpoint. */
@@ -99,11 +103,20 @@
   readonly logLines: string[] = [];
   /** What the gateway counted. */
   readonly metrics = new TextMetrics({ role: "entry", name: "test" });
+  /** What the gateway knows of requests under which endpoints ended. */
+  readonly ledger = new CrashLedger();
+  /** Watches what requests do to endpoints. */
+  readonly crashes: CrashWatch;
   private readonly _servers: Server[] = [];
   private readonly _client = new HttpClient();
   private _gateway!: GatewayServer;
   private _port = 0;
 
+  private constructor() {
+    const logger = pino(LOG_OPTIONS, { write: (line: string) => this.logLines.push(line) });
+    this.crashes = new CrashWatch({ ledger: this.ledger, logger, metrics: this.metrics, onNews: () => {} });
+  }
+
   /** Starts endpoints, one for each script, and the gateway before them. */
   static async start(scripts: readonly Script[], route: Partial<Route> = {}): Promise<GatewayHarness> {
     const harness = new GatewayHarness();
@@ -125,6 +138,13 @@
     this._gateway.stop();
   }
 
+  /** Ends an endpoint as a crash does: its connections are reset, its port refuses new ones. */
+  endEndpoint(index: number): void {
+    const server = this._servers[index]!;
+    server.close();
+    server.closeAllConnections();
+  }
+
   /** Calls through the gateway on a connection of its own. */
   call(
     options: { method?: string; path?: string; headers?: object; body?: string } = {},
@@ -158,7 +178,7 @@
       let body = "";
       for await (const chunk of incoming as AsyncIterable<Buffer>) body += chunk.toString();
       const { method, url, headers, rawHeaders } = incoming;
-      const seen = { method: method!, path: url!, headers, rawHeaders, body };
+      const seen = { method: method!, path: url!, headers, rawHeaders, body, index };
       this.seen.push(seen);
       script(seen, response);
     });
@@ -206,6 +226,7 @@
         client: this._client,
         dialect: new TestDialect(),
         pool,
+        crashes: this.crashes,
         gate: new StreamGate(clock, () => 32),
         random,
         takeRetry: () => true,
--- a/test/gateway/GatewayServer.test.ts
+++ b/test/gateway/GatewayServer.test.ts
@@ -1,5 +1,7 @@
 import { connect } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
+import type { CrashRecord } from "../../src/gen/ploverstage/v1/state_pb";
+import { waitUntil } from "../support/waitUntil";
 import { answer, GatewayHarness, type Script, streamEvents, streamThenStall } from "./GatewayHarness";
 
 const notRun: Script = (_seen, response) => {
@@ -10,6 +12,8 @@
   response.destroy();
 };
 
+const isCleared = ({ generation, crashes }: CrashRecord): boolean => generation === 1 && crashes.length === 0;
+
 describe("GatewayServer", () => {
   let harness: GatewayHarness;
   afterEach(() => harness.stop());
@@ -35,6 +39,43 @@
     expect(harness.seen.map((seen) => seen.headers["x-in-time"])).toEqual(["true", "true", "false", "true"]);
   });
 
+  describe("requests under which endpoints ended", () => {
+    /** Ends the endpoint, a moment after it has taken the request. */
+    const crash: Script = (seen, response) => {
+      response.socket?.destroy();
+      harness.endEndpoint(seen.index);
+    };
+
+    it("are refused at once after two of them, with when to come back", async () => {
+      const work: Script = (seen, response) =>
+        seen.body === "guilty" ? crash(seen, response) : answer(200, "ok")(seen, response);
+      harness = await GatewayHarness.start([work, work, work]);
+      expect((await harness.call({ body: "guilty" })).status).toBe(502);
+      await waitUntil("it is kept away", () => harness.ledger.countKeptAway() === 1);
+      const refused = await harness.call({ body: "guilty" });
+      expect(refused).toMatchObject({ status: 503, isWhole: true });
+      expect(refused.headers["retry-after"]).toBe("600");
+      expect(JSON.parse(refused.body)).toMatchObject({ error: { code: "kept_away" } });
+      expect((await harness.call({ body: "another" })).status).toBe(200);
+      expect(harness.seen.length).toBe(3);
+    });
+
+    it("go on where one ended, and nothing is held against them once they are served", async () => {
+      harness = await GatewayHarness.start([crash, answer(200, "ok")]);
+      expect((await harness.call()).status).toBe(200);
+      await waitUntil("it is cleared", () => harness.ledger.takePending().some(isCleared));
+      expect((await harness.call()).status).toBe(200);
+      expect(harness.ledger.countKeptAway()).toBe(0);
+    });
+
+    it("are not found where endpoints only reset connections", async () => {
+      harness = await GatewayHarness.start([reset, reset]);
+      for (let i = 0; i < 4; i++) expect((await harness.call()).status).toBe(502);
+      expect(harness.seen.length).toBe(8);
+      expect(harness.ledger.isEmpty).toBe(true);
+    });
+  });
+
   describe("passing through", () => {
     it("leaves method, path, query, body and end-to-end headers as they are", async () => {
       harness = await GatewayHarness.start([answer(201, "made", { "x-own": "v" })]);
--- /dev/null
+++ b/test/registration/CrashRegistry.test.ts
@@ -0,0 +1,113 @@
+import { create } from "@bufbuild/protobuf";
+import { beforeEach, describe, expect, it } from "vitest";
+import type { ConsensusDriver } from "../../src/consensus";
+import { KEEP_AWAY_MS } from "../../src/containment";
+import { LogEntrySchema } from "../../src/gen/ploverstage/v1/consensus_pb";
+import { type Command, type CrashRecord, CrashRecordSchema } from "../../src/gen/ploverstage/v1/state_pb";
+import { CrashRegistry } from "../../src/registration/CrashRegistry";
+import { FleetView } from "../../src/registration/FleetView";
+import { FollowedView } from "../../src/registration/FollowedView";
+import { RelayedView } from "../../src/registration/RelayedView";
+import { StateMachine } from "../../src/state";
+import { createCommand } from "../support/createCommand";
+
+const DIGEST = "abcdefghijklmnopqrstuv";
+const OTHER = "ABCDEFGHIJKLMNOPQRSTUV";
+const START_MS = 1_700_000_000_000;
+
+function createRecord(digest: string, depth: number, generation = 0): CrashRecord {
+  const crashes = Array.from({ length: depth }, (_, i) => ({ life: `${digest}-${i}`, depth: i + 1 }));
+  return create(CrashRecordSchema, { digest, generation, crashes });
+}
+
+describe("CrashRegistry", () => {
+  let machine: StateMachine;
+  let index: number;
+  let now: number;
+  let refused: string[];
+  let registry: CrashRegistry;
+
+  beforeEach(() => {
+    machine = new StateMachine();
+    index = 0;
+    now = 0;
+    refused = [];
+    const propose = (body: Command["body"]) => {
+      index += 1;
+      const value = createCommand(body);
+      machine.apply(create(LogEntrySchema, { index, term: 1, body: { case: "command", value } }));
+      return Promise.resolve();
+    };
+    const driver = { machine, propose } as unknown as ConsensusDriver;
+    const clock = { getMonotonicMs: () => now, getWallMs: () => START_MS + now };
+    const logger = { info: () => {}, warn: ({ field }: { field: string }) => refused.push(field) } as never;
+    registry = new CrashRegistry({ driver, clock, logger });
+  });
+
+  it("has each account agreed on once, and shows it to watchers of whichever process and term", async () => {
+    await registry.addRecords([createRecord(DIGEST, 2)]);
+    await registry.addRecords([createRecord(DIGEST, 1)]);
+    expect(index).toBe(1);
+    expect(machine.isKeptAway(DIGEST)).toBe(true);
+
+    const view = new FleetView();
+    registry.publish(view);
+    const followed = new FollowedView();
+    const relayed = new RelayedView(followed);
+    const update = view.createUpdate(4, undefined, 0);
+    followed.apply(update);
+    relayed.addUpdate(update);
+    const next = new FleetView().createUpdate(5, undefined, 0);
+    followed.apply(next);
+    relayed.addUpdate(next);
+    const entry = relayed.source.view.createUpdate(5, undefined, 0, true);
+    expect(entry.crashRecords).toEqual(machine.getCrashRecords());
+    expect(relayed.source.view.createUpdate(5, relayed.source.view.getPosition(), 0).crashRecords).toEqual(
+      [],
+    );
+  });
+
+  it("outlasts a snapshot", async () => {
+    await registry.addRecords([createRecord(DIGEST, 3), createRecord(OTHER, 1)]);
+    const restored = new StateMachine(machine.encode());
+    expect(restored.getCrashRecords()).toEqual(machine.getCrashRecords());
+    expect(restored.crashIndex).toBe(machine.crashIndex);
+    expect([restored.isKeptAway(DIGEST), restored.isKeptAway(OTHER)]).toEqual([true, false]);
+  });
+
+  it("leaves out an account that no entry would give, and no other with it", async () => {
+    const odd = [
+      createRecord("", 1),
+      createRecord(`${DIGEST}x`, 1),
+      createRecord(DIGEST, 1, Number.NaN),
+      createRecord(DIGEST, 1, -1),
+      createRecord(DIGEST, 1, 0.5),
+      createRecord(DIGEST, 100),
+      create(CrashRecordSchema, { digest: DIGEST, crashes: [{ life: "", depth: 1 }] }),
+      create(CrashRecordSchema, { digest: DIGEST, crashes: [{ life: "a", depth: 0 }] }),
+      create(CrashRecordSchema, { digest: DIGEST, releases: 1_000 }),
+    ];
+    await registry.addRecords([...odd, createRecord(OTHER, 2)]);
+    expect(refused.length).toBe(odd.length);
+    expect(machine.getCrashRecords().map(({ digest }) => digest)).toEqual([OTHER]);
+  });
+
+  it("lets a request run again after a time, each time later, and takes one crash for enough then", async () => {
+    await registry.addRecords([createRecord(DIGEST, 2), createRecord(OTHER, 1)]);
+    const spans: number[] = [];
+    for (let i = 0; i < 3; i++) {
+      const since = now;
+      while (machine.isKeptAway(DIGEST)) {
+        now += 60_000;
+        await registry.releaseDue(now);
+      }
+      spans.push(now - since);
+      const { generation, releases } = machine.getCrashRecord(DIGEST)!;
+      const crash = { digest: DIGEST, generation, releases, crashes: [{ life: `again-${i}`, depth: 1 }] };
+      await registry.addRecords([create(CrashRecordSchema, crash)]);
+      expect(machine.isKeptAway(DIGEST)).toBe(true);
+    }
+    expect(spans).toEqual([KEEP_AWAY_MS, 6 * KEEP_AWAY_MS, 36 * KEEP_AWAY_MS]);
+    expect(machine.getCrashRecord(OTHER)).toMatchObject({ crashes: [], releases: 0 });
+  });
+});
--- a/test/registration/FleetLeadership.test.ts
+++ b/test/registration/FleetLeadership.test.ts
@@ -96,6 +96,8 @@
       getReplica: (id: string) => REPLICAS.find((replica) => replica.id === id),
       getReplicasChangedSince: () => REPLICAS,
       getDeclaration: () => undefined,
+      crashIndex: 0,
+      getCrashRecords: () => [],
       getDepartures: () => departures.map((id) => createLife(id)),
       hasDeparted: () => false,
     };
