Soak: a request that crashes the workers that run it, beside kills of entries and control processes

Checked: six workers at most end under it in a whole soak (three are proof, three more sends are allowed where entries can't know yet), and no ordinary request is taken for one, though all of them have one caller, path and body.

--- a/test/soak/Soak.ts
+++ b/test/soak/Soak.ts
@@ -3,15 +3,16 @@
  * and the promises checked from what callers and workers see.
  *
  * Covered: processes killed, frozen and stopped as planned, workers that crash, leave and start again
- * under their ids, their hosts' clocks set back meanwhile, reports of another writer, connections to
- * workers that are delayed, reset, cut one way or silenced beside all that, and configurations meanwhile.
+ * under their ids, their hosts' clocks set back meanwhile, reports of another writer, a request that
+ * crashes the workers that run it, connections to workers that are delayed, reset, cut one way or
+ * silenced beside all that, and configurations meanwhile.
  * Not covered yet: links between the system's own processes, and storage that misbehaves.
  */
 import { SeededRandom } from "../../src/consensus";
 import { createConfig, MODEL, STREAM } from "../platform/createConfig";
 import { sendOddReports } from "../platform/oddReports";
 import { PlatformCluster, type WorkerInit } from "../platform/PlatformCluster";
-import type { WorkerStandin } from "../platform/WorkerStandin";
+import { CRASHING_BODY, type WorkerStandin } from "../platform/WorkerStandin";
 import type { Relay } from "../support/Relay";
 import { waitUntil } from "../support/waitUntil";
 import { SoakLedger } from "./SoakLedger";
@@ -33,12 +34,16 @@
 const PAUSE_SPAN_MS = 1_200;
 const MAX_AWAY_MS = 1_500;
 const MAX_DELAY_MS = 300;
+const CRASHING_TRIES = 2;
+const MAX_CRASHES = 6;
 const CALLER_PAUSE_MS = 10;
 /** How far a host's clock is set back between two starts of its worker. */
 const CLOCK_STEP_MS = 3_600_000;
 const REPLICA_SIZE = 2;
 /** All replicas are formed again within this time once every fault is over, milliseconds. */
 const REPAIR_MS = 15_000;
+/** How a refusal names a request that did. */
+const KEPT_AWAY = "kept_away";
 /** Workers have run for long: the count of a next life is far behind. */
 const REPORT_COUNT = 500;
 
@@ -57,13 +62,15 @@
   "silenceLink",
   "cutLinkOneWay",
 ] as const;
-/** All faults. */
-export const ALL_FAULTS = [
+/** With lives that begin under an earlier one's id, and reports of another writer. */
+export const LIFE_FAULTS = [
   ...FIRST_FAULTS,
   "restartWorker",
   "restartWithOlderClock",
   "sendOddReports",
 ] as const;
+/** All faults. */
+export const ALL_FAULTS = [...LIFE_FAULTS, "sendCrashingRequest"] as const;
 /** The name of a fault. */
 export type FaultName = (typeof ALL_FAULTS)[number];
 
@@ -106,6 +113,7 @@
       areWorkersRelayed: true,
       firstReportCount: REPORT_COUNT,
       hidesStarts: this._options.hidesStarts,
+      returnMs: MAX_AWAY_MS,
     });
     try {
       await waitUntil("the first configuration is taken", () => this._putConfig(FIRST_VERSION, 0));
@@ -117,6 +125,7 @@
       await Promise.all(callers);
       await Promise.all(this._healing);
       await this._waitForService();
+      await this._checkCrashes();
       await this._checkReplicas();
       await this._readBack();
       return this._createResult();
@@ -144,6 +153,7 @@
       restartWorker: () => this._restartWorker({}),
       restartWithOlderClock: () => this._restartWorker({ born: Date.now() - CLOCK_STEP_MS }),
       sendOddReports: () => this._sendOddReports(),
+      sendCrashingRequest: () => this._sendCrashingRequest(),
     };
     const name = this._options.faults[this._draw(this._options.faults.length)]!;
     this._faults.set(name, (this._faults.get(name) ?? 0) + 1);
@@ -205,6 +215,23 @@
     if (statuses.includes(200)) this._ledger.addViolation("an odd report was taken");
   }
 
+  /** As its caller does: again at once after a failure. */
+  private async _sendCrashingRequest(): Promise<void> {
+    for (let i = 0; i < CRASHING_TRIES; i++) {
+      const call = this._cluster.call("/llm/draft", MODEL, { body: CRASHING_BODY });
+      const answer = await call.catch(() => undefined);
+      if (answer?.status === 503) return;
+    }
+  }
+
+  /** Three crashes are proof, and as many sends are allowed to entries that can't know of them yet. */
+  private async _checkCrashes(): Promise<void> {
+    if (this._cluster.crashes.length === 0) return;
+    await this._sendCrashingRequest();
+    const { length } = this._cluster.crashes;
+    if (length > MAX_CRASHES) this._ledger.addViolation(`one request crashed ${length} workers`);
+  }
+
   private _drawRunning(idStart: string): WorkerStandin {
     const running = this._cluster.workers.filter(({ id, isRunning }) => isRunning && id.startsWith(idStart));
     return running[this._draw(running.length)]!;
@@ -259,6 +286,8 @@
     const answer = await call.catch(() => undefined);
     const { status, body = "" } = answer ?? {};
     this._ledger.addCall({ id, kind, status, body, expectedBody });
+    // All of them have one caller, path and body, and most of them are served.
+    if (body.includes(KEPT_AWAY)) this._ledger.addViolation(`${id}: taken for one that crashes workers`);
     return status;
   }
 
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { ALL_FAULTS, FIRST_FAULTS, Soak } from "./Soak";
+import { FIRST_FAULTS, LIFE_FAULTS, Soak } from "./Soak";
 
 /** Seeds that failed once, each with a line on its cause; rerun with every change. */
 const REGRESSION_SEEDS: readonly number[] = [
@@ -21,7 +21,14 @@
   });
 
   it("breaks no promise with workers that start again under their ids, and odd reports", async () => {
-    const result = await new Soak(CI_SEED, { faults: ALL_FAULTS }).run(CI_DURATION_MS);
+    const result = await new Soak(CI_SEED, { faults: LIFE_FAULTS }).run(CI_DURATION_MS);
+    expect(result.violations).toEqual([]);
+    expect(result.served).toBeGreaterThan(0);
+  });
+
+  it("breaks no promise with a request that crashes the workers that run it", async () => {
+    const faults = ["sendCrashingRequest", "crashWorker", "killEntry", "killControl"] as const;
+    const result = await new Soak(CI_SEED, { faults }).run(CI_DURATION_MS);
     expect(result.violations).toEqual([]);
     expect(result.served).toBeGreaterThan(0);
   });
