Count the time in which the machine was suspended

The steady clock stands still while a machine is suspended: after seconds of it a process would have sent requests on whose callers are gone, with as much time as before, and gone by views and leases that the others had moved on from. Monotonic time now counts it (boot time through koffi; where native code can't be opened, a step forward of the time of day counts), so that a suspension is to every deadline, lease and age what a freeze is.

Not shown with real processes: no way to set their steady clock back was found without preloading.

--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -7,13 +7,16 @@
  * 0.7 s on a fifth of a core, after every start.
  */
 import { execFileSync } from "node:child_process";
-import { mkdirSync } from "node:fs";
+import { copyFileSync, mkdirSync } from "node:fs";
 import { createRequire } from "node:module";
 import { join } from "node:path";
 import { build } from "esbuild";
 
 /** Node takes a heap only with the options that it was kept with: as in deploy/system.toml. */
 const NODE_OPTIONS = ["--max-old-space-size=200"];
+/** The library for calls to C, for this kind of machine. */
+const KIND = `${process.platform}-${process.arch}`;
+const NATIVE_LIBRARY = `node_modules/@koromix/koffi-${KIND}/${KIND.replace("-", "_")}/koffi.node`;
 /** Modules of Node 20 that can't be loaded while a heap is made; they are loaded at their first use. */
 const LATE_MODULES = ["http", "https", "http2", "dgram", "module", "worker_threads"];
 
@@ -32,6 +35,8 @@
   legalComments: "none",
   plugins: [{ name: "late-modules", setup: addLateModules }],
 });
+// Native code can't be bundled: it is opened at its first use from beside the program.
+copyFileSync(NATIVE_LIBRARY, join(folder, "koffi.node"));
 const blob = join(folder, "platform.blob");
 execFileSync(process.execPath, [...NODE_OPTIONS, "--snapshot-blob", blob, "--build-snapshot", bundle], {
   stdio: "inherit",
--- a/src/clock/Clock.ts
+++ b/src/clock/Clock.ts
@@ -1,8 +1,13 @@
 /** Reading of the present time; only shells read it, deciding functions are given it. */
 
+import { getSuspensionClock } from "./SuspensionClock";
+
 /** The two clocks of a process, in milliseconds. */
 export interface Clock {
-  /** Gets monotonic time: for intervals, leases and deadlines. */
+  /**
+   * Gets monotonic time: for intervals, leases and deadlines. It counts the time in which the machine was
+   * suspended, as it counts that in which the process was stopped: others have gone on meanwhile.
+   */
   getMonotonicMs(): number;
   /** Gets wall time: for records that people read. */
   getWallMs(): number;
@@ -12,7 +17,7 @@
 export class SystemClock implements Clock {
   /** Gets milliseconds since the process started. */
   getMonotonicMs(): number {
-    return performance.now();
+    return getSuspensionClock().getMs();
   }
 
   /** Gets milliseconds since the Unix epoch. */
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -98,6 +98,15 @@
   }
 }
 
+/** The time since the start of the machine can't be read here. */
+export class MissingBootTime extends Data.TaggedError("MissingBootTime")<{
+  readonly reason: string;
+}> {
+  override get message(): string {
+    return `the time since the start of the machine can't be read: ${this.reason}`;
+  }
+}
+
 /** No control process could be reached, or none is leading. */
 export class UnreachableControl extends Data.TaggedError("UnreachableControl")<{
   readonly tried: readonly string[];
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -8,13 +8,14 @@
 import { randomBytes } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import { Effect, type Scope } from "effect";
-import { getProcessorMs, SystemClock } from "../clock";
+import { getProcessorMs, getSuspensionClock, SystemClock } from "../clock";
 import { SeededRandom } from "../consensus";
 import { CrashLedger } from "../containment";
 import { type DeclarationFormat, RouteTable, unpackDocument } from "../declaration";
 import type { ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
 import { HttpClient, splitAddress } from "../http";
 import type { Logger, Metrics } from "../metrics";
+import { SuspensionWatch } from "../process";
 import {
   CrashReporter,
   FollowedView,
@@ -70,6 +71,10 @@
       Effect.sync(() => parts.reporter.start()),
       () => Effect.sync(() => parts.reporter.stop()),
     );
+    yield* Effect.acquireRelease(
+      Effect.sync(() => parts.suspensions.start()),
+      () => Effect.sync(() => parts.suspensions.stop()),
+    );
     void parts.watcher.run();
     options.logger.info({
       event: "gateway_started",
@@ -153,7 +158,17 @@
   });
   const suspicions = new SuspicionReporter(watcher, clock, SUSPICION_PAUSE_MS);
   const reporter = new CrashReporter(ledger, watcher, logger);
-  return { clock, client, server, watcher, reporter, getRoutes: () => routes };
+  const suspensions = new SuspensionWatch({
+    clock: getSuspensionClock(),
+    logger,
+    metrics,
+    onWake: () => {
+      server.endLate();
+      client.dropIdle();
+      watcher.restart();
+    },
+  });
+  return { clock, client, server, watcher, reporter, suspensions, getRoutes: () => routes };
 }
 
 /** An entry that starts takes its share of what the endpoints run at once for its first window. */
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -59,6 +59,8 @@
   private readonly _server: Server;
   private readonly _waits = new CallerWaits();
   private readonly _startedAt: number;
+  /** Requests under way, each with what ends it once its time is over. */
+  private readonly _running = new Map<Exchange, () => void>();
   private _requests = 0;
   private _bufferedBytes = 0;
   private _isStopping = false;
@@ -115,6 +117,14 @@
     this._server.headersTimeout = limits.headerMs + IDLE_SLACK_MS;
   }
 
+  /**
+   * Ends all requests whose time is over. Their timers may come late by the time in which the machine was
+   * suspended: an endpoint would work on for that long, for a caller that is gone.
+   */
+  endLate(): void {
+    for (const [exchange, end] of [...this._running]) if (exchange.getLeftMs() <= 0) end();
+  }
+
   /** Serves on, but ends each connection with its answer. */
   announceStop(): void {
     this._isStopping = true;
@@ -171,12 +181,15 @@
     response.once("close", () => {
       if (!response.writableFinished) exchange.cancel();
     });
-    const timer = setTimeout(() => this._endLate(response, progress), Math.max(0, exchange.getLeftMs()));
+    const endLate = () => this._endLate(response, progress);
+    const timer = setTimeout(endLate, Math.max(0, exchange.getLeftMs()));
+    this._running.set(exchange, endLate);
     try {
       if (request.route.kind === "stream") await this._runStream(exchange, response, progress);
       else this._sendWhole(response, progress, await new PlainExchange(exchange).run());
     } finally {
       clearTimeout(timer);
+      this._running.delete(exchange);
     }
   }
 
--- a/src/http/HttpClient.ts
+++ b/src/http/HttpClient.ts
@@ -53,6 +53,13 @@
     this._agent.destroy();
   }
 
+  /** Closes connections that carry nothing now: after a suspension the other sides may have closed them long ago. */
+  dropIdle(): void {
+    for (const sockets of Object.values(this._agent.freeSockets)) {
+      for (const socket of [...(sockets ?? [])]) socket.destroy();
+    }
+  }
+
   /**
    * Sends a call and waits for the head of its answer.
    * @throws UnreachableEndpoint - No byte was sent.
--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -35,6 +35,7 @@
   | "instance_reports_older"
   | "instance_lives_ended"
   | "declaration_version"
+  | "suspensions"
   | "log_lines_dropped";
 
 /** Tags of a metric. */
--- a/src/process/index.ts
+++ b/src/process/index.ts
@@ -2,4 +2,5 @@
 export { answerHealth, type ReadinessCheck, startHealthServer } from "./HealthServer";
 export { reportResources } from "./reportResources";
 export { runProcess } from "./runProcess";
+export { SuspensionWatch, type SuspensionWatchOptions } from "./SuspensionWatch";
 export { awaitStopSignal } from "./signals";
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -6,7 +6,7 @@
  * seeds are the founding members, everyone else joins.
  */
 import { Effect, type Scope } from "effect";
-import { getProcessorMs, LoopLag, SystemClock } from "../clock";
+import { getProcessorMs, getSuspensionClock, LoopLag, SystemClock } from "../clock";
 import { createMembership, getVoterCount } from "../consensus";
 import { type DeclarationFormat, RouteTable, unpackDocument } from "../declaration";
 import { splitAddress } from "../http";
@@ -26,6 +26,7 @@
   serveRpc,
 } from "../membership";
 import { type Logger, type Metrics, WorkMeter } from "../metrics";
+import { SuspensionWatch } from "../process";
 import type { FleetControlSettings, LiveSettings } from "../settings";
 import { CallLedger } from "./CallLedger";
 import { FleetLeadership } from "./FleetLeadership";
@@ -166,6 +167,16 @@
       Effect.sync(() => relay.start()),
       () => Effect.sync(() => relay.stop()),
     );
+    const suspensions = new SuspensionWatch({
+      clock: getSuspensionClock(),
+      logger,
+      metrics: options.metrics,
+      onWake: () => relay.restart(),
+    });
+    yield* Effect.acquireRelease(
+      Effect.sync(() => suspensions.start()),
+      () => Effect.sync(() => suspensions.stop()),
+    );
     known.start(
       () => relay.hub.getSource(),
       () => clock.getMonotonicMs(),
--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -127,6 +127,11 @@
     this.sender.start();
   }
 
+  /** Follows the leader anew: what it showed last may have been overtaken. */
+  restart(): void {
+    this._watcher.restart();
+  }
+
   /** Follows and tells no more. */
   stop(): void {
     this._watcher.stop();
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -148,6 +148,11 @@
     this.stop();
   }
 
+  /** Gives the call up and finds a process that shows the view: what it showed last may have been overtaken. */
+  restart(): void {
+    this._call.abort();
+  }
+
   /** Follows no more. */
   stop(): void {
     this._isStopped = true;
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from "node:net";
 import { create } from "@bufbuild/protobuf";
 import { pino } from "pino";
-import { SystemClock } from "../../src/clock";
+import { type Clock, SystemClock } from "../../src/clock";
 import { SeededRandom } from "../../src/consensus";
 import { CrashLedger } from "../../src/containment";
 import { type Declaration, type Route, RouteTable } from "../../src/declaration";
@@ -113,6 +113,7 @@
   private readonly _client = new HttpClient();
   private _gateway!: GatewayServer;
   private _port = 0;
+  private _suspendedMs = 0;
 
   private constructor() {
     const logger = pino(LOG_OPTIONS, { write: (line: string) => this.logLines.push(line) });
@@ -140,6 +141,12 @@
     this._gateway.stop();
   }
 
+  /** Its clock goes on by a suspension, and no timer with it; then it wakes. */
+  suspend(milliseconds: number): void {
+    this._suspendedMs += milliseconds;
+    this._gateway.endLate();
+  }
+
   /** Ends an endpoint as a crash does: its connections are reset, its port refuses new ones. */
   endEndpoint(index: number): void {
     const server = this._servers[index]!;
@@ -199,7 +206,11 @@
   }
 
   private async _startGateway(targets: readonly Target[], route: Route): Promise<void> {
-    const clock = new SystemClock();
+    const system = new SystemClock();
+    const clock: Clock = {
+      getMonotonicMs: () => system.getMonotonicMs() + this._suspendedMs,
+      getWallMs: () => system.getWallMs(),
+    };
     const random = new SeededRandom(1);
     const pool = new TargetPool(random);
     pool.setTargets(targets);
--- a/test/gateway/GatewayServer.test.ts
+++ b/test/gateway/GatewayServer.test.ts
@@ -76,6 +76,39 @@
     });
   });
 
+  describe("after a suspension of its machine", () => {
+    it("requests whose time is over get their final answer at once, and nothing works on for them", async () => {
+      let hasEnded = false;
+      const silent: Script = (_seen, response) => {
+        response.on("close", () => {
+          hasEnded = true;
+        });
+      };
+      harness = await GatewayHarness.start([silent, silent], { timeoutMs: 10_000, objectiveMs: 10_000 });
+      const call = harness.call({ headers: { "x-wait-ms": "5000" } });
+      await waitUntil("it is at an endpoint", () => harness.seen.length === 1);
+      const wokeAt = performance.now();
+      harness.suspend(6_000);
+      expect((await call).status).toBe(504);
+      await waitUntil("the endpoint's work has ended", () => hasEnded);
+      // An interval that is due after a wake comes within 0.5 s, far from the 5 s that the timer still has.
+      expect(performance.now() - wokeAt).toBeLessThan(500);
+      expect(harness.seen.length).toBe(1);
+    });
+
+    it("a request goes on with the time that its caller has left by then", async () => {
+      const late: Script = (seen, response) => {
+        harness.suspend(3_000);
+        notRun(seen, response);
+      };
+      harness = await GatewayHarness.start([late, answer(200, "ok")], { timeoutMs: 10_000 });
+      expect((await harness.call({ headers: { "x-wait-ms": "5000" } })).status).toBe(200);
+      const waits = harness.seen.map(({ headers }) => Number(headers["x-wait-ms"]));
+      expect(waits[0]).toBeGreaterThan(4_000);
+      expect(waits[1]).toBeLessThanOrEqual(2_000);
+    });
+  });
+
   describe("passing through", () => {
     it("leaves method, path, query, body and end-to-end headers as they are", async () => {
       harness = await GatewayHarness.start([answer(201, "made", { "x-own": "v" })]);
