--- a/bench/gateway.ts
+++ b/bench/gateway.ts
@@ -36,7 +36,11 @@
 }
 
 /** Sends requests at a steady rate; gives what each costs beyond the entry at rest. */
-async function measureRequests(pid: number, idleCores: number, send: () => Promise<{ status: number }>) {
+export async function measureRequests(
+  pid: number,
+  idleCores: number,
+  send: () => Promise<{ status: number }>,
+) {
   const sent: Promise<{ status: number }>[] = [];
   const { cpuMs, ms } = await measureCpu(pid, async () => {
     const count = (MEASURE_MS / 1_000) * PER_SECOND;
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 /** Runs benches by name, or all: one JSON line a figure, exit 1 on a broken bound. */
 import { capacityBench } from "./capacity";
 import { commitBench } from "./commit";
+import { containmentBench } from "./containment";
 import type { Bench } from "./Figure";
 import { printFigures } from "./Figure";
 import { failoverBench } from "./failover";
@@ -31,6 +32,7 @@
   firstStartBench,
   livesBench,
   gatewayBench,
+  containmentBench,
 ];
 
 async function main(names: readonly string[]): Promise<void> {
