Show accounts of crashes as the agreed state keeps them; read all clocks at one moment

A view dropped its oldest accounts beyond the limit, proven ones among them, where the agreed state drops what proves nothing first: an entry that started then would not have known them. And a process held up between two clocks took the pause for a suspension; small corrections of the time of day no longer add up to one where it alone is known.

--- a/src/clock/SuspendedTime.ts
+++ b/src/clock/SuspendedTime.ts
@@ -18,6 +18,8 @@
 
 /** Clocks that are read one after the other differ by less, and so do their drifts between two looks. */
 const NOTICEABLE_MS = 20;
+/** The time of day alone: corrections of it that add up to less are no suspension. */
+const NOTICEABLE_STEP_MS = 100;
 
 /** The suspended time of one process. */
 export class SuspendedTime {
@@ -50,7 +52,7 @@
     const wallGainMs = wallLeadMs - this._wallLeadMs;
     this._wallLeadMs = wallLeadMs;
     if (bootMs === undefined || this._bootLeadMs === undefined) {
-      if (wallGainMs > NOTICEABLE_MS) this._totalMs += wallGainMs;
+      if (wallGainMs > NOTICEABLE_STEP_MS) this._totalMs += wallGainMs;
       return;
     }
     const bootGainMs = bootMs - steadyMs - this._bootLeadMs;
--- a/src/clock/SuspensionClock.ts
+++ b/src/clock/SuspensionClock.ts
@@ -12,6 +12,10 @@
   readonly boot: BootTime | MissingBootTime;
 }
 
+/** Reading all clocks takes some microseconds; one that took so long is made again. */
+const MAX_READING_MS = 5;
+const MAX_READINGS = 5;
+
 /** One process has one count of suspended time. Nothing is read before the first use: a kept heap has no clock. */
 let shared: SuspensionClock | undefined;
 
@@ -73,7 +77,20 @@
     return this._suspended.totalMs;
   }
 
+  /** A process that is held up between two clocks must not take that for a difference of them. */
   private _read(): ClockReading {
+    let reading = this._readOnce();
+    for (
+      let i = 0;
+      i < MAX_READINGS && this._sources.getSteadyMs() - reading.steadyMs > MAX_READING_MS;
+      i++
+    ) {
+      reading = this._readOnce();
+    }
+    return reading;
+  }
+
+  private _readOnce(): ClockReading {
     const { getSteadyMs, getWallMs, boot } = this._sources;
     return {
       steadyMs: getSteadyMs(),
--- a/src/registration/CrashRegistry.ts
+++ b/src/registration/CrashRegistry.ts
@@ -66,9 +66,7 @@
   publish(view: FleetView): void {
     const { machine } = this._options.driver;
     if (machine.crashIndex === this._publishedIndex) return;
-    view.addCrashRecords(
-      machine.getCrashRecords().filter((record) => record.changedAtIndex > this._publishedIndex),
-    );
+    view.setCrashRecords(machine.getCrashRecords());
     this._publishedIndex = machine.crashIndex;
   }
 
--- a/src/registration/FleetView.ts
+++ b/src/registration/FleetView.ts
@@ -4,7 +4,6 @@
  * Each change has a revision, so that a watcher is sent only what it lacks. Pure.
  */
 import { create, equals } from "@bufbuild/protobuf";
-import { KEPT_CRASH_RECORDS } from "../containment";
 import {
   type EntryEndpoint,
   EntryListSchema,
@@ -127,18 +126,17 @@
     this._advance();
   }
 
-  /** Adds what changed of the accounts of crashes; the oldest ones go, beyond those that are agreed on. */
-  addCrashRecords(records: readonly CrashRecord[]): void {
+  /** Sets the accounts of crashes; watchers keep what they were told of those that are gone. */
+  setCrashRecords(records: readonly CrashRecord[]): void {
+    const digests = new Set(records.map(({ digest }) => digest));
+    for (const digest of this._crashRecords.keys()) {
+      if (!digests.has(digest)) this._crashRecords.delete(digest);
+    }
     for (const record of records) {
       const known = this._crashRecords.get(record.digest)?.record;
       if (known !== undefined && equals(CrashRecordSchema, known, record)) continue;
-      this._crashRecords.delete(record.digest);
       this._crashRecords.set(record.digest, { record, revision: this._advance() });
     }
-    for (const digest of this._crashRecords.keys()) {
-      if (this._crashRecords.size <= KEPT_CRASH_RECORDS) return;
-      this._crashRecords.delete(digest);
-    }
   }
 
   /** Gets the number of the newest change of anything but the entries. */
--- a/src/registration/RelayedView.ts
+++ b/src/registration/RelayedView.ts
@@ -33,7 +33,7 @@
     if (term !== this._source.term) this._source = this._createSource();
     this._copyFollowed();
     const { view } = this._source;
-    view.addCrashRecords(update.crashRecords);
+    if (update.crashRecords.length > 0) view.setCrashRecords(this._followed.getCrashRecords());
     view.removeTargets(update.removedTargetIds);
     if (update.complete) view.setComplete();
   }
@@ -41,7 +41,7 @@
   /** What a request did outlasts each term: no watcher is shown less of it than another one was. */
   private _createSource(): ViewSource {
     const view = new FleetView();
-    view.addCrashRecords(this._followed.getCrashRecords());
+    view.setCrashRecords(this._followed.getCrashRecords());
     return { term: this._followed.term, view };
   }
 
--- a/test/clock/SuspensionClock.test.ts
+++ b/test/clock/SuspensionClock.test.ts
@@ -103,6 +103,26 @@
     );
   });
 
+  it("takes no pause between two of its readings for one", () => {
+    let reads = 0;
+    const clock = new SuspensionClock({
+      getSteadyMs: () => machine.steadyMs,
+      getWallMs: () => {
+        // Held up right after the steady clock was read, once in a while.
+        if (reads++ % 4 === 1) machine.run(90);
+        return machine.wallMs;
+      },
+      boot: { getMs: () => machine.bootMs },
+    });
+    const before = clock.getMs() - machine.steadyMs;
+    for (let i = 0; i < 40; i++) {
+      machine.run(10);
+      clock.getMs();
+    }
+    expect(clock.look()).toBe(0);
+    expect(clock.getMs() - machine.steadyMs - before).toBeLessThanOrEqual(0);
+  });
+
   it("takes a step forward for a suspension where nothing tells them apart, and a step back for none", () => {
     const clock = machine.createClock(false);
     const before = clock.getMs();
--- a/test/registration/CrashRegistry.test.ts
+++ b/test/registration/CrashRegistry.test.ts
@@ -1,7 +1,7 @@
 import { create } from "@bufbuild/protobuf";
 import { beforeEach, describe, expect, it } from "vitest";
 import type { ConsensusDriver } from "../../src/consensus";
-import { KEEP_AWAY_MS } from "../../src/containment";
+import { KEEP_AWAY_MS, KEPT_CRASH_RECORDS } from "../../src/containment";
 import { LogEntrySchema } from "../../src/gen/ploverstage/v1/consensus_pb";
 import { type Command, type CrashRecord, CrashRecordSchema } from "../../src/gen/ploverstage/v1/state_pb";
 import { CrashRegistry } from "../../src/registration/CrashRegistry";
@@ -67,6 +67,20 @@
     );
   });
 
+  it("shows what proves something however much was told since that proves nothing", async () => {
+    await registry.addRecords([createRecord(DIGEST, 2)]);
+    const view = new FleetView();
+    registry.publish(view);
+    for (let i = 0; i < 3; i++) {
+      const digests = Array.from({ length: 900 }, (_, k) => `${i}-${k}`.padEnd(DIGEST.length, "x"));
+      await registry.addRecords(digests.map((digest) => createRecord(digest, 1)));
+      registry.publish(view);
+    }
+    const shown = view.createUpdate(1, undefined, 0).crashRecords.map(({ digest }) => digest);
+    expect(shown).toContain(DIGEST);
+    expect(shown.length).toBe(KEPT_CRASH_RECORDS);
+  });
+
   it("outlasts a snapshot", async () => {
     await registry.addRecords([createRecord(DIGEST, 3), createRecord(OTHER, 1)]);
     const restored = new StateMachine(machine.encode());
