--- a/test/soak/Soak.ts
+++ b/test/soak/Soak.ts
@@ -228,6 +228,8 @@
   private async _checkCrashes(): Promise<void> {
     if (this._cluster.crashes.length === 0) return;
     await this._sendCrashingRequest();
+    // Those that it crashed come back under other ids: whoever counts replicas before has not all workers.
+    await waitUntil("all workers are back", () => this._getEngines().length >= ENGINES);
     const { length } = this._cluster.crashes;
     if (length > MAX_CRASHES) this._ledger.addViolation(`one request crashed ${length} workers`);
   }
@@ -298,7 +300,7 @@
 
   /** Once all is well again no worker that runs is left out. */
   private async _checkReplicas(): Promise<void> {
-    const engines = this._cluster.workers.filter(({ id, isRunning }) => isRunning && id.startsWith("llm-"));
+    const engines = this._getEngines();
     const wanted = Math.floor(engines.length / REPLICA_SIZE);
     const countOpen = () => engines.filter(({ place }) => place?.state === "open").length;
     const endAt = performance.now() + REPAIR_MS;
@@ -307,6 +309,10 @@
     this._ledger.addViolation(`${countOpen()} replicas of ${engines.length} workers serve, not ${wanted}`);
   }
 
+  private _getEngines(): WorkerStandin[] {
+    return this._cluster.workers.filter(({ id, isRunning }) => isRunning && id.startsWith("llm-"));
+  }
+
   private async _waitForControl(): Promise<void> {
     await waitUntil("every control process reads the configuration", async () => {
       const answers = await Promise.all([0, 1, 2].map((index) => this._cluster.getConfig(index)));
