--- /dev/null
+++ b/test/registration/FleetRelay.test.ts
@@ -0,0 +1,107 @@
+/**
+ * A control process that is cut off must let its entries go while they can still keep what entries in touch promise.
+ *
+ * What was seen: the leader was cut off while changes went on at the others; an entry refused a route of a version that had
+ * been acknowledged 2.3 s before, with 404, 3 s after the cut had begun.
+ * What happened: the entry stayed for 3.5 s with a control process that had lost the leader, and found another one 0.4 s
+ * later, which told it of sixteen versions at once.
+ * Cause: a process that heard no leader any more spoke for it for 3 s, as long as all that entries in touch have, and one that
+ * had led counted them from the end of its leadership and not from the last answer of a majority.
+ * Evidence: in the entry's log the last version before the cut, the end of the call 3.5 s after it, and the versions that
+ * it was told of once it had found another process; two plays of two broke the promise.
+ */
+import { beforeEach, describe, expect, it } from "vitest";
+import { FleetRelay } from "../../src/registration/FleetRelay";
+import { FleetView } from "../../src/registration/FleetView";
+
+/** What entries in touch have to be told of an acknowledged change after a cut, milliseconds. */
+const CONTACT_MS = 3_000;
+/** A watcher's call looks at least so often whether there is anybody to speak for. */
+const WATCH_HEARTBEAT_MS = 300;
+/** An entry that searches may meet one more process that is cut off before it is told everything. */
+const SEARCH_MS = 700;
+/** What a process may go on speaking for a leader that it doesn't hear. */
+const ISOLATED_MS = CONTACT_MS - WATCH_HEARTBEAT_MS - SEARCH_MS;
+/** A leader without answers leads on for so long. */
+const STEP_DOWN_MS = 1_000;
+/** Longer than an election between members that answer. */
+const ELECTION_MS = 1_400;
+
+describe("a control process that no longer hears a leader", () => {
+  let now: number;
+  let leads: boolean;
+  let isElecting: boolean;
+  let leaderId: string;
+  let quorumContactAt: number;
+  let relay: FleetRelay;
+
+  beforeEach(() => {
+    now = 10_000;
+    leads = true;
+    isElecting = false;
+    leaderId = "this";
+    quorumContactAt = now;
+    const node = {
+      id: "this",
+      term: 3,
+      get leaderId() {
+        return leaderId;
+      },
+      isElecting: () => isElecting,
+      getQuorumContactAt: () => quorumContactAt,
+    };
+    const leadership = { term: 3, view: new FleetView() };
+    relay = new FleetRelay({
+      driver: { node, isLeader: () => leads, getLeaderAddress: () => "" } as never,
+      getLeadership: () => (leads ? (leadership as never) : undefined),
+      getSeeds: () => [],
+      listen: "127.0.0.1:1",
+      publicAddress: "127.0.0.1:2",
+      secret: undefined,
+      recovered: undefined,
+      isFirstStart: true,
+      clock: { getMonotonicMs: () => now, getWallMs: () => now },
+      logger: { info: () => {}, warn: () => {} } as never,
+      getReportPatienceMs: () => 300,
+    });
+  });
+
+  function isSpokenFor(at: number): boolean {
+    now = at;
+    return relay.hub.getSource() !== undefined;
+  }
+
+  it("lets entries go in time, counted from the last answer of a majority, if it led", () => {
+    const cutAt = now;
+    // It leads on until it misses the majority, and entries are shown its view meanwhile.
+    for (let at = cutAt; at < cutAt + STEP_DOWN_MS; at += WATCH_HEARTBEAT_MS) {
+      expect(isSpokenFor(at)).toBe(true);
+    }
+    leads = false;
+    leaderId = "";
+    expect(isSpokenFor(cutAt + STEP_DOWN_MS)).toBe(true);
+    expect(isSpokenFor(cutAt + ISOLATED_MS)).toBe(false);
+  });
+
+  it("keeps them while a majority elects, and until the new leader's view has come", () => {
+    const diedAt = now;
+    expect(isSpokenFor(diedAt)).toBe(true);
+    leads = false;
+    leaderId = "";
+    isElecting = true;
+    for (let at = diedAt; at <= diedAt + ELECTION_MS; at += WATCH_HEARTBEAT_MS) {
+      expect(isSpokenFor(at)).toBe(true);
+    }
+    isElecting = false;
+    leaderId = "other";
+    expect(isSpokenFor(diedAt + ELECTION_MS + WATCH_HEARTBEAT_MS)).toBe(true);
+  });
+
+  it("lets them go in time as well where it hears of a leader, but is shown nothing", () => {
+    const heardAt = now;
+    expect(isSpokenFor(heardAt)).toBe(true);
+    leads = false;
+    leaderId = "other";
+    expect(isSpokenFor(heardAt + CONTACT_MS - WATCH_HEARTBEAT_MS)).toBe(false);
+  });
+});
