Let entries go while they can still find another control process, where one hears no leader

A control process that had lost the leader spoke for it for 3 s, as long as all that entries in touch have; one that had led counted them from the end of its leadership. Now 1.5 s where it hears of no leader and no majority elects one, 2.2 s where it hears of one and is shown nothing, counted for a leader from the last answer of a majority.

Ruled out: one patience for both (with 1.5 s a long election under load has entries search between the new leader's election and its view; with 2.2 s one more process that is cut off is asked too late); leaving elections out, which are as before.

--- a/src/consensus/RaftNode.ts
+++ b/src/consensus/RaftNode.ts
@@ -236,6 +236,12 @@
     return this._hasMajority(new Set([this.id, ...this._election.getLeaderless(now)]));
   }
 
+  /** Gets when a majority answered last, for a leader; monotonic milliseconds. */
+  getQuorumContactAt(now: number): number {
+    const answeredAt = getVoters(this.membership).map(({ id }) => this._getAnsweredAt(now, id));
+    return answeredAt.sort((a, b) => b - a)[this.getQuorumSize() - 1] ?? Number.NEGATIVE_INFINITY;
+  }
+
   /** Takes a message from another member. */
   receive(now: number, message: ConsensusMessage): void {
     if (message.to !== this.id) return;
@@ -476,12 +482,13 @@
     this._sendAppends(now);
   }
 
+  private _getAnsweredAt(now: number, id: string): number {
+    if (id === this.id) return now;
+    return this._progress.get(id)?.answeredAt ?? Number.NEGATIVE_INFINITY;
+  }
+
   private _hasQuorumContact(now: number): boolean {
-    const recent = new Set([this.id]);
-    for (const [id, progress] of this._progress) {
-      if (now - progress.answeredAt <= this._election.contactMs) recent.add(id);
-    }
-    return this._hasMajority(recent);
+    return now - this.getQuorumContactAt(now) <= this._election.contactMs;
   }
 
   private _sendDueAppends(): void {
--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -48,8 +48,17 @@
   readonly getReportPatienceMs: () => number;
 }
 
-/** Entries keep watching a process that has lost the leader for so long: an election is shorter. */
-const WATCH_PATIENCE_MS = 3_000;
+/**
+ * Entries keep watching a process that hears of a leader, but is shown nothing, for so long. Entries count as in touch 3 s after
+ * a cut: the rest of that is for the call to end (0.3 s) and for finding another process (0.1 to 0.4 s).
+ */
+const WATCH_PATIENCE_MS = 2_200;
+/**
+ * They leave one that hears of no leader, while no majority elects one, sooner: it is cut off, and the next process that
+ * they ask may be so as well, which costs 0.7 s. With 3 s for both an entry refused a route that had been acknowledged 2.3 s
+ * before, 3.5 s after a cut.
+ */
+const ISOLATED_PATIENCE_MS = 1_500;
 /** An entry that told of crashes waits half a second for an answer. */
 const CRASHES_MS = 450;
 /** A target that several entries suspect is reported no more often than this. */
@@ -80,9 +89,12 @@
     const relayed = new RelayedView(this.view);
     this.hub = new ViewHub({
       clock,
-      getOwn: getLeadership,
+      getOwn: () => {
+        this._noteLeadership(clock.getMonotonicMs());
+        return getLeadership();
+      },
       relayed,
-      isInTouch: () => this._isInTouch(WATCH_PATIENCE_MS),
+      isInTouch: () => this._isInTouch(this._getWatchPatienceMs()),
       isFirstStart: options.isFirstStart,
       onEntriesChanged: () => this.sender.sendSoon(),
     });
@@ -151,7 +163,7 @@
   getEntries(): readonly EntryEndpoint[] {
     const own = this._options.getLeadership()?.view.entries ?? [];
     if (own.length > 0) return own;
-    const followed = this._isInTouch(WATCH_PATIENCE_MS) ? this.view.getEntries() : [];
+    const followed = this._isInTouch(this._getWatchPatienceMs()) ? this.view.getEntries() : [];
     return followed.length > 0 ? followed : this.hub.entries.getEntries(this._options.clock.getMonotonicMs());
   }
 
@@ -169,14 +181,25 @@
     await this.client.call((leader, timeoutMs) => leader.reportCrashes(relayed, { timeoutMs }), CRASHES_MS);
   }
 
+  private _getWatchPatienceMs(): number {
+    return this._options.driver.node.leaderId === "" ? ISOLATED_PATIENCE_MS : WATCH_PATIENCE_MS;
+  }
+
   private _isInTouch(patienceMs: number): boolean {
     const now = this._options.clock.getMonotonicMs();
     const { driver, getLeadership } = this._options;
-    if (getLeadership() !== undefined) this._contact.addContact(now);
+    this._noteLeadership(now);
+    if (getLeadership() !== undefined) return true;
     // While a majority elects a leader nobody knows better: refusing would only have everyone ask on.
     return this._contact.isInTouch(now, patienceMs) || driver.node.isElecting(now);
   }
 
+  /** A leader that is cut off leads on until it misses the majority: what it shows is no newer than their last answer. */
+  private _noteLeadership(now: number): void {
+    const { driver, getLeadership } = this._options;
+    if (getLeadership() !== undefined) this._contact.addContact(driver.node.getQuorumContactAt(now));
+  }
+
   /** The agreement tells who leads. */
   private _putLeaderFirst(addresses: readonly string[]): string[] {
     const leader = this._options.driver.getLeaderAddress();
--- a/src/registration/LeaderContact.ts
+++ b/src/registration/LeaderContact.ts
@@ -15,9 +15,9 @@
     this._startedAt = startedAt;
   }
 
-  /** Notes that a leader was heard, or that this process leads. */
-  addContact(now: number): void {
-    this._heardAt = now;
+  /** Notes when a leader was heard, or a majority answered this process as their leader; in any order. */
+  addContact(at: number): void {
+    this._heardAt = Math.max(at, this._heardAt ?? at);
   }
 
   /**
