--- a/src/cli/configurationCommands.ts
+++ b/src/cli/configurationCommands.ts
@@ -1,9 +1,11 @@
 /** The commands around the agreed configuration: `check`, `apply`, `history`. */
+
 import { randomUUID } from "node:crypto";
 import { userInfo } from "node:os";
 import { basename } from "node:path";
 import { createInterface } from "node:readline/promises";
 import type { Command } from "commander";
+import { pause } from "../clock";
 import { diffConfiguration, parseConfiguration } from "../configuration";
 import { InvalidFile } from "../errors";
 import { ApplyOutcome, type ApplyResponse } from "../gen/ploverstage/v1/control_pb";
@@ -141,7 +143,7 @@
       process.exitCode = EXIT.failure;
       return;
     }
-    await new Promise((resolve) => setTimeout(resolve, WAIT_POLL_MS));
+    await pause(WAIT_POLL_MS);
   }
 }
 
--- a/src/clock/index.ts
+++ b/src/clock/index.ts
@@ -2,6 +2,7 @@
 export { type BootTime, loadBootTime } from "./BootTime";
 export { type Clock, getProcessorMs, SystemClock } from "./Clock";
 export { LoopLag } from "./LoopLag";
+export { pause } from "./pause";
 export { type ClockReading, SuspendedTime } from "./SuspendedTime";
 export { getSuspensionClock, SuspensionClock, type TimeSources } from "./SuspensionClock";
 export { TurnQueue } from "./TurnQueue";
--- a/src/consensus/ConsensusDriver.ts
+++ b/src/consensus/ConsensusDriver.ts
@@ -5,7 +5,7 @@
  * arrive during a sync share the next one (group commit).
  */
 import { create, toBinary } from "@bufbuild/protobuf";
-import type { Clock } from "../clock";
+import { type Clock, pause } from "../clock";
 import { AbsentLeader, FullProposalQueue, UnknownProposal } from "../errors";
 import {
   type ConsensusMessage,
@@ -145,7 +145,7 @@
     this._pump();
     const endAt = this._clock.getMonotonicMs() + totalMs;
     while (this.node.role === "leader" && this._clock.getMonotonicMs() < endAt) {
-      await new Promise((resolve) => setTimeout(resolve, TICK_MS));
+      await pause(TICK_MS);
     }
   }
 
--- a/src/entry/EntryProcess.ts
+++ b/src/entry/EntryProcess.ts
@@ -7,7 +7,7 @@
 import { randomBytes } from "node:crypto";
 import { Effect, type Scope } from "effect";
 import { BurnRecorder } from "../burn";
-import { SystemClock } from "../clock";
+import { pause, SystemClock } from "../clock";
 import { SeededRandom } from "../consensus";
 import { HttpEngine } from "../engine";
 import { EntryService } from "../gen/ploverstage/v1/control_pb";
@@ -171,7 +171,7 @@
   // Other entries may give this address out until their next renewal.
   const waitMs = (timing?.addressTtl ?? 0) + (timing?.lease ?? 0);
   const leftMs = waitMs - (clock.getMonotonicMs() - startedAt);
-  await new Promise((resolve) => setTimeout(resolve, Math.max(0, leftMs)));
+  await pause(Math.max(0, leftMs));
   await server.stop();
   logger.info({ event: "entry_stopped" });
 }
--- a/src/entry/filters/ModelDispatch.ts
+++ b/src/entry/filters/ModelDispatch.ts
@@ -5,7 +5,7 @@
  * request is repeatable or provably did not run. A stream that was cut after its first
  * byte goes on at its offset where the engine still knows it, or ends visibly broken.
  */
-import type { Clock } from "../../clock";
+import { type Clock, pause } from "../../clock";
 import type { Frame, Generation, SendOptions } from "../../engine";
 import { LostAnswer } from "../../errors";
 import { type Replica, ReplicaPhase } from "../../gen/ploverstage/v1/state_pb";
@@ -197,7 +197,7 @@
     let cause = await this._relay(attempt, () => engine.generate(generation, options));
     for (let i = 0; cause !== undefined; i++) {
       if (!this._mayResume(attempt, cause, signal) || i >= RESUME_ATTEMPTS) throw cause;
-      await new Promise((resolve) => setTimeout(resolve, RESUME_PAUSE_MS * i));
+      await pause(RESUME_PAUSE_MS * i);
       cause = await this._relay(attempt, () => engine.resume(generation, attempt.tokens, options));
     }
   }
--- a/src/gateway/CrashWatch.ts
+++ b/src/gateway/CrashWatch.ts
@@ -6,6 +6,7 @@
  * requests of its model nearly none was served (a recorded day). With it three instances end under each at most, in quiet
  * runs of three entries that are asked for it by turns every 0.3 s.
  */
+import { pause } from "../clock";
 import type { Admittance, CrashLedger, RequestDigest } from "../containment";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
 import type { CrashRecord } from "../gen/ploverstage/v1/state_pb";
@@ -79,7 +80,7 @@
    * doing, and no longer that of what ran beside it.
    */
   async addWithdrawal(digest: RequestDigest, attempt: BrokenAttempt): Promise<void> {
-    await new Promise((resolve) => setTimeout(resolve, WITHDRAWN_MS));
+    await pause(WITHDRAWN_MS);
     await this.addBreak(digest, attempt);
   }
 
--- a/src/gateway/EndedLives.ts
+++ b/src/gateway/EndedLives.ts
@@ -4,7 +4,9 @@
  * Connections are reset and answers are cut for many reasons. One whose port refuses connections a moment
  * later is gone; a silent one may be cut off, and one that takes connections is there.
  */
+
 import { connect } from "node:net";
+import { pause } from "../clock";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
 import { splitAddress } from "../http";
 
@@ -42,7 +44,7 @@
   private async _lookAgain(id: string, address: string, atOnce: Promise<boolean>): Promise<boolean> {
     if (await atOnce) return true;
     for (let i = 1; i < TRIES; i++) {
-      await new Promise((resolve) => setTimeout(resolve, PAUSE_MS));
+      await pause(PAUSE_MS);
       if (await refusesConnections(address)) return true;
     }
     // It is there, or cut off: what breaks off next is asked for anew.
--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -6,7 +6,7 @@
  * what may have run never is.
  */
 import type { IncomingMessage } from "node:http";
-import type { Clock } from "../clock";
+import { type Clock, pause } from "../clock";
 import type { RandomSource } from "../consensus";
 import { getRequestDigest, type RequestDigest } from "../containment";
 import type { Route } from "../declaration";
@@ -458,10 +458,6 @@
   return method === "GET" || method === "HEAD" || method === "DELETE" || method === "OPTIONS";
 }
 
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 /** Checks whether an attempt has begun to be answered. */
 export function hasBegun(attempt: BegunAttempt | AttemptFailure): attempt is BegunAttempt {
   return "incoming" in attempt;
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -8,7 +8,7 @@
 import { randomBytes } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import { Effect, type Scope } from "effect";
-import { getProcessorMs, getSuspensionClock, SystemClock } from "../clock";
+import { getProcessorMs, getSuspensionClock, pause, SystemClock } from "../clock";
 import { SeededRandom } from "../consensus";
 import { CrashLedger } from "../containment";
 import { type DeclarationFormat, RouteTable, unpackDocument } from "../declaration";
@@ -232,7 +232,3 @@
     server.listen(port, host, resolve);
   });
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/src/membership/PeerTransport.ts
+++ b/src/membership/PeerTransport.ts
@@ -1,6 +1,8 @@
 /** Messages of the agreement protocol to the other members, in order, over one long call each. */
+
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { type Client, createClient } from "@connectrpc/connect";
+import { pause } from "../clock";
 import type { Transport } from "../consensus";
 import {
   type ConsensusMessage,
@@ -47,7 +49,7 @@
     this._wake();
     // What was queued for a peer that is away is stale by the time it answers.
     this._messages = [];
-    await new Promise((resolve) => setTimeout(resolve, REOPEN_MS));
+    await pause(REOPEN_MS);
     this._isOpen = false;
   }
 
--- a/src/registration/Registrar.ts
+++ b/src/registration/Registrar.ts
@@ -5,7 +5,7 @@
  * once it took them. What instances say otherwise is soft state: it is acknowledged by whoever
  * hears it, and told to the leader a moment later.
  */
-import type { Clock } from "../clock";
+import { type Clock, pause } from "../clock";
 import { type Declaration, type DeclarationFormat, packDocument, unpackDocument } from "../declaration";
 import { InvalidReport, UnreachableControl } from "../errors";
 import type { EntryEndpoint, FleetService, InstanceReport } from "../gen/ploverstage/v1/fleet_pb";
@@ -164,7 +164,7 @@
   /** One call at a time: what arrives meanwhile travels with the next one. */
   private async _sendBatches(): Promise<void> {
     this._isSending = true;
-    await new Promise((resolve) => setTimeout(resolve, BATCH_MS));
+    await pause(BATCH_MS);
     while (this._waiting.length > 0) await this._sendBatch();
     this._isSending = false;
   }
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -4,7 +4,7 @@
  */
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { type Client, Code, ConnectError, createClient } from "@connectrpc/connect";
-import type { Clock } from "../clock";
+import { type Clock, pause } from "../clock";
 import {
   type EntryEndpoint,
   FleetService,
@@ -267,7 +267,3 @@
     return client;
   }
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/src/rpc/LeaderClient.ts
+++ b/src/rpc/LeaderClient.ts
@@ -7,7 +7,7 @@
 
 import type { DescService } from "@bufbuild/protobuf";
 import { type Client, Code, ConnectError, createClient } from "@connectrpc/connect";
-import type { Clock } from "../clock";
+import { type Clock, pause } from "../clock";
 import { UnreachableControl } from "../errors";
 import { createRpcTransport } from "./createRpcTransport";
 import { SearchPause } from "./SearchPause";
@@ -59,7 +59,7 @@
   async call<R>(call: LeaderCall<S, R>, totalMs: number): Promise<R> {
     const endAt = this._options.clock.getMonotonicMs() + totalMs;
     let reason = "none was asked";
-    const pause = new SearchPause();
+    const search = new SearchPause();
     for (;;) {
       const leftMs = endAt - this._options.clock.getMonotonicMs();
       if (leftMs <= 0) throw new UnreachableControl({ tried: this._options.addresses, reason });
@@ -69,8 +69,8 @@
       } catch (cause) {
         reason = this._goOn(cause);
       }
-      const waitMs = Math.min(pause.addFailure(this._options.addresses.length), leftMs);
-      await new Promise((resolve) => setTimeout(resolve, waitMs));
+      const waitMs = Math.min(search.addFailure(this._options.addresses.length), leftMs);
+      await pause(waitMs);
     }
   }
 
