--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -50,7 +50,7 @@
 
 /**
  * Entries keep watching a process that hears of a leader, but is shown nothing, for so long. Entries count as in touch 3 s after
- * a cut: the rest of that is for the call to end (0.3 s) and for finding another process (0.1 to 0.4 s).
+ * a cut: the rest of that is for the call to end (0.3 s) and for finding another process (0.4 s in the one trace of it).
  */
 const WATCH_PATIENCE_MS = 2_200;
 /**
