--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -131,6 +131,7 @@
       },
     },
     getRoutes: () => routes,
+    isConfirmed: () => view.isConfirmed,
     onRequest: () => budget.addRequest(clock.getMonotonicMs(), getEntryCount()),
   });
   const watcherId = `${process.name}.${randomBytes(6).toString("hex")}`;
--- a/src/gateway/GatewayRefusal.ts
+++ b/src/gateway/GatewayRefusal.ts
@@ -5,6 +5,7 @@
 /** Reasons, as logs and answers name them. */
 export type GatewayRefusalCode =
   | "no_declaration"
+  | "unconfirmed_declaration"
   | "no_route"
   | "unknown_key"
   | "body_too_large"
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -27,6 +27,8 @@
   readonly tools: ExchangeTools;
   /** Gets the declaration in force here. */
   readonly getRoutes: () => RouteTable | undefined;
+  /** Gets whether a leader has confirmed that declaration in this process's life. */
+  readonly isConfirmed: () => boolean;
   /** Called with each request that is let in. */
   readonly onRequest: () => void;
 }
@@ -183,13 +185,18 @@
     progress.call = call;
     const routes = this._options.getRoutes();
     if (routes === undefined) {
-      throw this._createUndeclared(progress, call);
+      throw this._createUnknown("no_declaration", "no declaration is in force here yet", progress, call);
     }
     if (this._refusesAll) throw createNotRun("stopping", "this entry stops", STOPPING_RETRY_MS);
     const route = routes.getRoute(incoming.headers.host ?? "", incoming.url ?? "");
-    if (route === undefined) throw createFinal(404, "no_route", "no route has this host and path");
+    if (route === undefined) {
+      throw this._createNo(404, "no_route", "no route has this host and path", progress, call);
+    }
     progress.route = route;
     const organisation = getOrganisation(routes, route, call.key);
+    if (organisation === "unknown") {
+      throw this._createNo(401, "unknown_key", "the request needs a key that is known", progress, call);
+    }
     const body = await this._readBody(incoming, routes.declaration.limits.bodyBytes);
     const { receivedAt } = progress;
     const waitMs = call.waitMs ?? route.timeoutMs;
@@ -208,10 +215,33 @@
     };
   }
 
-  private _createUndeclared({ receivedAt }: Progress, { waitMs }: CallFacts): GatewayRefusal {
+  /**
+   * Makes the refusal of what the declaration doesn't allow. One that was recovered after a start may be older than the
+   * newest acknowledged one, by whatever came right before all processes ended: nothing is refused for good by
+   * it. After a kill of all processes right after an acknowledgement, a route of that version got 404 from the entry's
+   * first listening until it heard a leader.
+   */
+  private _createNo(
+    status: number,
+    code: GatewayRefusal["code"],
+    reason: string,
+    progress: Progress,
+    call: CallFacts,
+  ): GatewayRefusal {
+    if (this._options.isConfirmed()) return createFinal(status, code, reason);
+    const unconfirmed = `${reason} in the declaration known here, which may not be the newest one`;
+    return this._createUnknown("unconfirmed_declaration", unconfirmed, progress, call);
+  }
+
+  private _createUnknown(
+    code: GatewayRefusal["code"],
+    reason: string,
+    { receivedAt }: Progress,
+    { waitMs }: CallFacts,
+  ): GatewayRefusal {
     const sinceStartMs = receivedAt - this._startedAt;
     const returnMs = getFirstViewReturnMs(sinceStartMs, waitMs, this._options.random.next());
-    return createNotRun("no_declaration", "no declaration is in force here yet", returnMs);
+    return createNotRun(code, reason, returnMs);
   }
 
   /** A request goes to a service with the chance that its weight gives. */
@@ -327,15 +357,15 @@
   return exchange !== undefined && (exchange.failures.length > 0 || code === "kept_away");
 }
 
+/** Gets whose key it is; "unknown" where the route needs one that is known. */
 function getOrganisation(
   routes: RouteTable,
   route: Route,
   key: string | undefined,
-): DeclaredOrganisation | undefined {
+): DeclaredOrganisation | "unknown" | undefined {
   if (!routes.needsKeys) return undefined;
   const organisation = key === undefined ? undefined : routes.getOrganisation(key);
-  if (organisation !== undefined || route.allowsAnonymous) return organisation;
-  throw createFinal(401, "unknown_key", "the request needs a key that is known");
+  return organisation !== undefined || route.allowsAnonymous ? organisation : "unknown";
 }
 
 function createFinal(status: number, code: GatewayRefusal["code"], reason: string): GatewayRefusal {
--- a/src/registration/FollowedView.ts
+++ b/src/registration/FollowedView.ts
@@ -26,6 +26,11 @@
     return this._term;
   }
 
+  /** Gets whether a leader has confirmed the view in this process's life. */
+  get isConfirmed(): boolean {
+    return this._term !== RECOVERED_TERM;
+  }
+
   /** Gets the declaration with the highest version heard of. */
   get declaration(): Declaration | undefined {
     return this._declaration;
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -107,6 +107,8 @@
   readonly ledger = new CrashLedger();
   /** Watches what requests do to endpoints. */
   readonly crashes: CrashWatch;
+  /** Whether a leader has confirmed the declaration. */
+  isConfirmed = true;
   private readonly _servers: Server[] = [];
   private readonly _client = new HttpClient();
   private _gateway!: GatewayServer;
@@ -233,6 +235,7 @@
         onSuspicion: () => {},
       },
       getRoutes: () => routes,
+      isConfirmed: () => this.isConfirmed,
       onRequest: () => {},
     });
     await this._gateway.start();
--- a/test/gateway/GatewayServer.test.ts
+++ b/test/gateway/GatewayServer.test.ts
@@ -106,6 +106,21 @@
       expect(await harness.call()).toMatchObject({ status: 500, body: "broken" });
     });
 
+    it("refuses nothing for good by a declaration that no leader has confirmed", async () => {
+      harness = await GatewayHarness.start([answer(200, "ok")], { pathPrefix: "/work/" });
+      harness.isConfirmed = false;
+      for (const refused of [{ path: "/other/" }, { headers: { "x-key": "k2" } }]) {
+        const seen = await harness.call(refused);
+        expect(seen.status).toBe(503);
+        expect(Number(seen.headers["retry-after"])).toBeGreaterThan(0);
+        expect(JSON.parse(seen.body)).toMatchObject({ error: { code: "unconfirmed_declaration" } });
+      }
+      expect((await harness.call()).status).toBe(200);
+      harness.isConfirmed = true;
+      expect((await harness.call({ path: "/other/" })).status).toBe(404);
+      expect((await harness.call({ headers: { "x-key": "k2" } })).status).toBe(401);
+    });
+
     it("adds no length to an answer that has none: it may have been cut", async () => {
       const unframed: Script = (seen, response) => {
         response.shouldKeepAlive = false;
--- a/test/system/killAtAcknowledgement.test.ts
+++ b/test/system/killAtAcknowledgement.test.ts
@@ -7,7 +7,7 @@
  * That is kept on disk within 50 ms of each change, so an acknowledgement right before the kill is in the log of a
  * majority, but in nobody's kept view. An entry that had started went by the older declaration as if it held.
  * Evidence: both refusals of the record name a route of the version acknowledged 1 ms before the kill; here the same in
- * each of the rounds, from the entry's first listening until it heard a leader.
+ * the first round, from the entry's first listening until it heard a leader.
  */
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
 import { createConfig } from "../platform/createConfig";
