Log what became of each declaration, whom it asked, and how long it took

The record of the missing acknowledgement can't be told from logs: declaration_held told of success only, and a declaration that found no leader, or was refused as invalid, left no line where it arrived. declaration_held now tells the leader, the tries and what others answered; declaration_unanswered and declaration_refused are new, and declaration_ms is a histogram by outcome.

--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -35,6 +35,7 @@
   | "instance_reports_older"
   | "instance_lives_ended"
   | "declaration_version"
+  | "declaration_ms"
   | "suspensions"
   | "log_lines_dropped";
 
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -212,6 +212,7 @@
       format: options.format,
       clock,
       logger,
+      metrics: options.metrics,
       publicAddress: control.publicAddress,
     });
   });
--- a/src/registration/Registrar.ts
+++ b/src/registration/Registrar.ts
@@ -11,8 +11,8 @@
 import type { EntryEndpoint, FleetService, InstanceReport } from "../gen/ploverstage/v1/fleet_pb";
 import type { Declaration as HeldDeclaration } from "../gen/ploverstage/v1/state_pb";
 import type { Life } from "../ids";
-import type { Logger } from "../metrics";
-import type { LeaderClient } from "../rpc";
+import type { Logger, Metrics } from "../metrics";
+import { CallTrace, type LeaderClient } from "../rpc";
 import type { CallLedger } from "./CallLedger";
 import { checkReport } from "./checkReport";
 import { getUnencodable } from "./encodableReports";
@@ -38,6 +38,7 @@
   readonly format: DeclarationFormat;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   /** Where instances and operators reach this process. */
   readonly publicAddress: string;
 }
@@ -122,18 +123,27 @@
    * @throws InvalidDeclaration, UnreachableControl, UnknownProposal, AbsentLeader
    */
   async putDeclaration(document: Uint8Array): Promise<Declaration> {
-    const declaration = this._options.format.parse(document);
-    const { version } = declaration;
-    const packed = packDocument(document);
-    await this._options.client.call(
-      (leader, timeoutMs) =>
-        leader.putDeclaration(
-          { version, document: packed },
-          { timeoutMs: Math.max(timeoutMs, DECLARATION_MS / 2) },
-        ),
-      DECLARATION_MS,
-    );
-    this._options.logger.info({ event: "declaration_held", version, bytes: document.length });
+    const arrivedAt = this._options.clock.getMonotonicMs();
+    const declaration = this._parse(arrivedAt, document);
+    const trace = new CallTrace();
+    const describe = () => ({
+      version: declaration.version,
+      bytes: document.length,
+      took_ms: this._getMsSince(arrivedAt),
+      leader: trace.lastAddress,
+      tries: trace.tries,
+      failures: trace.getFailures(),
+    });
+    const { logger, metrics } = this._options;
+    try {
+      await this._agree(declaration.version, packDocument(document), trace);
+    } catch (cause) {
+      metrics.timing("declaration_ms", this._getMsSince(arrivedAt), { outcome: "unanswered" });
+      logger.warn({ event: "declaration_unanswered", ...describe(), reason: String(cause) });
+      throw cause;
+    }
+    metrics.timing("declaration_ms", this._getMsSince(arrivedAt), { outcome: "held" });
+    logger.info({ event: "declaration_held", ...describe() });
     return declaration;
   }
 
@@ -161,6 +171,39 @@
     return [...entries].sort((a, b) => isFar(a) - isFar(b));
   }
 
+  private _parse(arrivedAt: number, document: Uint8Array): Declaration {
+    const { format, logger, metrics } = this._options;
+    try {
+      return format.parse(document);
+    } catch (cause) {
+      const tookMs = this._getMsSince(arrivedAt);
+      metrics.timing("declaration_ms", tookMs, { outcome: "refused" });
+      logger.warn({
+        event: "declaration_refused",
+        bytes: document.length,
+        took_ms: tookMs,
+        reason: String(cause),
+      });
+      throw cause;
+    }
+  }
+
+  private async _agree(version: number, packed: Uint8Array, trace: CallTrace): Promise<void> {
+    await this._options.client.call(
+      (leader, timeoutMs) =>
+        leader.putDeclaration(
+          { version, document: packed },
+          { timeoutMs: Math.max(timeoutMs, DECLARATION_MS / 2) },
+        ),
+      DECLARATION_MS,
+      trace,
+    );
+  }
+
+  private _getMsSince(at: number): number {
+    return Math.round(this._options.clock.getMonotonicMs() - at);
+  }
+
   /** One call at a time: what arrives meanwhile travels with the next one. */
   private async _sendBatches(): Promise<void> {
     this._isSending = true;
--- a/src/rpc/LeaderClient.ts
+++ b/src/rpc/LeaderClient.ts
@@ -9,6 +9,7 @@
 import { type Client, Code, ConnectError, createClient } from "@connectrpc/connect";
 import { type Clock, pause } from "../clock";
 import { UnreachableControl } from "../errors";
+import { CallTrace } from "./CallTrace";
 import { createRpcTransport } from "./createRpcTransport";
 import { SearchPause } from "./SearchPause";
 
@@ -53,21 +54,25 @@
 
   /**
    * Calls the leader until one answers or the time is up.
+   * @param trace - Told which processes are asked, and what they answer.
    * @throws UnreachableControl - When none answered in time.
    * @throws ConnectError - When the leader refused the call for good.
    */
-  async call<R>(call: LeaderCall<S, R>, totalMs: number): Promise<R> {
+  async call<R>(call: LeaderCall<S, R>, totalMs: number, trace = new CallTrace()): Promise<R> {
     const endAt = this._options.clock.getMonotonicMs() + totalMs;
     let reason = "none was asked";
     const search = new SearchPause();
     for (;;) {
       const leftMs = endAt - this._options.clock.getMonotonicMs();
       if (leftMs <= 0) throw new UnreachableControl({ tried: this._options.addresses, reason });
+      const asked = this._current;
+      trace.addTry(asked);
       try {
         // The protocol's timeouts are whole milliseconds.
-        return await call(this._getClient(this._current), Math.ceil(Math.min(ATTEMPT_MS, leftMs)));
+        return await call(this._getClient(asked), Math.ceil(Math.min(ATTEMPT_MS, leftMs)));
       } catch (cause) {
         reason = this._goOn(cause);
+        trace.addFailure(asked, reason);
       }
       const waitMs = Math.min(search.addFailure(this._options.addresses.length), leftMs);
       await pause(waitMs);
--- a/src/rpc/index.ts
+++ b/src/rpc/index.ts
@@ -1,4 +1,5 @@
 /** The protocol between the system's own processes, and with operators. */
+export { CallTrace } from "./CallTrace";
 export { createRpcTransport } from "./createRpcTransport";
 export { createLeaderRefusal, LEADER_HEADER, LeaderClient, type LeaderClientOptions } from "./LeaderClient";
 export { RpcServer, type RpcServerOptions } from "./RpcServer";
