A call turns away from a process only if it still is the one that calls go to

What callers saw: an operator's valid orders, sent two or more at once to one control process, found no leader for seconds although one led, was reachable and was named by everyone who was asked. In the users' record an order had no acknowledgement in calm; that this is what they saw is not shown.

Cause: all calls of a process to the leader share one pointer to the process that is taken for it, and each failed call moved it on, also where another call had moved it already. Of two calls that ask a process which names the leader the first points to the leader and the second one past it; both then ask the wrong process again, and so on: an even number of calls in step never arrives. Calls that time out together at a dead process pass over as many others as they are.

Evidence: the new tests fail on the code before: 2, 4, 6 and 8 calls at once never reached a leader that every process names, in 1.5 s of trying; 3 and 6 calls that time out at a dead process came back to it each time.

Why this works: a failed call moves the pointer only if it still names the process that the call had asked; whoever comes later goes where the first one was sent. The same pointer serves reports, departures, crash records, joins and claims.

--- a/src/rpc/LeaderClient.ts
+++ b/src/rpc/LeaderClient.ts
@@ -71,7 +71,7 @@
         // The protocol's timeouts are whole milliseconds.
         return await call(this._getClient(asked), Math.ceil(Math.min(ATTEMPT_MS, leftMs)));
       } catch (cause) {
-        reason = this._goOn(cause);
+        reason = this._goOn(asked, cause);
         trace.addFailure(asked, reason);
       }
       const waitMs = Math.min(search.addFailure(this._options.addresses.length), leftMs);
@@ -80,18 +80,20 @@
   }
 
   /** Turns to another process; gives the reason in words. */
-  private _goOn(cause: unknown): string {
+  private _goOn(asked: string, cause: unknown): string {
     const error = ConnectError.from(cause);
     if (isFinal(error.code)) throw error;
-    const hint = error.metadata.get(LEADER_HEADER) ?? "";
-    const isKnown = this._options.addresses.includes(hint) || this._options.followsHints === true;
-    this._current = isKnown && hint !== "" && hint !== this._current ? hint : this._getNext();
+    // Another call that had asked the same process may have turned away from it already.
+    if (this._current === asked)
+      this._current = this._getNext(asked, error.metadata.get(LEADER_HEADER) ?? "");
     return error.rawMessage;
   }
 
-  private _getNext(): string {
-    const { addresses } = this._options;
-    return addresses[(addresses.indexOf(this._current) + 1) % addresses.length]!;
+  private _getNext(asked: string, hint: string): string {
+    const { addresses, followsHints } = this._options;
+    const isKnown = addresses.includes(hint) || followsHints === true;
+    if (hint !== "" && hint !== asked && isKnown) return hint;
+    return addresses[(addresses.indexOf(asked) + 1) % addresses.length]!;
   }
 
   private _getClient(address: string): Client<S> {
--- a/test/rpc/LeaderClient.test.ts
+++ b/test/rpc/LeaderClient.test.ts
@@ -54,6 +54,48 @@
     expect(asked.length).toBeLessThan(30);
   });
 
+  describe("calls at once", () => {
+    /** Some at a time, as operators and relays make them. */
+    const COUNTS = [2, 3, 4, 6, 8];
+    /** Until another process has answered. */
+    const ANSWER_MS = 3;
+
+    /**
+     * Calls some times at once; gives when each reached the leader.
+     * @param failure - What another process answers, and after how long.
+     */
+    async function findTogether(count: number, failure: ConnectError, afterMs: number): Promise<number[]> {
+      const foundAt: number[] = [];
+      const fail = () =>
+        new Promise<never>((_, reject) => {
+          setTimeout(() => reject(failure), afterMs);
+        });
+      const call = () =>
+        client.call(() => {
+          if (client.currentAddress !== ADDRESSES[2]) return fail();
+          foundAt.push(Date.now());
+          return Promise.resolve(1);
+        }, TOTAL_MS);
+      const calls = Promise.allSettled(Array.from({ length: count }, call));
+      await Promise.all([calls, vi.advanceTimersByTimeAsync(2 * TOTAL_MS)]);
+      return foundAt;
+    }
+
+    it.each(COUNTS)("all reach the leader that a process names (%i calls)", async (count) => {
+      const foundAt = await findTogether(count, createLeaderRefusal(ADDRESSES[2]!), ANSWER_MS);
+      expect(foundAt).toHaveLength(count);
+      expect(Math.max(...foundAt)).toBeLessThanOrEqual(50);
+    });
+
+    it.each(COUNTS)("pass over no process while others do not answer (%i calls)", async (count) => {
+      const SILENT_MS = 300;
+      const failure = new ConnectError("silent", Code.DeadlineExceeded);
+      const foundAt = await findTogether(count, failure, SILENT_MS);
+      expect(foundAt).toHaveLength(count);
+      expect(Math.max(...foundAt)).toBeLessThanOrEqual(2 * SILENT_MS + 50);
+    });
+  });
+
   it("gives up in the time that it has, and at once where asking again is of no use", async () => {
     const call = client.call(() => Promise.reject(createLeaderRefusal("")), TOTAL_MS);
     const failed = expect(call).rejects.toBeInstanceOf(UnreachableControl);
