Count the support of a member that missed a term

What callers saw: no leader for seconds in calm, and no order agreed, though a majority of the voters ran and reached each other. Suspected behind the users' missing acknowledgement, not shown there.

Cause: a member answers a pre-vote in its own term. Where a failed election had raised the term of the one that asks (a candidate that could not reach the others, a split, a race of two), support from a member that had missed it came as a message of an older term and was dropped. With three of five voters left each of them is needed: none was elected until the one that lagged had asked for itself and been told of the term.

Why this works: an answer to a pre-vote names the term that it was asked for, and counts only for the question that is open; the answering member's own term says nothing about it. The vote itself is still one a term.

--- a/src/consensus/RaftNode.ts
+++ b/src/consensus/RaftNode.ts
@@ -247,7 +247,8 @@
     if (message.to !== this.id) return;
     if (tellsOfNoLeader(message.body)) this._election.addLeaderless(now, message.from);
     if (message.term > this._term && !this._acceptHigherTerm(now, message)) return;
-    if (message.term < this._term) {
+    // Who supports a question may never have heard of the terms in between.
+    if (message.term < this._term && message.body.case !== "preVoteResponse") {
       this._answerLowerTerm(message);
       return;
     }
--- /dev/null
+++ b/test/consensus/elections.test.ts
@@ -0,0 +1,16 @@
+import { describe, expect, it } from "vitest";
+import { DEFAULT_TIMING } from "../../src/consensus";
+import { createNode, exchange, waitForQuestion } from "./ElectionHarness";
+
+const VOTERS = ["a", "b", "c"];
+/** No member waits longer before it first asks. */
+const FIRST_MS = DEFAULT_TIMING.electionMaxMs;
+
+describe("an election of two of three members", () => {
+  it("is not held up by a member that missed the last term", () => {
+    const [a, b] = [createNode("a", VOTERS, 3), createNode("b", VOTERS, 2)];
+    const now = waitForQuestion(a, 0, FIRST_MS)!;
+    exchange([a, b], now);
+    expect(a.isEstablished()).toBe(true);
+  });
+});
