Ask again at once for votes in a newer term than was asked for

Cause: a member whose term lags asks for one that has been, is refused and learns of the newer term; it then waited for its whole patience, up to 4 s on busy machines, before it asked for the next one, though nothing else spoke against it.

Why this works: the question is put again in the same campaign, with the term that it was told of. It is a pre-vote: a leader that others hear is not disturbed by it, and a second refusal names no newer term.

--- a/src/consensus/RaftNode.ts
+++ b/src/consensus/RaftNode.ts
@@ -301,8 +301,11 @@
     // A voter that hears its leader isn't drawn into another's election.
     const isUninvited = message.body.case === "voteRequest" && !message.body.value.transfer;
     if (isUninvited && this._hearsLeader(now)) return false;
-    if (this._role === "leader") this._leadershipEnd = "another term began";
+    const role = this._role;
+    if (role === "leader") this._leadershipEnd = "another term began";
     this._becomeFollower(now, message.term, "");
+    // Its question named a term that had been; nothing else was said against it.
+    if (role === "preCandidate" && message.body.case === "preVoteResponse") this._askForPreVotes(now);
     return true;
   }
 
@@ -373,6 +376,10 @@
 
   private _startPreVote(now: number): void {
     this._election.addCampaign(now);
+    this._askForPreVotes(now);
+  }
+
+  private _askForPreVotes(now: number): void {
     // Answers to the same question that are still on their way go on counting.
     if (this._role !== "preCandidate") this._election.resetVotes([this.id]);
     this._role = "preCandidate";
--- a/test/consensus/elections.test.ts
+++ b/test/consensus/elections.test.ts
@@ -13,4 +13,11 @@
     exchange([a, b], now);
     expect(a.isEstablished()).toBe(true);
   });
+
+  it("is not held up where the one that asks missed the last term", () => {
+    const [a, b] = [createNode("a", VOTERS, 2), createNode("b", VOTERS, 3)];
+    const now = waitForQuestion(a, 0, FIRST_MS)!;
+    exchange([a, b], now);
+    expect(a.isEstablished()).toBe(true);
+  });
 });
