A leader that another term deposed asks again after the usual time, and its followers may support it

What callers saw: seconds without a leader right after a cut had healed, though all members reached each other again.

Cause: a candidate that could not win while it was cut off has raised the term; its answer deposes the leader that had led on. All others had just heard that leader, so that they supported nobody for their patience (2 s on busy machines), and the deposed one itself waited for a patience of its own (up to 4 s), longest of all those who knew that nobody led.

Why this works: that a leader asks for votes proves that it leads no more, so hearing it is no reason against it; whoever hears another leader still refuses. The deposed one knows at once what others find out by silence, and asks by pre-vote, which disturbs no other leader.

--- a/src/consensus/Election.ts
+++ b/src/consensus/Election.ts
@@ -59,6 +59,15 @@
     this._campaignAt = now + minMs + this._random.next() * (maxMs - minMs);
   }
 
+  /**
+   * Has the member, which led until now, wait for no longer than voters usually do: the others have lost
+   * their leader with it, and miss it only after their patience.
+   */
+  hastenCampaign(now: number): void {
+    const { electionMinMs, electionMaxMs } = this._timing;
+    this._campaignAt = now + electionMinMs + this._random.next() * (electionMaxMs - electionMinMs);
+  }
+
   /** Notes that the member begins to campaign. */
   addCampaign(now: number): void {
     this._patience.addCampaign(now);
--- a/src/consensus/RaftNode.ts
+++ b/src/consensus/RaftNode.ts
@@ -300,10 +300,11 @@
     }
     // A voter that hears its leader isn't drawn into another's election.
     const isUninvited = message.body.case === "voteRequest" && !message.body.value.transfer;
-    if (isUninvited && this._hearsLeader(now)) return false;
+    if (isUninvited && this._hearsOtherLeader(now, message.from)) return false;
     const role = this._role;
     if (role === "leader") this._leadershipEnd = "another term began";
     this._becomeFollower(now, message.term, "");
+    if (role === "leader") this._election.hastenCampaign(now);
     // Its question named a term that had been; nothing else was said against it.
     if (role === "preCandidate" && message.body.case === "preVoteResponse") this._askForPreVotes(now);
     return true;
@@ -331,6 +332,11 @@
     return this._election.hearsLeader(now);
   }
 
+  /** A leader that asks for votes itself leads no more: nobody is kept from supporting it. */
+  private _hearsOtherLeader(now: number, from: string): boolean {
+    return from !== this._leaderId && this._hearsLeader(now);
+  }
+
   private _isUpToDate(lastIndex: number, lastTerm: number): boolean {
     if (lastTerm !== this.log.lastTerm) return lastTerm > this.log.lastTerm;
     return lastIndex >= this.log.lastIndex;
@@ -339,7 +345,7 @@
   private _answerPreVote(now: number, message: ConsensusMessage, lastIndex: number, lastTerm: number): void {
     const granted =
       message.term > this._term &&
-      !this._hearsLeader(now) &&
+      !this._hearsOtherLeader(now, message.from) &&
       this._isUpToDate(lastIndex, lastTerm) &&
       !this._precedes(now, message.from, lastIndex, lastTerm);
     if (granted && this._role === "preCandidate") this._becomeFollower(now, this._term, "");
