Take no joiner for gone before it could answer

What callers saw: nothing by itself. A machine that took another one's place, or came back with an empty disk, voted seconds late, so that the next losses met a majority that was no longer there.

Cause: a member that was just added counted as silent since ever. Whoever asked to be let in next had the leader forget it again, as a learner that is gone; of several that join at once each removed another one until its first answer came, and one that had been a member before was judged by its silence from then.

Why this works: silence is counted from the moment at which the member could first have answered in its present membership.

--- a/src/consensus/Progress.ts
+++ b/src/consensus/Progress.ts
@@ -34,10 +34,7 @@
 export class Progress {
   /** Newest round of the leader that it answered; shows that it still follows. */
   round = 0;
-  /**
-   * When its last answer arrived, or the term began, whichever is later; -Infinity before
-   * both.
-   */
+  /** When its last answer arrived, the term began or the member was added, whichever is latest. */
   answeredAt = Number.NEGATIVE_INFINITY;
   /** Whether it answered in this term. */
   hasAnswered = false;
--- a/src/consensus/RaftNode.ts
+++ b/src/consensus/RaftNode.ts
@@ -194,9 +194,10 @@
    */
   addMembership(now: number, membership: Membership): number | undefined {
     if (!this.isEstablished() || this._hasPendingMembership()) return undefined;
+    const known = this.membership;
     const index = this._addBody(now, { case: "membership", value: membership });
-    for (const member of membership.members) {
-      if (!this._progress.has(member.id)) this._progress.set(member.id, new Progress(this.log.lastIndex));
+    for (const { id } of membership.members) {
+      if (getMember(known, id) === undefined) this._addProgress(now, id);
     }
     return index;
   }
@@ -461,14 +462,18 @@
     this._leaderId = this.id;
     this._barriers.clear();
     this._progress = new Map();
-    for (const member of this.membership.members) {
-      this._progress.set(member.id, new Progress(this.log.lastIndex));
-      this._progress.get(member.id)!.answeredAt = now;
-    }
+    for (const { id } of this.membership.members) this._addProgress(now, id);
     this._termStartIndex = this.log.lastIndex + 1;
     this._addBody(now, { case: "blank", value: create(BlankSchema) });
   }
 
+  private _addProgress(now: number, id: string): void {
+    const progress = new Progress(this.log.lastIndex);
+    // Nobody counts as silent before it could answer.
+    progress.answeredAt = now;
+    this._progress.set(id, progress);
+  }
+
   private _addBody(now: number, body: LogEntry["body"]): number | undefined {
     if (this._role !== "leader") return undefined;
     const entry = create(LogEntrySchema, { index: this.log.lastIndex + 1, term: this._term, body });
