Ask to be let in where others are found now, first at the leader that is heard

What callers saw: nothing by itself; a machine that runs on while all the seeds of its start are replaced or gone could never take the place of a lost voter.

Cause: the addresses to ask were taken once, at the start, though seeds are read again and the agreement tells who leads.

Why this works: the client reads the addresses whenever it turns to another process; the leader by the agreement stands first.

--- a/src/control/ControlProcess.ts
+++ b/src/control/ControlProcess.ts
@@ -189,10 +189,11 @@
   const { control, process } = settings;
   const self = control.peers.find((peer) => peer.name === process.name);
   if (self === undefined) return Effect.void;
+  const others = control.peers.filter((peer) => peer.name !== process.name).map((peer) => peer.address);
   return joinMembership({
     driver,
     member: createMember(process.name, MemberId(driver.node.id), self.address, process.failureDomain),
-    addresses: control.peers.filter((peer) => peer.name !== process.name).map((peer) => peer.address),
+    getAddresses: () => others,
     followsHints: false,
     secret: secrets.cluster,
     clock,
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -102,8 +102,8 @@
   readonly driver: ConsensusDriver;
   /** This member. */
   readonly member: Member;
-  /** Where other members may be found. */
-  readonly addresses: readonly string[];
+  /** Gives where other members may be found now. */
+  readonly getAddresses: () => readonly string[];
   readonly followsHints: boolean;
   readonly secret: string | undefined;
   readonly clock: Clock;
@@ -139,16 +139,24 @@
  * leader: it may have been taken for gone and its place given to another.
  */
 export function joinMembership(options: JoinOptions): Effect.Effect<never> {
-  const { driver, member, addresses, followsHints, secret, clock, logger } = options;
-  if (addresses.length === 0) return Effect.never;
-  const client = new LeaderClient(ConsensusService, { addresses, followsHints, secret, clock });
+  const { driver, member, getAddresses, followsHints, secret, clock, logger } = options;
+  const clientOptions = {
+    get addresses() {
+      return getAddresses();
+    },
+    followsHints,
+    secret,
+    clock,
+  };
+  let client: LeaderClient<typeof ConsensusService> | undefined;
   const patience = new VoterPatience();
   const step = Effect.promise(async () => {
     const { node } = driver;
     const votes = isVoter(node.membership, node.id);
     const now = clock.getMonotonicMs();
     const isSettling = node.leaderId !== "" || node.isElecting(now);
-    if (!patience.isOver(now, votes, isSettling)) return;
+    if (!patience.isOver(now, votes, isSettling) || getAddresses().length === 0) return;
+    client ??= new LeaderClient(ConsensusService, clientOptions);
     await client
       .call((leader, timeoutMs) => leader.join({ member }, { timeoutMs }), JOIN_MS)
       .catch((cause: unknown) => logger.warn({ event: "join_failed", reason: String(cause) }));
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -187,9 +187,13 @@
       control.listen,
       settings.process.failureDomain,
     );
-    const others = getSeeds().filter((address) => address !== control.listen);
+    // The seeds may all be gone by now; whoever hears a leader knows where it is.
+    const getOthers = () =>
+      [driver.getLeaderAddress(), ...getSeeds()].filter(
+        (address) => address !== "" && address !== control.listen,
+      );
     yield* Effect.forkScoped(
-      joinMembership({ driver, member, addresses: others, followsHints: true, secret, clock, logger }),
+      joinMembership({ driver, member, getAddresses: getOthers, followsHints: true, secret, clock, logger }),
     );
     logger.info({
       event: "control_started",
