Give a silent voter's vote to a learner after a second, and keep the silent one as a learner

What callers saw: no leader, and so no order agreed, while more than half of the core ran and was connected; in the model for good, as three of five voters were machines that no longer existed.

Cause: a voter counted as gone after 5 s of silence in one term. With the declared tolerance (two losses at once, each over 6 s after the successor's start) two more losses may come before a leader has lasted for that long, each of them a new term in which the count begins again. And a leader that had stood still for 5 s itself took all voters for gone.

Change: silence counts up to the last answer of a majority, for 1 s; the learner votes first, and the leader then lets the silent voter learn on; a wiped member's earlier self is removed by the leader as well, in place of the joiner's next question; learners are forgotten after 10 s.

ConsensusModel trims as the driver does.

--- a/src/consensus/ConsensusDriver.ts
+++ b/src/consensus/ConsensusDriver.ts
@@ -20,8 +20,7 @@
 import { MemberId } from "../ids";
 import type { Storage } from "../log";
 import { type Result, StateMachine } from "../state";
-import { getMember, getNextMembership } from "./membership";
-import type { Progress } from "./Progress";
+import { getMember, getNextMembership, getTrimmedMembership, type MemberFacts } from "./membership";
 import type { RaftNode } from "./RaftNode";
 import type { ConfirmedBarrier, Ready } from "./Ready";
 
@@ -69,10 +68,6 @@
 const SNAPSHOT_ENTRIES = 2_000;
 /** Entries kept in memory behind a snapshot for members that lag a little. */
 const KEPT_ENTRIES = 500;
-/** A member silent for so long gives its place to one that has caught up. */
-const GONE_MS = 5_000;
-/** A joiner that lacks no more entries than this may vote. */
-const CAUGHT_UP_ENTRIES = 50;
 
 /** A member of the agreed state at work. */
 export class ConsensusDriver {
@@ -200,34 +195,35 @@
   }
 
   /**
-   * Takes the next step of letting a joiner replace its namesake.
+   * Takes the next step of letting a joiner vote.
    * @returns Whether the joiner votes already.
    * @throws AbsentLeader
    */
   addJoiner(joiner: Member): boolean {
     if (!this.isLeader()) throw this._createAbsentLeader();
-    const progress = this.node.getProgress(joiner.id);
-    const isCaughtUp = progress !== undefined && this._isCaughtUp(progress);
-    const next = getNextMembership(this.node.membership, joiner, {
-      isCaughtUp,
-      maxVoters: this._maxVoters,
-      isGone: (memberId) => this._isGone(memberId),
-    });
-    if (next !== undefined) this.node.addMembership(this._clock.getMonotonicMs(), next);
+    const now = this._clock.getMonotonicMs();
+    const isCaughtUp = this.node.getProgress(joiner.id)?.isCaughtUp(this.node.commitIndex) === true;
+    const facts = { ...this._getMemberFacts(now), isCaughtUp };
+    const next = getNextMembership(this.node.membership, joiner, facts);
+    if (next !== undefined) this.node.addMembership(now, next);
     this._pump();
     const present = getMember(this.node.membership, joiner.id);
     return present !== undefined && !present.learner;
   }
 
-  /** A joiner that never answered would only weaken the set as a voter. */
-  private _isCaughtUp({ matchIndex }: Progress): boolean {
-    return matchIndex > 0 && matchIndex >= this.node.commitIndex - CAUGHT_UP_ENTRIES;
+  private _getMemberFacts(now: number): MemberFacts {
+    const quorumContactAt = this.node.getQuorumContactAt(now);
+    return {
+      maxVoters: this._maxVoters,
+      isGone: (id) => id !== this.node.id && this.node.getProgress(id)?.isGone(quorumContactAt) === true,
+      isForgotten: (id) => this.node.getProgress(id)?.isForgotten(quorumContactAt) === true,
+    };
   }
 
-  private _isGone(memberId: string): boolean {
-    const progress = this.node.getProgress(memberId);
-    if (memberId === this.node.id || progress === undefined) return false;
-    return this._clock.getMonotonicMs() - progress.answeredAt > GONE_MS;
+  private _trimMembership(now: number): void {
+    if (!this.isLeader()) return;
+    const next = getTrimmedMembership(this.node.membership, this._getMemberFacts(now));
+    if (next !== undefined) this.node.addMembership(now, next);
   }
 
   private _createAbsentLeader(): AbsentLeader {
@@ -235,7 +231,11 @@
   }
 
   private _tick(): void {
-    this._guard(() => this.node.tick(this._clock.getMonotonicMs()));
+    const now = this._clock.getMonotonicMs();
+    this._guard(() => {
+      this.node.tick(now);
+      this._trimMembership(now);
+    });
     this._pump();
   }
 
--- a/src/consensus/Progress.ts
+++ b/src/consensus/Progress.ts
@@ -17,6 +17,13 @@
 /** A probe that was not answered for so many heartbeats is sent again. */
 const PROBE_HEARTBEATS = 5;
 
+/** A voter that has answered so long before a majority did last gives its vote to a learner. */
+const GONE_MS = 1_000;
+/** A learner that has been silent for so long is sent nothing more. */
+const FORGOTTEN_MS = 10_000;
+/** A joiner that lacks no more entries than this may vote. */
+const CAUGHT_UP_ENTRIES = 50;
+
 /** What to send: entries after an index that the member is thought to have. */
 export interface PlannedAppend {
   readonly previousIndex: number;
@@ -62,6 +69,24 @@
     return this._matchIndex;
   }
 
+  /**
+   * Checks whether the member is taken for gone.
+   * @param quorumContactAt - When a majority answered last: a leader that stood still itself has missed everyone alike.
+   */
+  isGone(quorumContactAt: number): boolean {
+    return quorumContactAt - this.answeredAt > GONE_MS;
+  }
+
+  /** Checks whether the member has been silent for so long that it has to join anew. */
+  isForgotten(quorumContactAt: number): boolean {
+    return quorumContactAt - this.answeredAt > FORGOTTEN_MS;
+  }
+
+  /** Checks whether the member may vote; one that never answered would only weaken the set. */
+  isCaughtUp(commitIndex: number): boolean {
+    return this._matchIndex > 0 && this._matchIndex >= commitIndex - CAUGHT_UP_ENTRIES;
+  }
+
   /** Plans the next append; its entries count as sent. */
   planAppend(now: number, log: MemoryLog, heartbeatMs: number): PlannedAppend {
     const previousIndex = this._nextIndex - 1;
--- a/src/consensus/index.ts
+++ b/src/consensus/index.ts
@@ -6,10 +6,12 @@
   getMember,
   getNextMembership,
   getQuorumSize,
+  getTrimmedMembership,
   getVoterCount,
   getVoters,
   isVoter,
   type JoiningFacts,
+  type MemberFacts,
 } from "./membership";
 export type { Progress } from "./Progress";
 export { RaftNode, type RaftNodeOptions, type Role } from "./RaftNode";
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -27,23 +27,29 @@
   return create(MembershipSchema, { members: [...members] });
 }
 
-/** What is known of the members when one joins. */
-export interface JoiningFacts {
-  /** Whether the joiner holds nearly the whole log. */
-  readonly isCaughtUp: boolean;
+/** What is known of the members. */
+export interface MemberFacts {
   /** Voters wanted at the most; without a bound every joiner votes. */
   readonly maxVoters?: number;
-  /** Whether a member has been silent for so long that it is taken for gone. */
+  /** Whether a voter has been silent for so long that a learner is to vote in its place. */
   readonly isGone?: (memberId: string) => boolean;
+  /** Whether a learner has been silent for so long that it has to join anew. */
+  readonly isForgotten?: (memberId: string) => boolean;
+}
+
+/** What is known of the members when one joins. */
+export interface JoiningFacts extends MemberFacts {
+  /** Whether the joiner holds nearly the whole log. */
+  readonly isCaughtUp: boolean;
 }
 
 /**
  * Gets the next membership on the way to letting a joiner vote.
  *
  * One member changes a step, so that any two successive majorities share a voter: the
- * joiner is added as a learner, its dead namesake is removed, and once it has caught up
- * it votes. Where there are voters enough, it takes the place of one that is gone, and
- * learns on until there is such a one.
+ * joiner is added as a learner, and once it has caught up it votes. Where there are voters
+ * enough, it learns on until one is gone whose place it takes. It votes before that one
+ * loses its vote (`getTrimmedMembership`), so that no loss meanwhile meets a smaller set.
  * @returns `undefined` when there is nothing left to change now.
  */
 export function getNextMembership(
@@ -52,30 +58,45 @@
   facts: JoiningFacts,
 ): Membership | undefined {
   const present = getMember(current, joiner.id);
-  if (present === undefined) {
-    const forgotten = findGoneLearner(current, facts);
-    if (forgotten !== undefined) return removeMember(current, forgotten);
-    return createMembership([...current.members, { ...joiner, learner: true }]);
-  }
-  if (!present.learner || !facts.isCaughtUp) return undefined;
-  const namesake = current.members.find((member) => member.name === joiner.name && member.id !== joiner.id);
-  if (namesake !== undefined) return removeMember(current, namesake);
-  if (getVoters(current).length >= (facts.maxVoters ?? Number.POSITIVE_INFINITY)) {
-    const gone = getVoters(current).find((member) => facts.isGone?.(member.id));
-    return gone === undefined ? undefined : removeMember(current, gone);
-  }
-  return createMembership(
-    current.members.map((member) => (member.id === joiner.id ? { ...member, learner: false } : member)),
-  );
+  if (present === undefined) return createMembership([...current.members, { ...joiner, learner: true }]);
+  if (!present.learner || !facts.isCaughtUp || !hasPlace(current, present, facts)) return undefined;
+  return setLearner(current, joiner.id, false);
 }
 
-/** Learners that are gone would be sent the log for good. */
-function findGoneLearner(current: Membership, facts: JoiningFacts): Member | undefined {
-  return current.members.find((member) => member.learner && facts.isGone?.(member.id));
+/** Checks whether one more may vote: there are too few voters, or one whose place is free. */
+function hasPlace(current: Membership, joiner: Member, facts: MemberFacts): boolean {
+  const voters = getVoters(current);
+  const maxVoters = facts.maxVoters ?? Number.POSITIVE_INFINITY;
+  if (voters.length < maxVoters || voters.some((voter) => voter.name === joiner.name)) return true;
+  return voters.length === maxVoters && voters.some((voter) => facts.isGone?.(voter.id));
 }
 
-function removeMember(current: Membership, removed: Member): Membership {
-  return createMembership(current.members.filter((member) => member.id !== removed.id));
+/**
+ * Gets the membership with one change that needs nobody to ask for it: a member that lost its disk and
+ * joined anew under its name is removed, a voter too many that is gone learns on, so that it follows at once
+ * when it is back, and a learner that stays away is removed.
+ * @returns `undefined` when there is none.
+ */
+export function getTrimmedMembership(current: Membership, facts: MemberFacts): Membership | undefined {
+  const { members } = current;
+  const voters = getVoters(current);
+  // Members stand in the order in which they joined.
+  const isReplaced = (member: Member, i: number) =>
+    members.slice(i + 1).some((later) => later.name === member.name && !later.learner);
+  const removed =
+    members.find(isReplaced) ?? members.find(({ id, learner }) => learner && facts.isForgotten?.(id));
+  if (removed !== undefined) {
+    return createMembership(members.filter((member) => member !== removed));
+  }
+  if (voters.length <= (facts.maxVoters ?? Number.POSITIVE_INFINITY)) return undefined;
+  const gone = voters.find((voter) => facts.isGone?.(voter.id));
+  return gone === undefined ? undefined : setLearner(current, gone.id, true);
+}
+
+function setLearner({ members }: Membership, memberId: string, learner: boolean): Membership {
+  return createMembership(
+    members.map((member) => (member.id === memberId ? { ...member, learner } : member)),
+  );
 }
 
 /**
--- a/test/consensus/ConsensusModel.ts
+++ b/test/consensus/ConsensusModel.ts
@@ -7,7 +7,14 @@
  */
 import { create, toBinary } from "@bufbuild/protobuf";
 import type { Ready } from "../../src/consensus";
-import { createMembership, getNextMembership, getVoters, RaftNode, SeededRandom } from "../../src/consensus";
+import {
+  createMembership,
+  getNextMembership,
+  getTrimmedMembership,
+  getVoters,
+  RaftNode,
+  SeededRandom,
+} from "../../src/consensus";
 import {
   type ConsensusMessage,
   type HardState,
@@ -391,6 +398,9 @@
       if (next !== undefined) leader.node.addMembership(this._now, next);
       this._pump(leader);
     }
+    const trimmed = getTrimmedMembership(leader.node.membership, {});
+    if (trimmed !== undefined) leader.node.addMembership(this._now, trimmed);
+    this._pump(leader);
   }
 
   private _getLeader(): Host | undefined {
