--- a/src/clock/BootTime.ts
+++ b/src/clock/BootTime.ts
@@ -3,8 +3,7 @@
  *
  * The steady clock, which is all that the runtime gives, stands still while a machine is suspended. `os.uptime()`
  * reads a file with a resolution of 10 ms, or whole seconds where there is none, and in a container it may be
- * another machine's. So the C library is asked: 0.45 us a call (100,000 calls, one run), against 0.13 us of
- * the steady clock.
+ * another machine's. So the C library is asked, which costs little more than the steady clock.
  */
 import { resolve } from "node:path";
 import { MissingBootTime } from "../errors";
--- a/src/consensus/ElectionPatience.ts
+++ b/src/consensus/ElectionPatience.ts
@@ -1,25 +1,23 @@
 /**
- * How long a member waits for a leader before it campaigns, measured by what it sees.
+ * How long a member waits for a leader before it campaigns, by what it sees.
  *
  * On machines that are overloaded a message waits for as long as a voter does: campaigns overtake each
  * other, and a leader that computes for a while is voted out, which makes for more work. Campaigns
  * that come to nothing, and each long silence of a leader that was slow, double the patience; a leader
- * that is heard regularly halves it again. With 222 instances, 56 entries and three members at a fifth of
- * a core each, there was no leader within 15 s in three runs without it (measured by `powerLoss`).
+ * that is heard regularly halves it again.
  * Pure: times are monotonic milliseconds given by the caller.
  */
 import type { Timing } from "./Timing";
 
-/** The longest patience, in usual ones: with messages that wait 0.7 s each way a campaign takes 2.8 s. */
+/** The longest patience, in usual ones: a campaign takes four messages, and each may wait as long as a usual patience. */
 const MAX_FACTOR = 4;
 /** A leader that was silent for this part of a voter's patience may be missed next time. */
 const LONG_SILENCE = 0.8;
-/** Campaigns before patience grows; with one more 20 seeds of busy members did not all find a leader in 10 s. */
+/** Campaigns before patience grows. */
 const FREE_CAMPAIGNS = 1;
 /**
  * A leader that was heard without a long silence for this part of a voter's longest patience has kept up
- * with its work: if another one is heard after its silence, it had died. Deaths that were taken for
- * slowness left five kills in a row without a leader for 3.0 to 4.7 s instead of 0.8 s (`failover`).
+ * with its work: if another one is heard after its silence, it had died, and the next death is to be missed as soon.
  */
 const KEPT_UP = 0.5;
 /** A leader has to be heard regularly for so long before patience is halved, milliseconds. */
--- a/src/declaration/documents.ts
+++ b/src/declaration/documents.ts
@@ -1,9 +1,8 @@
 /**
  * Declarations as they travel between the system's own processes and lie on disk: compressed.
  *
- * A declaration of 460 routes has 97 KB and goes to every entry and control process with each
- * change. On the day with the most changes it was more than half of what crossed failure domains:
- * 48 MB without and 21 MB with compression, one play each.
+ * A declaration of some hundred routes has a hundred kilobytes and goes to every entry and control
+ * process with each change, across failure domains.
  */
 import { gunzipSync, gzipSync } from "node:zlib";
 
--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -232,8 +232,7 @@
   /**
    * What was heard before the usual silence says less than the agreed state: the instance may have taken
    * a place since and report it to another process. It counts as unheard, so that its replica stands
-   * until it has been silent for long enough. One replica each was given up within a second of three
-   * changes of leader for reports 5.6 to 8.6 s old (logs of two days with killed leaders).
+   * until it has been silent for long enough.
    */
   private _addReport(now: number, report: InstanceReport): void {
     if (report.ageMs > this._options.getTimes().presenceMs) return;
--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -50,13 +50,12 @@
 
 /**
  * Entries keep watching a process that hears of a leader, but is shown nothing, for so long. Entries count as in touch 3 s after
- * a cut: the rest of that is for the call to end (0.3 s) and for finding another process (0.4 s in the one trace of it).
+ * a cut: the rest of that is for the call to end and for finding another process.
  */
 const WATCH_PATIENCE_MS = 2_200;
 /**
  * They leave one that hears of no leader, while no majority elects one, sooner: it is cut off, and the next process that
- * they ask may be so as well, which costs 0.7 s. With 3 s for both an entry refused a route that had been acknowledged 2.3 s
- * before, 3.5 s after a cut.
+ * they ask may be so as well.
  */
 const ISOLATED_PATIENCE_MS = 1_500;
 /** An entry that told of crashes waits half a second for an answer. */
--- a/src/registration/FleetView.ts
+++ b/src/registration/FleetView.ts
@@ -147,9 +147,8 @@
   /**
    * Gets what a watcher lacks.
    * @param position - `undefined` at the start of a call.
-   * @param isEntry - An entry is told only how many entries there are: with 56 of them that start at
-   * once, each told of all others as they came, writing lists took 0.26 s of the 1.9 s that a new
-   * leader computed in its first seconds (profile of one run of `powerLoss`).
+   * @param isEntry - An entry is told only how many entries there are: of many that start at once each
+   * would be told of all others as they come.
    */
   createUpdate(
     term: number,
--- a/src/registration/GivenUpPlaces.ts
+++ b/src/registration/GivenUpPlaces.ts
@@ -2,12 +2,11 @@
  * Which instances answered themselves that they are out of the replica that they were in last.
  *
  * An instance that takes a place in a replica while it is still in another one, whose head may be open,
- * is in two at once. What else is known of a replica is no proof that its head takes no requests: a head
- * that was to break after a member had left was open when its instances were given away, since orders to
- * leave, join and open it were carried out late (seed 1097 of a model of a fleet), and one that broke
- * later than expected was (one of six runs of a soak). So each instance is asked to leave by itself, and
- * takes its next place only once it has answered. Its answer also speaks for an instance that started
- * again under its id: it holds no place. Pure: times are monotonic milliseconds given by the caller.
+ * is in two at once. What else is known of a replica is no proof that its head takes no requests: orders to
+ * leave, join and open it may be carried out late, and a head that is to break may break later. So each
+ * instance is asked to leave by itself, and takes its next place only once it has answered. Its answer also
+ * speaks for an instance that started again under its id: it holds no place. Pure: times are monotonic
+ * milliseconds given by the caller.
  */
 import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
 import type { StateMachine } from "../state";
--- a/src/registration/Hearing.ts
+++ b/src/registration/Hearing.ts
@@ -3,8 +3,7 @@
  *
  * Instances report to any control process, and these pass it on. While one that is alive can't get
  * its reports through, or none can, the silence of an instance says nothing of the instance: that
- * time isn't counted. Without this a leader gave up 8 and 31 of 32 replicas whose instances all ran,
- * 3.6 s into its term, after all power had been lost (measured by `powerLoss`, two runs).
+ * time isn't counted: after a loss of all power a new leader would give up replicas whose instances all run.
  * Pure: times are monotonic milliseconds given by the caller.
  */
 
--- a/src/registration/IdentityChecks.ts
+++ b/src/registration/IdentityChecks.ts
@@ -1,10 +1,8 @@
 /**
  * Finds out which of several instances that reported from one address runs there, by asking.
  *
- * The answer of the instance itself is the only proof: reports of ended instances reach a leader after
- * those of their successors, 0.1 to 9.8 s old in the first 0.3 s of terms. Believing the last report
- * instead gave up 8, 9 and 9 replicas within a second of a change of leader, and gave away instances
- * whose head was open (logs of three days with partitions, restarts and killed leaders).
+ * The answer of the instance itself is the only proof: reports of ended instances may reach a leader
+ * seconds after those of their successors, most of all in the first moments of a term.
  */
 import type { Clock } from "../clock";
 import type { InstanceReport } from "../gen/ploverstage/v1/fleet_pb";
--- a/src/registration/OrderDispatcher.ts
+++ b/src/registration/OrderDispatcher.ts
@@ -36,9 +36,9 @@
 const STAGING_MS = 40_000;
 
 /**
- * Orders that are begun in one turn of the event loop. Forming the first replicas of 222 instances is as
- * many orders: begun at once they kept a new leader on a fifth of a core from its heartbeats for 0.4 to
- * 0.8 s, and four leaders followed each other within four seconds (logs of a day at that size).
+ * Orders that are begun in one turn of the event loop. Forming the first replicas is an order to each
+ * instance: begun at once they would keep a new leader on a small core from its heartbeats, and it would be
+ * voted out.
  */
 const ORDERS_PER_TURN = 8;
 
--- a/src/registration/ViewHub.ts
+++ b/src/registration/ViewHub.ts
@@ -84,8 +84,7 @@
  * A process without a recovered view, such as one that lost its disk, has nothing to show until it
  * hears a leader: an entry that stayed with it would refuse everything meanwhile. Where everything was
  * just started for the first time nobody has anything to show yet: an entry that were refused would only
- * ask the next process at once. 64 of them had each of three founders at a fifth of a core refuse 50 to 60
- * calls a second, and the founders' votes waited behind these (measured by `firstStart`).
+ * ask the next process at once, and the founders' votes would wait behind these calls.
  */
 function isEmpty({ term, view }: ViewSource): boolean {
   return term === RECOVERED_TERM && view.declarationVersion === 0;
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -43,9 +43,7 @@
 /**
  * The first answer may wait for a connection to come up. Where the same process is asked again, since
  * it alone leads, the time is doubled up to the longest: a leader that has just begun answers late, and
- * each call that is given up makes it later. Five processes at a fifth of a core found theirs 0.9 to
- * 5.3 s after its election in two runs without that, and 0.6 to 2.8 s in one with it (measured by
- * `powerLoss`).
+ * each call that is given up makes it later.
  */
 const FIRST_ANSWER_MS = 700;
 const MAX_FIRST_ANSWER_MS = 2_800;
--- a/src/rpc/SearchPause.ts
+++ b/src/rpc/SearchPause.ts
@@ -12,8 +12,7 @@
 const MAX_ROUND_MS = 200;
 /**
  * Rounds, some two seconds of them, in which an election is over. Whoever goes on to ask as often keeps
- * the next one from being over: 56 entries had three processes refuse 40 to 90 calls a second each, on a
- * fifth of a core, and none was elected in 15 s (measured by `powerLoss`).
+ * the next one from being over: processes would do nothing but refuse.
  */
 const ELECTION_ROUNDS = 12;
 const MAX_LATE_ROUND_MS = 800;
--- a/src/rpc/SessionPings.ts
+++ b/src/rpc/SessionPings.ts
@@ -8,15 +8,12 @@
 
 /**
  * A caller that misses the answer to a ping for so long is cut off, milliseconds. A machine without
- * power says nothing: until then callers are still sent to its entry. With 500 here, 300 of grace
- * and addresses that hold for 1 s, in place of 700, 1,000 and 2 s, the first 16 s of four days on
- * which two entries lose power kept 0.9095 of their credit in the mean instead of 0.902.
+ * power says nothing: until then callers are still sent to its entry.
  */
 const PING_INTERVAL_MS = 500;
 /**
  * A process that runs its own timer so late, milliseconds, has not looked at answers that came in
- * time. Leaders that were busy cut off members that had just found them, which had them told of
- * everything once more (measured by `powerLoss`).
+ * time: a busy leader would cut off members that have just found it, and tell them everything once more.
  */
 const LATE_MS = 100;
 
--- a/src/rpc/openSocket.ts
+++ b/src/rpc/openSocket.ts
@@ -4,9 +4,8 @@
 
 /**
  * A connection that does not come up within this time is given up, milliseconds: longer than a link that is
- * choked keeps packets, shorter than the pause between two tries of the system. That pause doubles while a
- * partition lasts: entries that had been cut off for 10 s found control 6.8 s after the cut was over, and
- * went by an outdated declaration meanwhile (log of one day, two plays of two).
+ * choked keeps packets, shorter than the pause between two tries of the system, which doubles while a partition
+ * lasts, so that a peer would be found seconds after it is over.
  */
 export const CONNECT_MS = 1_500;
 
