Never keep a voter too many

What callers saw: nothing by itself. A voter that was silent for a second and answered again while a learner took its place left six voters, of whom a split of six machines in halves gives neither side a majority.

Cause: only a voter that was still silent lost its vote.

Change: with more voters than wanted one learns on in any case: the silent one, else the last that joined, never the leader.

--- a/src/consensus/ConsensusDriver.ts
+++ b/src/consensus/ConsensusDriver.ts
@@ -215,6 +215,7 @@
     const quorumContactAt = this.node.getQuorumContactAt(now);
     return {
       maxVoters: this._maxVoters,
+      leaderId: this.node.id,
       isGone: (id) => id !== this.node.id && this.node.getProgress(id)?.isGone(quorumContactAt) === true,
       isForgotten: (id) => this.node.getProgress(id)?.isForgotten(quorumContactAt) === true,
     };
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -31,6 +31,8 @@
 export interface MemberFacts {
   /** Voters wanted at the most; without a bound every joiner votes. */
   readonly maxVoters?: number;
+  /** The member that leads; it keeps its vote. */
+  readonly leaderId?: string;
   /** Whether a voter has been silent for so long that a learner is to vote in its place. */
   readonly isGone?: (memberId: string) => boolean;
   /** Whether a learner has been silent for so long that it has to join anew. */
@@ -73,8 +75,8 @@
 
 /**
  * Gets the membership with one change that needs nobody to ask for it: a member that lost its disk and
- * joined anew under its name is removed, a voter too many that is gone learns on, so that it follows at once
- * when it is back, and a learner that stays away is removed.
+ * joined anew under its name is removed, a learner that stays away is removed, and of voters that are too many
+ * one learns on: one that is gone, so that it follows at once when it is back, else the last that joined.
  * @returns `undefined` when there is none.
  */
 export function getTrimmedMembership(current: Membership, facts: MemberFacts): Membership | undefined {
@@ -89,8 +91,9 @@
     return createMembership(members.filter((member) => member !== removed));
   }
   if (voters.length <= (facts.maxVoters ?? Number.POSITIVE_INFINITY)) return undefined;
-  const gone = voters.find((voter) => facts.isGone?.(voter.id));
-  return gone === undefined ? undefined : setLearner(current, gone.id, true);
+  const others = voters.filter(({ id }) => id !== facts.leaderId);
+  const spare = others.find(({ id }) => facts.isGone?.(id)) ?? others.at(-1);
+  return spare === undefined ? undefined : setLearner(current, spare.id, true);
 }
 
 function setLearner({ members }: Membership, memberId: string, learner: boolean): Membership {
--- a/test/consensus/MemberSeries.ts
+++ b/test/consensus/MemberSeries.ts
@@ -475,6 +475,7 @@
     const quorumContactAt = leader.getQuorumContactAt(this._now);
     return {
       maxVoters: getVoterCount(LOSSES_BORNE),
+      leaderId: leader.id,
       isGone: (id) => id !== leader.id && leader.getProgress(id)?.isGone(quorumContactAt) === true,
       isForgotten: (id) => leader.getProgress(id)?.isForgotten(quorumContactAt) === true,
     };
