--- a/src/registration/Registrar.ts
+++ b/src/registration/Registrar.ts
@@ -8,7 +8,12 @@
 import { type Clock, pause } from "../clock";
 import { type Declaration, type DeclarationFormat, packDocument, unpackDocument } from "../declaration";
 import { InvalidReport, UnreachableControl } from "../errors";
-import type { EntryEndpoint, FleetService, InstanceReport } from "../gen/ploverstage/v1/fleet_pb";
+import type {
+  EntryEndpoint,
+  FleetService,
+  GetDeclarationResponse,
+  InstanceReport,
+} from "../gen/ploverstage/v1/fleet_pb";
 import type { Declaration as HeldDeclaration } from "../gen/ploverstage/v1/state_pb";
 import type { Life } from "../ids";
 import type { Logger, Metrics } from "../metrics";
@@ -152,10 +157,18 @@
    * @throws UnreachableControl
    */
   async getDeclaration(): Promise<HeldDeclaration | undefined> {
-    const answer = await this._options.client.call(
-      (leader, timeoutMs) => leader.getDeclaration({}, { timeoutMs }),
-      READ_MS,
-    );
+    const trace = new CallTrace();
+    const arrivedAt = this._options.clock.getMonotonicMs();
+    const answer = await this._readDeclaration(trace).catch((cause: unknown) => {
+      this._options.logger.warn({
+        event: "declaration_unread",
+        took_ms: this._getMsSince(arrivedAt),
+        tries: trace.tries,
+        failures: trace.getFailures(),
+        reason: String(cause),
+      });
+      throw cause;
+    });
     const { declaration } = answer;
     if (declaration === undefined) return undefined;
     return { ...declaration, document: unpackDocument(declaration.document) };
@@ -200,6 +213,11 @@
     );
   }
 
+  private _readDeclaration(trace: CallTrace): Promise<GetDeclarationResponse> {
+    const { client } = this._options;
+    return client.call((leader, timeoutMs) => leader.getDeclaration({}, { timeoutMs }), READ_MS, trace);
+  }
+
   private _getMsSince(at: number): number {
     return Math.round(this._options.clock.getMonotonicMs() - at);
   }
