--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -18,7 +18,7 @@
 const KIND = `${process.platform}-${process.arch}`;
 const NATIVE_LIBRARY = `node_modules/@koromix/koffi-${KIND}/${KIND.replace("-", "_")}/koffi.node`;
 /** Modules of Node 20 that can't be loaded while a heap is made; they are loaded at their first use. */
-const LATE_MODULES = ["http", "https", "http2", "dgram", "module", "worker_threads"];
+const LATE_MODULES = ["http", "https", "http2", "dgram", "module", "perf_hooks", "worker_threads"];
 
 const [folder] = process.argv.slice(2);
 if (folder === undefined) throw new Error("usage: bundlePlatform.mjs DIR");
--- a/src/clock/LoopLag.ts
+++ b/src/clock/LoopLag.ts
@@ -33,6 +33,7 @@
   private _tickedAt: number;
   private readonly _onStall: (stall: Stall) => void;
   private _cpu = process.cpuUsage();
+  private _lateMs = 0;
 
   /**
    * @param clock - Monotonic time.
@@ -55,6 +56,13 @@
     );
   }
 
+  /** Takes by how much timers ran late, all together, since it was taken last; milliseconds. */
+  takeLateMs(): number {
+    const lateMs = this._lateMs;
+    this._lateMs = 0;
+    return lateMs;
+  }
+
   /** Measures no more. */
   stop(): void {
     clearInterval(this._timer);
@@ -65,6 +73,7 @@
     this._lags = this._lags.filter((lag) => now - lag.at <= MEMORY_MS);
     const lagMs = Math.max(0, now - this._tickedAt - INTERVAL_MS);
     this._lags.push({ at: now, lagMs });
+    this._lateMs += lagMs;
     this._tickedAt = now;
     const { user, system } = process.cpuUsage(this._cpu);
     this._cpu = process.cpuUsage();
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -15,7 +15,7 @@
 import { MemberId } from "../ids";
 import { FileStorage, type StoredState } from "../log";
 import type { Logger } from "../metrics";
-import { createSecretGuard, LeaderClient, RpcServer } from "../rpc";
+import { createSecretGuard, LeaderClient, RpcServer, type RpcServerOptions } from "../rpc";
 
 const JOIN_MS = 2_000;
 const JOIN_PAUSE_MS = 300;
@@ -85,12 +85,14 @@
   listen: string,
   secret: string | undefined,
   interfaceName: string,
-  routes: Parameters<typeof RpcServer.start>[0]["routes"],
+  routes: RpcServerOptions["routes"],
+  watching: Pick<RpcServerOptions, "interceptors" | "onSession"> = { interceptors: [] },
 ) {
-  const interceptors = secret === undefined ? [] : [createSecretGuard(secret, interfaceName)];
+  const guards = secret === undefined ? [] : [createSecretGuard(secret, interfaceName)];
+  const options = { ...watching, interceptors: [...watching.interceptors, ...guards] };
   return Effect.acquireRelease(
     Effect.tryPromise({
-      try: () => RpcServer.start({ listen, routes, interceptors }),
+      try: () => RpcServer.start({ listen, routes, ...options }),
       catch: (cause) => cause,
     }),
     (server) => Effect.promise(() => server.stop()),
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -1,5 +1,6 @@
 /** Logs and metrics. */
 export { BoundedLog, type LossyDestination } from "./BoundedLog";
+export { type CallEnd, type CallFigures, CallLoad } from "./CallLoad";
 export { createLogger, type Logger, type LogLevel } from "./logger";
 export { type MetricName, type Metrics, type MetricTags, SilentMetrics, StatsdMetrics } from "./Metrics";
 export { startMetricsServer, TextMetrics } from "./TextMetrics";
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -5,6 +5,7 @@
  * Members find each other from seeds alone: at the first start of the whole system the
  * seeds are the founding members, everyone else joins.
  */
+import type { ConnectRouter } from "@connectrpc/connect";
 import { Effect, type Scope } from "effect";
 import { getProcessorMs, getSuspensionClock, LoopLag, SystemClock } from "../clock";
 import { createMembership, getVoterCount } from "../consensus";
@@ -25,8 +26,9 @@
   PeerTransport,
   serveRpc,
 } from "../membership";
-import { type Logger, type Metrics, WorkMeter } from "../metrics";
-import { SuspensionWatch } from "../process";
+import { CallLoad, type Logger, type Metrics, WorkMeter } from "../metrics";
+import { LoadWatch, SuspensionWatch } from "../process";
+import { createCallCounter } from "../rpc";
 import type { FleetControlSettings, LiveSettings } from "../settings";
 import { CallLedger } from "./CallLedger";
 import { FleetLeadership } from "./FleetLeadership";
@@ -143,7 +145,13 @@
       getReportPatienceMs: () => getReportPatienceMs(options.settings.current),
     });
     const guard = new LeaderGuard(driver, getLeadership);
-    yield* serveRpc(control.listen, secret, "the cluster", (router) => {
+    const load = new CallLoad(options.metrics);
+    yield* Effect.acquireRelease(
+      Effect.sync(() => new LoadWatch({ clock, lag, load, logger, metrics: options.metrics })),
+      (started) => Effect.sync(() => started.stop()),
+    );
+    const watching = { interceptors: [createCallCounter(load, clock)], onSession: () => load.addSession() };
+    const addRoutes = (router: ConnectRouter) => {
       addConsensusRoutes(router, driver);
       addFleetRoutes(router, {
         driver,
@@ -157,7 +165,8 @@
         relayCrashes: (crashes) => relay.reportCrashes(crashes),
         relayEntries: () => relay.sender.sendNow(),
       });
-    });
+    };
+    yield* serveRpc(control.listen, secret, "the cluster", addRoutes, watching);
     yield* Effect.acquireRelease(
       Effect.sync(() => driver.start()),
       () => Effect.promise(() => driver.stop()),
--- a/src/rpc/RpcServer.ts
+++ b/src/rpc/RpcServer.ts
@@ -12,6 +12,8 @@
   readonly listen: string;
   readonly routes: (router: ConnectRouter) => void;
   readonly interceptors: Interceptor[];
+  /** Called when a peer has opened a session. */
+  readonly onSession?: () => void;
 }
 
 /** Largest message accepted: a snapshot of the state must fit. */
@@ -32,6 +34,7 @@
     const clock = new SystemClock();
     this._server.on("session", (session) => {
       this._sessions.add(session);
+      options.onSession?.();
       const pings = new SessionPings(session, clock);
       session.once("close", () => {
         pings.stop();
