A control process speaks for a leader that it follows in the agreement, before it is shown its view

Callers saw: after a loss of power of control alone instances and entries were refused by five of six control processes for nine seconds, although a leader led and orders were agreed on; entries went by an outdated declaration 8 s after a newer one was acknowledged. Cause: a process counted as in touch only while the leader showed it its view over a call of its own, the one that waited behind all others. It follows the same leader in the agreement all the while and has applied what is agreed. Why this holds: a leader's commits that are applied here can't be taken back, so a declaration and the end of an instance or a replica are told to watchers as soon as they are applied. A process that lacks commits which the leader told of, or hears none, does not count. New targets come with the leader's view as before.

--- a/src/consensus/ConsensusDriver.ts
+++ b/src/consensus/ConsensusDriver.ts
@@ -121,6 +121,15 @@
     return getMember(this.node.membership, this.node.leaderId)?.address ?? "";
   }
 
+  /**
+   * Gets when this follower heard last of a leader all of whose commits, as far as it told of them, are applied here.
+   * @returns Monotonic milliseconds; `undefined` while there is none.
+   */
+  getAgreedContactAt(): number | undefined {
+    const isCurrent = this._machine.appliedIndex >= this.node.commitIndex;
+    return isCurrent ? this.node.getLeaderContactAt() : undefined;
+  }
+
   /** Adds a listener that is called after each applied entry. */
   addAppliedListener(listener: (entry: LogEntry) => void): void {
     this._appliedListeners.push(listener);
--- a/src/consensus/Election.ts
+++ b/src/consensus/Election.ts
@@ -38,6 +38,11 @@
     return this._votes;
   }
 
+  /** Gets when the leader was heard last, or the member began. */
+  get leaderContactAt(): number {
+    return this._leaderContactAt;
+  }
+
   /** Gets how long a leader may go without an answer of a majority, milliseconds. */
   get contactMs(): number {
     return this._patience.maxMs;
--- a/src/consensus/RaftNode.ts
+++ b/src/consensus/RaftNode.ts
@@ -237,6 +237,11 @@
     return this._hasMajority(new Set([this.id, ...this._election.getLeaderless(now)]));
   }
 
+  /** Gets when a follower heard its leader last, monotonic milliseconds; `undefined` while it knows none. */
+  getLeaderContactAt(): number | undefined {
+    return this._role === "follower" && this._leaderId !== "" ? this._election.leaderContactAt : undefined;
+  }
+
   /** Gets when a majority answered last, for a leader; monotonic milliseconds. */
   getQuorumContactAt(now: number): number {
     const answeredAt = getVoters(this.membership).map(({ id }) => this._getAnsweredAt(now, id));
--- a/src/ids/Life.ts
+++ b/src/ids/Life.ts
@@ -19,7 +19,16 @@
 /** Text that names one life. */
 export type LifeKey = string & Brand.Brand<"LifeKey">;
 
+/** Parts an instance's id from the start of its life. */
+const SEPARATOR = "@";
+
 /** Gets the text that names a life; of an instance that does not tell its start it is its id. */
 export function getLifeKey({ instanceId, born }: Life): LifeKey {
-  return (born === 0 ? instanceId : `${instanceId}@${born}`) as LifeKey;
+  return (born === 0 ? instanceId : `${instanceId}${SEPARATOR}${born}`) as LifeKey;
+}
+
+/** Gets the life of an instance that a text names. */
+export function parseLifeKey(instanceId: string, key: string): Life {
+  if (key === instanceId) return { instanceId, born: 0 };
+  return { instanceId, born: Number(key.slice(instanceId.length + SEPARATOR.length)) };
 }
--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -16,6 +16,7 @@
 } from "../gen/ploverstage/v1/fleet_pb";
 import type { Logger } from "../metrics";
 import { LeaderClient } from "../rpc";
+import { AgreedFacts } from "./AgreedFacts";
 import type { FleetLeadership } from "./FleetLeadership";
 import { FollowedView } from "./FollowedView";
 import { LeaderContact } from "./LeaderContact";
@@ -73,9 +74,11 @@
   /** Calls the leader. */
   readonly client: LeaderClient<typeof FleetService>;
   private readonly _options: FleetRelayOptions;
+  private readonly _relayed: RelayedView;
   private readonly _watcher: ViewWatcher;
   private readonly _contact: LeaderContact;
   private readonly _suspicions: SuspicionReporter;
+  private _isUpdating = false;
 
   /**
    * @param options - Driver, leadership and addresses.
@@ -85,7 +88,8 @@
     const { driver, clock, logger, secret, getLeadership, getSeeds } = options;
     this._contact = new LeaderContact(clock.getMonotonicMs());
     if (options.recovered !== undefined) this.view.apply(options.recovered);
-    const relayed = new RelayedView(this.view);
+    const relayed = new RelayedView(this.view, new AgreedFacts(() => driver.machine));
+    this._relayed = relayed;
     this.hub = new ViewHub({
       clock,
       getOwn: () => {
@@ -136,6 +140,7 @@
 
   /** Starts following the leader and telling it. */
   start(): void {
+    this._options.driver.addAppliedListener(() => this._updateAgreedSoon());
     void this._watcher.run();
     this.sender.start();
   }
@@ -195,10 +200,26 @@
     return this._contact.isInTouch(now, patienceMs) || driver.node.isElecting(now);
   }
 
-  /** A leader that is cut off leads on until it misses the majority: what it shows is no newer than their last answer. */
+  /**
+   * A leader that is cut off leads on until it misses the majority: what it shows is no newer than their last answer.
+   * Who follows a leader in the agreement speaks for it before it is shown its view: what is agreed is told here.
+   */
   private _noteLeadership(now: number): void {
     const { driver, getLeadership } = this._options;
-    if (getLeadership() !== undefined) this._contact.addContact(driver.node.getQuorumContactAt(now));
+    const isLeading = getLeadership() !== undefined;
+    const contactAt = isLeading ? driver.node.getQuorumContactAt(now) : driver.getAgreedContactAt();
+    if (contactAt !== undefined) this._contact.addContact(contactAt);
+  }
+
+  /** Entries that are applied in one turn of the event loop are told together. */
+  private _updateAgreedSoon(): void {
+    if (this._isUpdating || this._options.getLeadership() !== undefined) return;
+    this._isUpdating = true;
+    setImmediate(() => {
+      this._isUpdating = false;
+      this._relayed.updateAgreed();
+      this.hub.notify();
+    });
   }
 
   /** Only the leader shows its view to other control processes: while none is known, nobody is asked. */
--- a/src/registration/RelayedView.ts
+++ b/src/registration/RelayedView.ts
@@ -5,19 +5,23 @@
  * told as complete.
  */
 import type { ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
+import type { AgreedFacts } from "./AgreedFacts";
 import { FleetView, type ViewSource } from "./FleetView";
 import type { FollowedView } from "./FollowedView";
 
 /** A followed view that can be watched. */
 export class RelayedView {
   private readonly _followed: FollowedView;
+  private readonly _agreed: AgreedFacts | undefined;
   private _source: ViewSource;
 
   /**
    * @param followed - What this process was told.
+   * @param agreed - What holds whether it was told or not.
    */
-  constructor(followed: FollowedView) {
+  constructor(followed: FollowedView, agreed?: AgreedFacts) {
     this._followed = followed;
+    this._agreed = agreed;
     this._source = this._createSource();
     this._copyFollowed();
   }
@@ -38,6 +42,11 @@
     if (update.complete) view.setComplete();
   }
 
+  /** Takes over what was agreed on since; the leader may show it much later. */
+  updateAgreed(): void {
+    this._copyFollowed();
+  }
+
   /** What a request did outlasts each term: no watcher is shown less of it than another one was. */
   private _createSource(): ViewSource {
     const view = new FleetView();
@@ -47,8 +56,9 @@
 
   private _copyFollowed(): void {
     const { view } = this._source;
-    view.setTargets(this._followed.getTargets());
+    view.setTargets(this._followed.getTargets().filter((target) => this._agreed?.hasEnded(target) !== true));
     view.setDeclaration(this._followed.declaration);
+    view.setDeclaration(this._agreed?.declaration);
     view.setEntries(this._followed.getEntries());
     view.setControlAddresses(this._followed.getControlAddresses());
   }
--- a/test/registration/FleetRelay.test.ts
+++ b/test/registration/FleetRelay.test.ts
@@ -13,6 +13,7 @@
 import { beforeEach, describe, expect, it } from "vitest";
 import { FleetRelay } from "../../src/registration/FleetRelay";
 import { FleetView } from "../../src/registration/FleetView";
+import { StateMachine } from "../../src/state";
 
 /** What entries in touch have to be told of an acknowledged change after a cut, milliseconds. */
 const CONTACT_MS = 3_000;
@@ -33,6 +34,7 @@
   let isElecting: boolean;
   let leaderId: string;
   let quorumContactAt: number;
+  let agreedContactAt: number | undefined;
   let relay: FleetRelay;
 
   beforeEach(() => {
@@ -41,6 +43,7 @@
     isElecting = false;
     leaderId = "this";
     quorumContactAt = now;
+    agreedContactAt = undefined;
     const node = {
       id: "this",
       term: 3,
@@ -52,7 +55,13 @@
     };
     const leadership = { term: 3, view: new FleetView() };
     relay = new FleetRelay({
-      driver: { node, isLeader: () => leads, getLeaderAddress: () => "" } as never,
+      driver: {
+        node,
+        isLeader: () => leads,
+        getLeaderAddress: () => "",
+        getAgreedContactAt: () => agreedContactAt,
+        machine: new StateMachine(),
+      } as never,
       getLeadership: () => (leads ? (leadership as never) : undefined),
       getSeeds: () => [],
       listen: "127.0.0.1:1",
@@ -104,4 +113,15 @@
     leaderId = "other";
     expect(isSpokenFor(heardAt + CONTACT_MS - WATCH_HEARTBEAT_MS)).toBe(false);
   });
+
+  it("keeps them for as long as it follows a leader in the agreement, though it is shown nothing", () => {
+    const heardAt = now;
+    leads = false;
+    leaderId = "other";
+    for (let at = heardAt; at <= heardAt + 3 * CONTACT_MS; at += WATCH_HEARTBEAT_MS) {
+      agreedContactAt = at;
+      expect(isSpokenFor(at)).toBe(true);
+    }
+    expect(isSpokenFor(heardAt + 3 * CONTACT_MS + CONTACT_MS - WATCH_HEARTBEAT_MS)).toBe(false);
+  });
 });
