Entries stay with a control process whose view is older than theirs

Cause: an entry that holds a leader's view dropped what a process that had just started shows (the view that it kept, at a term below every leader's), took the call for ended, and asked the next process 10 ms later; 56 entries made 200 such calls a second, each answered with the whole view, on machines of a fifth of a core. The election, the leader's view and the operator's orders waited behind them. Once the leader was late, refused entries were sent to it by name and back by its own list of control processes, which kept the load up without any trigger. Why this holds: an entry tells the term that it holds; where there is no newer view it is told just that, and what is agreed on, and stays. Only control processes turn to the leader that a refusal names; entries ask the next one.

--- a/src/registration/FleetView.ts
+++ b/src/registration/FleetView.ts
@@ -175,6 +175,20 @@
     });
   }
 
+  /**
+   * Gets what holds whichever leader's view a watcher has: it has a newer one than this, and lacks nothing else.
+   * @param position - `undefined` at the start of a call.
+   */
+  createPendingUpdate(term: number, position: WatchPosition | undefined, knownVersion: number): ViewUpdate {
+    const { removedTargetIds, declaration, crashRecords } = this.createUpdate(
+      term,
+      position,
+      knownVersion,
+      true,
+    );
+    return create(ViewUpdateSchema, { term, pending: true, removedTargetIds, declaration, crashRecords });
+  }
+
   /** Gets the position of a watcher that was sent everything. */
   getPosition(): WatchPosition {
     return { revision: this._revision, declarationVersion: this.declarationVersion };
--- a/src/registration/FollowedView.ts
+++ b/src/registration/FollowedView.ts
@@ -63,24 +63,32 @@
 
   /**
    * Takes an update over.
-   * @returns Whether it came from the newest leader heard of.
+   * @returns Whether it came from the newest leader heard of, or holds whoever leads.
    */
   apply(update: ViewUpdate): boolean {
+    if (update.pending) {
+      this._applyAgreed(update);
+      return true;
+    }
     if (update.term < this._term) return false;
     this._term = update.term;
     if (update.complete) this._targets.clear();
     for (const target of update.targets) this._targets.set(target.id, target);
-    for (const id of update.removedTargetIds) this._targets.delete(id);
-    const { declaration } = update;
-    if (declaration !== undefined && declaration.version > (this._declaration?.version ?? 0)) {
-      this._declaration = declaration;
-    }
+    this._applyAgreed(update);
     if (update.entries !== undefined) this._entries = update.entries.entries;
     if (update.entries !== undefined || update.entryCount > 0) {
       this._entryCount = update.entries?.entries.length ?? update.entryCount;
     }
     if (update.controlAddresses.length > 0) this._controlAddresses = update.controlAddresses;
-    for (const record of update.crashRecords) this._crashes.addRecord(record);
     return true;
   }
+
+  /** What is gone stays gone, and a declaration never goes back, whichever leader told of it. */
+  private _applyAgreed({ removedTargetIds, declaration, crashRecords }: ViewUpdate): void {
+    for (const id of removedTargetIds) this._targets.delete(id);
+    if (declaration !== undefined && declaration.version > (this._declaration?.version ?? 0)) {
+      this._declaration = declaration;
+    }
+    for (const record of crashRecords) this._crashes.addRecord(record);
+  }
 }
--- a/src/registration/ViewHub.ts
+++ b/src/registration/ViewHub.ts
@@ -40,14 +40,16 @@
   }
 
   /**
-   * Gets what watchers are shown now.
+   * Gets what a watcher is shown now.
+   * @param knownVersion - Of the declaration that it holds already, 0 without one.
    * @returns `undefined` when this process can't speak for a leader.
    */
-  getSource(): ViewSource | undefined {
+  getSource(knownVersion = 0): ViewSource | undefined {
     const { getOwn, relayed, isInTouch, isFirstStart } = this._options;
     const own = getOwn();
     if (own !== undefined) return own;
-    return isInTouch() && (isFirstStart || !isEmpty(relayed.source)) ? relayed.source : undefined;
+    const isOfUse = isFirstStart || knownVersion > 0 || !isEmpty(relayed.source);
+    return isInTouch() && isOfUse ? relayed.source : undefined;
   }
 
   /**
@@ -84,7 +86,8 @@
  * A process without a recovered view, such as one that lost its disk, has nothing to show until it
  * hears a leader: an entry that stayed with it would refuse everything meanwhile. Where everything was
  * just started for the first time nobody has anything to show yet: an entry that were refused would only
- * ask the next process at once, and the founders' votes would wait behind these calls.
+ * ask the next process at once, and the founders' votes would wait behind these calls. So it is with an entry
+ * that goes by a view of its own.
  */
 function isEmpty({ term, view }: ViewSource): boolean {
   return term === RECOVERED_TERM && view.declarationVersion === 0;
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -168,7 +168,8 @@
     let timer = this._startFirstTimer();
     try {
       const knownVersion = view.declaration?.version ?? 0;
-      const call = this._getClient(this._current).watch({ watcherId, entry, knownVersion }, { signal });
+      const request = { watcherId, entry, knownVersion, knownTerm: view.term };
+      const call = this._getClient(this._current).watch(request, { signal });
       for await (const update of call) {
         clearTimeout(timer);
         timer = this._startTimer(SILENCE_MS);
@@ -245,7 +246,9 @@
 
   private _getNext(failure: ConnectError): string {
     const hint = failure.metadata.get(LEADER_HEADER) ?? "";
-    if (hint !== "" && hint !== this._current) return hint;
+    // The leader shows its view to the other control processes, and those to entries.
+    const isFollower = this._options.entry === undefined;
+    if (isFollower && hint !== "" && hint !== this._current) return hint;
     const candidates = this._getCandidates();
     this._next += 1;
     return candidates[this._next % candidates.length] ?? "";
--- a/src/registration/fleetRoutes.ts
+++ b/src/registration/fleetRoutes.ts
@@ -93,7 +93,7 @@
 
 /** Control processes follow the leader itself, so that no view is relayed twice. */
 function getSourceOrThrow({ driver, hub, calls, getLeadership }: FleetRouteOptions, request: WatchRequest) {
-  const getSource = request.entry === undefined ? getLeadership : () => hub.getSource();
+  const getSource = request.entry === undefined ? getLeadership : () => hub.getSource(request.knownVersion);
   if (getSource() === undefined) {
     calls.addRefused("watch");
     throw createLeaderRefusal(driver.getLeaderAddress());
--- a/src/registration/watchers.ts
+++ b/src/registration/watchers.ts
@@ -23,11 +23,13 @@
   private _source: ViewSource | undefined;
   private _position: WatchPosition | undefined;
   private _knownVersion: number;
+  private _knownTerm: number;
 
   private readonly _isEntry: boolean;
 
-  constructor({ knownVersion, entry }: WatchRequest) {
+  constructor({ knownVersion, knownTerm, entry }: WatchRequest) {
     this._knownVersion = knownVersion;
+    this._knownTerm = knownTerm;
     this._isEntry = entry !== undefined;
   }
 
@@ -47,12 +49,28 @@
     const { term, view } = source;
     // Another leader's view is told from the beginning, but for the declaration.
     const position = source === this._source ? this._position : undefined;
-    const update = view.createUpdate(term, position, this._knownVersion, this._isEntry);
+    const update = this._isPending(source)
+      ? view.createPendingUpdate(term, position, this._knownVersion)
+      : view.createUpdate(term, position, this._knownVersion, this._isEntry);
+    if (!update.pending) this._knownTerm = term;
     this._source = source;
     this._position = view.getPosition();
     this._knownVersion = Math.max(this._knownVersion, view.declarationVersion);
     return update;
   }
+
+  /** Makes an update that tells nothing but that this process is there. */
+  createSign(source: ViewSource): ViewUpdate {
+    return create(ViewUpdateSchema, { term: source.term, pending: this._isPending(source) });
+  }
+
+  /**
+   * An entry that is shown an older view than its own would drop it and ask the next process, which has no newer
+   * one either: until there is a leader all entries would do nothing else.
+   */
+  private _isPending(source: ViewSource): boolean {
+    return this._isEntry && source.term < this._knownTerm;
+  }
 }
 
 /**
@@ -82,7 +100,7 @@
         const createUpdate = () => state.createUpdate(source);
         yield hasNews
           ? meter.measure("update", source.view.targetCount, createUpdate)
-          : create(ViewUpdateSchema, { term: source.term });
+          : state.createSign(source);
       }
       await pause.wait(WATCH_HEARTBEAT_MS, () => state.hasUrgentNews(getSource()));
     }
