--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -145,6 +145,7 @@
     },
     getRoutes: () => routes,
     isConfirmed: () => view.isConfirmed,
+    getShown: () => watcher.getLastShown(clock.getMonotonicMs()),
     onRequest: () => budget.addRequest(clock.getMonotonicMs(), getEntryCount()),
   });
   const watcherId = `${process.name}.${randomBytes(6).toString("hex")}`;
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -6,6 +6,7 @@
 import type { DeclaredOrganisation, Route, RouteTable } from "../declaration";
 import { splitAddress } from "../http";
 import type { Logger, Metrics } from "../metrics";
+import type { ShownView } from "../registration";
 import { CallerWaits } from "./CallerWaits";
 import type { CallFacts } from "./Dialect";
 import { Exchange, type ExchangeRequest, type ExchangeTools } from "./Exchange";
@@ -29,6 +30,8 @@
   readonly getRoutes: () => RouteTable | undefined;
   /** Gets whether a leader has confirmed that declaration in this process's life. */
   readonly isConfirmed: () => boolean;
+  /** Gets what control showed this entry last, and how long ago. */
+  readonly getShown: () => ShownView;
   /** Called with each request that is let in. */
   readonly onRequest: () => void;
 }
@@ -359,6 +362,7 @@
     const { metrics, clock } = this._options;
     const tookMs = Math.round(clock.getMonotonicMs() - receivedAt);
     const kind = route?.kind ?? "none";
+    const shown = this._options.getShown();
     metrics.increment("gateway_requests", 1, { kind, outcome, code });
     metrics.timing("gateway_answer_ms", tookMs, { kind });
     if (exchange !== undefined)
@@ -371,6 +375,10 @@
       objective_ms: route?.objectiveMs ?? 0,
       gap_objective_ms: route?.gapObjectiveMs,
       declaration: this._options.getRoutes()?.declaration.version ?? 0,
+      view_term: shown.term,
+      view_control: shown.control,
+      // JSON has no infinity: nothing was shown yet.
+      view_silence_ms: shown.control === "" ? undefined : Math.round(shown.silenceMs),
       outcome,
       code,
       took_ms: tookMs,
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -36,6 +36,7 @@
 import { KnownView } from "./KnownView";
 import { Registrar } from "./Registrar";
 import type { ReplicaTimes } from "./ReplicaController";
+import { ShownViewLog } from "./ShownViewLog";
 
 /** What a fleet control process is started with. */
 export interface FleetControlOptions {
@@ -177,8 +178,13 @@
       Effect.sync(() => suspensions.start()),
       () => Effect.sync(() => suspensions.stop()),
     );
+    const shownLog = new ShownViewLog(logger);
     known.start(
-      () => relay.hub.getSource(),
+      () => {
+        const source = relay.hub.getSource();
+        shownLog.update(clock.getMonotonicMs(), source);
+        return source;
+      },
       () => clock.getMonotonicMs(),
     );
     const member = createMember(
--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -14,6 +14,7 @@
   type SuspectRequest,
   type ViewUpdate,
 } from "../gen/ploverstage/v1/fleet_pb";
+import type { Declaration } from "../gen/ploverstage/v1/state_pb";
 import type { Logger } from "../metrics";
 import { LeaderClient } from "../rpc";
 import type { FleetLeadership } from "./FleetLeadership";
@@ -76,6 +77,7 @@
   private readonly _watcher: ViewWatcher;
   private readonly _contact: LeaderContact;
   private readonly _suspicions: SuspicionReporter;
+  private _agreed: Declaration | undefined;
 
   /**
    * @param options - Driver, leadership and addresses.
@@ -138,6 +140,8 @@
   start(): void {
     void this._watcher.run();
     this.sender.start();
+    const { driver } = this._options;
+    driver.addAppliedListener(() => this._noteAgreed(driver.machine.getDeclaration()));
   }
 
   /** Follows the leader anew: what it showed last may have been overtaken. */
@@ -182,6 +186,13 @@
     await this.client.call((leader, timeoutMs) => leader.reportCrashes(relayed, { timeoutMs }), CRASHES_MS);
   }
 
+  /** Tells which declaration this process knows as agreed, whether it was shown a view with it or not. */
+  private _noteAgreed(declaration: Declaration | undefined): void {
+    if (declaration === undefined || declaration === this._agreed) return;
+    this._agreed = declaration;
+    this._options.logger.info({ event: "declaration_agreed", version: declaration.version });
+  }
+
   private _getWatchPatienceMs(): number {
     return this._options.driver.node.leaderId === "" ? ISOLATED_PATIENCE_MS : WATCH_PATIENCE_MS;
   }
--- a/src/registration/KnownView.ts
+++ b/src/registration/KnownView.ts
@@ -45,6 +45,7 @@
   private _written: WrittenPosition | undefined;
   private _timer: NodeJS.Timeout | undefined;
   private _isWriting = false;
+  private _toldVersion = 0;
 
   private constructor(path: string, logger: Logger, recovered: ViewUpdate | undefined) {
     this._path = path;
@@ -91,6 +92,13 @@
     return isNew && now - written.writtenAt >= PAUSE_MS;
   }
 
+  /** Tells which declaration watchers are shown after a start from now on. */
+  private _tellKept(version: number): void {
+    if (version === this._toldVersion) return;
+    this._toldVersion = version;
+    this._logger.info({ event: "declaration_kept", version });
+  }
+
   private async _write(now: number, source: ViewSource): Promise<void> {
     const { view } = source;
     const { revision, declarationVersion } = view;
@@ -103,6 +111,7 @@
     );
     try {
       await writeFileDurably(this._path, bytes);
+      this._tellKept(declarationVersion);
     } catch (cause) {
       this._logger.warn({ event: "view_not_kept", reason: String(cause) });
       // Whether anything changes meanwhile or not, it is tried again after a pause.
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -14,7 +14,7 @@
 } from "../gen/ploverstage/v1/fleet_pb";
 import type { Logger } from "../metrics";
 import { createRpcTransport, LEADER_HEADER, SearchPause } from "../rpc";
-import type { FollowedView } from "./FollowedView";
+import { type FollowedView, RECOVERED_TERM } from "./FollowedView";
 
 /** What a watcher works with. */
 export interface ViewWatcherOptions {
@@ -38,6 +38,16 @@
   readonly isWanted?: () => boolean;
 }
 
+/** What a control process showed last, as its watcher took it over. */
+export interface ShownView {
+  /** host:port of that process; "" before the first one. */
+  readonly control: string;
+  /** `RECOVERED_TERM` for what no leader has confirmed. */
+  readonly term: number;
+  /** Milliseconds since its last sign of life; infinite before the first one. */
+  readonly silenceMs: number;
+}
+
 /** A leader silent for so long is given up. */
 const SILENCE_MS = 1_000;
 /**
@@ -62,6 +72,7 @@
   private _known = "";
   private _current = "";
   private _heardAt = Number.NEGATIVE_INFINITY;
+  private _shown = { control: "", term: RECOVERED_TERM };
   private _isConnected = false;
   private _isStopped = false;
   /** Who did not answer in time last, and how long it is given next. */
@@ -82,6 +93,11 @@
     return now - this._heardAt;
   }
 
+  /** Gets which control process showed its view last, at which term and how long ago. */
+  getLastShown(now: number): ShownView {
+    return { ...this._shown, silenceMs: this.getSilenceMs(now) };
+  }
+
   /** Gets whether a control process is followed now. */
   get isConnected(): boolean {
     return this._isConnected;
@@ -172,8 +188,9 @@
       for await (const update of call) {
         clearTimeout(timer);
         timer = this._startTimer(SILENCE_MS);
-        this._heardAt = clock.getMonotonicMs();
         if (!this._take(update)) break;
+        this._heardAt = clock.getMonotonicMs();
+        this._shown = { control: this._current, term: update.term };
         if (this._options.isWanted?.() === false) break;
         if (this._moveToPreferred(update)) return undefined;
       }
@@ -213,7 +230,8 @@
     this._isConnected = true;
     this._late = { address: "", patienceMs: FIRST_ANSWER_MS };
     const version = view.declaration?.version ?? 0;
-    if (version !== before) logger.info({ event: "declaration_taken", version, term: update.term });
+    if (version !== before)
+      logger.info({ event: "declaration_taken", version, term: update.term, control: this._current });
     onChange(update);
     return true;
   }
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -17,6 +17,7 @@
 import { CrashRecordSchema } from "../../src/gen/ploverstage/v1/state_pb";
 import { HttpClient } from "../../src/http";
 import { TextMetrics } from "../../src/metrics";
+import type { ShownView } from "../../src/registration";
 
 /** What an endpoint saw of a request. */
 export interface SeenRequest {
@@ -110,6 +111,7 @@
   readonly crashes: CrashWatch;
   /** Whether a leader has confirmed the declaration. */
   isConfirmed = true;
+  shown: ShownView = { control: "10.0.0.1:1", term: 2, silenceMs: 80 };
   private readonly _servers: Server[] = [];
   private readonly _client = new HttpClient();
   private _gateway!: GatewayServer;
@@ -256,6 +258,7 @@
       },
       getRoutes: () => routes,
       isConfirmed: () => this.isConfirmed,
+      getShown: () => this.shown,
       onRequest: () => {},
     });
     await this._gateway.start();
--- a/test/gateway/GatewayServer.test.ts
+++ b/test/gateway/GatewayServer.test.ts
@@ -204,6 +204,23 @@
       expect((await harness.call({ headers: { "x-key": "k2" } })).status).toBe(401);
     });
 
+    it("tells with each request which view it went by, who showed it and how long ago", async () => {
+      harness = await GatewayHarness.start([answer(200, "ok"), answer(200, "ok")]);
+      const getLast = () => JSON.parse(harness.logLines.at(-1)!) as Record<string, unknown>;
+      await harness.call();
+      expect(getLast()).toMatchObject({
+        event: "request_ended",
+        declaration: 1,
+        view_term: 2,
+        view_control: "10.0.0.1:1",
+        view_silence_ms: 80,
+      });
+      harness.shown = { control: "", term: 0, silenceMs: Number.POSITIVE_INFINITY };
+      await harness.call();
+      expect(getLast()).toMatchObject({ view_term: 0, view_control: "" });
+      expect(getLast()).not.toHaveProperty("view_silence_ms");
+    });
+
     it("adds no length to an answer that has none: it may have been cut", async () => {
       const unframed: Script = (seen, response) => {
         response.shouldKeepAlive = false;
--- a/test/registration/KnownView.test.ts
+++ b/test/registration/KnownView.test.ts
@@ -26,13 +26,18 @@
 describe("KnownView", () => {
   let folder: string;
   let events: string[];
+  let keptVersions: number[];
   let now = 0;
-  const logger = { warn: ({ event }: { event: string }) => events.push(event) } as never;
+  const logger = {
+    info: ({ version }: { version: number }) => keptVersions.push(version),
+    warn: ({ event }: { event: string }) => events.push(event),
+  } as never;
   const getNow = () => now;
 
   beforeEach(() => {
     folder = mkdtempSync(join(tmpdir(), "view-"));
     events = [];
+    keptVersions = [];
     now = 0;
   });
   afterEach(() => rmSync(folder, { recursive: true, force: true }));
@@ -70,6 +75,7 @@
     await waitForVersion(8);
     known.stop();
     expect(events).toEqual([]);
+    expect(keptVersions).toEqual([7, 8]);
   });
 
   it("takes a damaged file for none, and goes on when it can't be written", async () => {
