Followers show and keep the declaration that they know as agreed; watchers take it from whoever shows it

Cause: a declaration reached entries only with the leader's view. While that was shown to nobody, followers applied the newer ones from their own logs and neither showed nor kept them: after the next loss five of six recovered version 8. An entry that had heard a leader dropped even the newest declaration of a recovered view, since its term is lower. Repair: a relay shows and keeps on disk the declaration that its own process applied; of an update of an older term the declaration is taken, and nothing else. Each declaration that is shown was committed and versions only go up, so that nothing goes back. A process that recovered nothing still shows nothing.

--- a/bench/support/createWatcher.ts
+++ b/bench/support/createWatcher.ts
@@ -19,5 +19,6 @@
     clock: new SystemClock(),
     logger: SILENT,
     onChange: () => {},
+    onDeclaration: () => {},
   });
 }
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -113,6 +113,9 @@
     const targets = view.getTargets();
     pool.setTargets(targets);
     suspicions.retain(new Set(targets.map((target) => target.id)));
+    updateRoutes();
+  };
+  const updateRoutes = () => {
     const held = view.declaration;
     if (held === undefined || held.version === routes?.declaration.version) return;
     routes = new RouteTable(format.parse(unpackDocument(held.document)));
@@ -164,6 +167,7 @@
     clock,
     logger,
     onChange,
+    onDeclaration: updateRoutes,
   });
   const suspicions = new SuspicionReporter(watcher, clock, SUSPICION_PAUSE_MS);
   const reporter = new CrashReporter(ledger, watcher, logger);
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -186,6 +186,7 @@
         return source;
       },
       () => clock.getMonotonicMs(),
+      () => relay.agreed,
     );
     const member = createMember(
       control.publicAddress,
--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -76,6 +76,7 @@
   private readonly _options: FleetRelayOptions;
   private readonly _watcher: ViewWatcher;
   private readonly _contact: LeaderContact;
+  private readonly _relayed: RelayedView;
   private readonly _suspicions: SuspicionReporter;
   private _agreed: Declaration | undefined;
 
@@ -88,6 +89,7 @@
     this._contact = new LeaderContact(clock.getMonotonicMs());
     if (options.recovered !== undefined) this.view.apply(options.recovered);
     const relayed = new RelayedView(this.view);
+    this._relayed = relayed;
     this.hub = new ViewHub({
       clock,
       getOwn: () => {
@@ -113,6 +115,7 @@
         relayed.addUpdate(update);
         this.hub.notify();
       },
+      onDeclaration: () => this._showDeclaration(),
       isWanted: () => !driver.isLeader(),
     });
     this._suspicions = new SuspicionReporter(this._watcher, clock, SUSPICION_PAUSE_MS);
@@ -144,6 +147,11 @@
     driver.addAppliedListener(() => this._noteAgreed(driver.machine.getDeclaration()));
   }
 
+  /** Gets the newest declaration that this process knows as agreed. */
+  get agreed(): Declaration | undefined {
+    return this._agreed;
+  }
+
   /** Follows the leader anew: what it showed last may have been overtaken. */
   restart(): void {
     this._watcher.restart();
@@ -186,11 +194,21 @@
     await this.client.call((leader, timeoutMs) => leader.reportCrashes(relayed, { timeoutMs }), CRASHES_MS);
   }
 
-  /** Tells which declaration this process knows as agreed, whether it was shown a view with it or not. */
+  /**
+   * Shows the declaration that this process knows as agreed: the leader's view with it may come seconds later, or never, while
+   * the operator has long been told that it is in force.
+   */
   private _noteAgreed(declaration: Declaration | undefined): void {
     if (declaration === undefined || declaration === this._agreed) return;
     this._agreed = declaration;
     this._options.logger.info({ event: "declaration_agreed", version: declaration.version });
+    this.view.addDeclaration(declaration);
+    this._showDeclaration();
+  }
+
+  private _showDeclaration(): void {
+    this._relayed.showDeclaration();
+    this.hub.notify();
   }
 
   private _getWatchPatienceMs(): number {
--- a/src/registration/FollowedView.ts
+++ b/src/registration/FollowedView.ts
@@ -1,8 +1,8 @@
 /**
  * The leader's view as a watcher holds it.
  *
- * Updates of an older term are dropped, and so is a declaration below the one held:
- * what a watcher acts on never goes back. Pure.
+ * Updates of an older term are dropped, but for their declaration: each one that is shown was agreed on, and the one with the
+ * highest version holds, whoever shows it. One below the one held is dropped: what a watcher acts on never goes back. Pure.
  */
 import { CrashTable, KEPT_CRASH_RECORDS } from "../containment";
 import type { EntryEndpoint, Target, ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
@@ -61,20 +61,22 @@
     return this._crashes.getRecords();
   }
 
+  /** Takes a declaration over that is agreed on, unless the one held is as new. */
+  addDeclaration(declaration: Declaration): void {
+    if (declaration.version > (this._declaration?.version ?? 0)) this._declaration = declaration;
+  }
+
   /**
    * Takes an update over.
-   * @returns Whether it came from the newest leader heard of.
+   * @returns Whether it came from the newest leader heard of; of another one only the declaration counts.
    */
   apply(update: ViewUpdate): boolean {
+    if (update.declaration !== undefined) this.addDeclaration(update.declaration);
     if (update.term < this._term) return false;
     this._term = update.term;
     if (update.complete) this._targets.clear();
     for (const target of update.targets) this._targets.set(target.id, target);
     for (const id of update.removedTargetIds) this._targets.delete(id);
-    const { declaration } = update;
-    if (declaration !== undefined && declaration.version > (this._declaration?.version ?? 0)) {
-      this._declaration = declaration;
-    }
     if (update.entries !== undefined) this._entries = update.entries.entries;
     if (update.entries !== undefined || update.entryCount > 0) {
       this._entryCount = update.entries?.entries.length ?? update.entryCount;
--- a/src/registration/KnownView.ts
+++ b/src/registration/KnownView.ts
@@ -11,6 +11,7 @@
 import { join } from "node:path";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { type ViewUpdate, ViewUpdateSchema } from "../gen/ploverstage/v1/fleet_pb";
+import type { Declaration } from "../gen/ploverstage/v1/state_pb";
 import { writeFileDurably } from "../log";
 import type { Logger } from "../metrics";
 import type { ViewSource } from "./FleetView";
@@ -43,6 +44,9 @@
   private readonly _logger: Logger;
   private readonly _recovered: ViewUpdate | undefined;
   private _written: WrittenPosition | undefined;
+  /** What is in the file. */
+  private _kept: ViewUpdate | undefined;
+  private _retryAt = Number.NEGATIVE_INFINITY;
   private _timer: NodeJS.Timeout | undefined;
   private _isWriting = false;
   private _toldVersion = 0;
@@ -51,6 +55,7 @@
     this._path = path;
     this._logger = logger;
     this._recovered = recovered;
+    this._kept = recovered;
   }
 
   /** Reads what was kept; a file that is missing or damaged holds nothing. */
@@ -69,13 +74,14 @@
    * Starts keeping what is shown.
    * @param getSource - Gives the view that watchers are shown now.
    * @param getNow - Gives the present time, monotonic milliseconds.
+   * @param getAgreed - Gives the declaration that this process knows as agreed; it may be newer than what it was shown.
    */
-  start(getSource: () => ViewSource | undefined, getNow: () => number): void {
-    this._timer = setInterval(() => {
-      const source = getSource();
-      const now = getNow();
-      if (source !== undefined && this._isDue(now, source)) void this._write(now, source);
-    }, CHECK_MS).unref();
+  start(
+    getSource: () => ViewSource | undefined,
+    getNow: () => number,
+    getAgreed: () => Declaration | undefined = () => undefined,
+  ): void {
+    this._timer = setInterval(() => this._keepDue(getNow(), getSource(), getAgreed()), CHECK_MS).unref();
   }
 
   /** Keeps no more. */
@@ -83,8 +89,21 @@
     clearInterval(this._timer);
   }
 
+  private _keepDue(now: number, source: ViewSource | undefined, agreed: Declaration | undefined): void {
+    if (this._isWriting) return;
+    if (source !== undefined && this._isDue(now, source)) {
+      void this._keepView(now, source);
+      return;
+    }
+    const kept = this._kept;
+    if (kept === undefined || agreed === undefined || now < this._retryAt) return;
+    if (agreed.version > (kept.declaration?.version ?? 0)) {
+      void this._write(now, create(ViewUpdateSchema, { ...kept, declaration: agreed }));
+    }
+  }
+
   private _isDue(now: number, source: ViewSource): boolean {
-    if (this._isWriting || source.term === RECOVERED_TERM) return false;
+    if (source.term === RECOVERED_TERM) return false;
     const written = this._written;
     if (written === undefined) return true;
     if (source.view.declarationVersion > written.declarationVersion) return true;
@@ -92,34 +111,41 @@
     return isNew && now - written.writtenAt >= PAUSE_MS;
   }
 
-  /** Tells which declaration watchers are shown after a start from now on. */
-  private _tellKept(version: number): void {
-    if (version === this._toldVersion) return;
-    this._toldVersion = version;
-    this._logger.info({ event: "declaration_kept", version });
-  }
-
-  private async _write(now: number, source: ViewSource): Promise<void> {
+  private async _keepView(now: number, source: ViewSource): Promise<void> {
     const { view } = source;
     const { revision, declarationVersion } = view;
-    this._isWriting = true;
     this._written = { source, revision, declarationVersion, writtenAt: now };
     const update = view.createUpdate(RECOVERED_TERM, undefined, 0);
-    const bytes = toBinary(
-      ViewUpdateSchema,
+    const isWritten = await this._write(
+      now,
       create(ViewUpdateSchema, { ...update, complete: false, removedTargetIds: [] }),
     );
+    // Whether anything changes meanwhile or not, it is tried again after a pause.
+    if (!isWritten) this._written = { source, revision: NOT_WRITTEN, declarationVersion, writtenAt: now };
+  }
+
+  private async _write(now: number, update: ViewUpdate): Promise<boolean> {
+    this._isWriting = true;
     try {
-      await writeFileDurably(this._path, bytes);
-      this._tellKept(declarationVersion);
+      await writeFileDurably(this._path, toBinary(ViewUpdateSchema, update));
+      this._tellKept(update.declaration?.version ?? 0);
+      this._kept = update;
+      return true;
     } catch (cause) {
       this._logger.warn({ event: "view_not_kept", reason: String(cause) });
-      // Whether anything changes meanwhile or not, it is tried again after a pause.
-      this._written = { source, revision: NOT_WRITTEN, declarationVersion, writtenAt: now };
+      this._retryAt = now + PAUSE_MS;
+      return false;
     } finally {
       this._isWriting = false;
     }
   }
+
+  /** Tells which declaration watchers are shown after a start from now on. */
+  private _tellKept(version: number): void {
+    if (version === this._toldVersion) return;
+    this._toldVersion = version;
+    this._logger.info({ event: "declaration_kept", version });
+  }
 }
 
 async function readView(path: string, logger: Logger): Promise<ViewUpdate | undefined> {
--- a/src/registration/RelayedView.ts
+++ b/src/registration/RelayedView.ts
@@ -6,7 +6,7 @@
  */
 import type { ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
 import { FleetView, type ViewSource } from "./FleetView";
-import type { FollowedView } from "./FollowedView";
+import { type FollowedView, RECOVERED_TERM } from "./FollowedView";
 
 /** A followed view that can be watched. */
 export class RelayedView {
@@ -38,6 +38,14 @@
     if (update.complete) view.setComplete();
   }
 
+  /**
+   * Shows the declaration that the followed view holds, without an update of the leader. A view that nobody has shown this
+   * process yet stays empty: an entry would stay with it and find no target.
+   */
+  showDeclaration(): void {
+    if (!isEmptyView(this._source)) this._source.view.setDeclaration(this._followed.declaration);
+  }
+
   /** What a request did outlasts each term: no watcher is shown less of it than another one was. */
   private _createSource(): ViewSource {
     const view = new FleetView();
@@ -53,3 +61,8 @@
     view.setControlAddresses(this._followed.getControlAddresses());
   }
 }
+
+/** Checks whether it is a view that neither a leader nor an earlier life of this process has shown. */
+export function isEmptyView({ term, view }: ViewSource): boolean {
+  return term === RECOVERED_TERM && view.declarationVersion === 0;
+}
--- a/src/registration/ViewHub.ts
+++ b/src/registration/ViewHub.ts
@@ -8,8 +8,7 @@
 import type { EntryEndpoint } from "../gen/ploverstage/v1/fleet_pb";
 import { EntryRoster } from "./EntryRoster";
 import type { ViewSource } from "./FleetView";
-import { RECOVERED_TERM } from "./FollowedView";
-import type { RelayedView } from "./RelayedView";
+import { isEmptyView, type RelayedView } from "./RelayedView";
 
 /** What a hub works with. */
 export interface ViewHubOptions {
@@ -41,13 +40,18 @@
 
   /**
    * Gets what watchers are shown now.
+   *
+   * A process without a recovered view, such as one that lost its disk, has nothing to show until it
+   * hears a leader: an entry that stayed with it would refuse everything meanwhile. Where everything was
+   * just started for the first time nobody has anything to show yet: an entry that were refused would only
+   * ask the next process at once, and the founders' votes would wait behind these calls.
    * @returns `undefined` when this process can't speak for a leader.
    */
   getSource(): ViewSource | undefined {
     const { getOwn, relayed, isInTouch, isFirstStart } = this._options;
     const own = getOwn();
     if (own !== undefined) return own;
-    return isInTouch() && (isFirstStart || !isEmpty(relayed.source)) ? relayed.source : undefined;
+    return isInTouch() && (isFirstStart || !isEmptyView(relayed.source)) ? relayed.source : undefined;
   }
 
   /**
@@ -79,13 +83,3 @@
     for (const wake of [...this._watchers]) wake();
   }
 }
-
-/**
- * A process without a recovered view, such as one that lost its disk, has nothing to show until it
- * hears a leader: an entry that stayed with it would refuse everything meanwhile. Where everything was
- * just started for the first time nobody has anything to show yet: an entry that were refused would only
- * ask the next process at once, and the founders' votes would wait behind these calls.
- */
-function isEmpty({ term, view }: ViewSource): boolean {
-  return term === RECOVERED_TERM && view.declarationVersion === 0;
-}
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -34,6 +34,8 @@
   readonly logger: Logger;
   /** Called after each update that was taken over. */
   readonly onChange: (update: ViewUpdate) => void;
+  /** Called after nothing but the declaration of an update was taken over. */
+  readonly onDeclaration: () => void;
   /** Whether to follow just now; a control process that leads does not. */
   readonly isWanted?: () => boolean;
 }
@@ -219,19 +221,24 @@
     this._vainTries = 0;
   }
 
-  /** An update of an older term comes from a leader that does not know yet that it is none. */
+  /** An update of an older term comes from a leader that does not know yet that it is none, or from before a restart. */
   private _take(update: ViewUpdate): boolean {
-    const { view, logger, onChange } = this._options;
+    const { view, logger, onChange, onDeclaration } = this._options;
     const before = view.declaration?.version ?? 0;
-    if (!view.apply(update)) return false;
-    if (!this._isConnected) {
+    const isNewest = view.apply(update);
+    if (isNewest && !this._isConnected) {
       logger.info({ event: "control_found", control: this._current, term: update.term });
     }
-    this._isConnected = true;
-    this._late = { address: "", patienceMs: FIRST_ANSWER_MS };
     const version = view.declaration?.version ?? 0;
-    if (version !== before)
+    if (version !== before) {
       logger.info({ event: "declaration_taken", version, term: update.term, control: this._current });
+    }
+    if (!isNewest) {
+      if (version !== before) onDeclaration();
+      return false;
+    }
+    this._isConnected = true;
+    this._late = { address: "", patienceMs: FIRST_ANSWER_MS };
     onChange(update);
     return true;
   }
--- a/test/registration/KnownView.test.ts
+++ b/test/registration/KnownView.test.ts
@@ -78,6 +78,33 @@
     expect(keptVersions).toEqual([7, 8]);
   });
 
+  it("keeps a declaration that is agreed on beside what was shown, though nobody has shown it yet", async () => {
+    const known = await KnownView.open(folder, logger);
+    known.start(() => ({ term: 3, view: createView(7, ["a"]) }), getNow);
+    await waitForVersion(7);
+    known.stop();
+
+    const later = await KnownView.open(folder, logger);
+    const getAgreed = () => create(DeclarationSchema, { version: 9 });
+    later.start(() => undefined, getNow, getAgreed);
+    await waitForVersion(9);
+    later.stop();
+    const { recovered } = await KnownView.open(folder, logger);
+    expect(recovered?.targets.map((target) => target.id)).toEqual(["a"]);
+  });
+
+  it("keeps no declaration alone: an entry would find no target there", async () => {
+    const known = await KnownView.open(folder, logger);
+    known.start(
+      () => undefined,
+      getNow,
+      () => create(DeclarationSchema, { version: 9 }),
+    );
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    known.stop();
+    expect((await KnownView.open(folder, logger)).recovered).toBeUndefined();
+  });
+
   it("takes a damaged file for none, and goes on when it can't be written", async () => {
     writeFileSync(join(folder, "view.bin"), "no view");
     expect((await KnownView.open(folder, logger)).recovered).toBeUndefined();
@@ -138,6 +165,26 @@
     expect(entry.declaration?.version).toBe(6);
   });
 
+  it("is shown with a declaration that was agreed on since, and an entry that heard a leader takes that over alone", () => {
+    const { followed, relayed } = createRelay();
+    const entry = new FollowedView();
+    entry.apply(createView(6, ["new"]).createUpdate(5, undefined, 0));
+    followed.addDeclaration(create(DeclarationSchema, { version: 7 }));
+    relayed.showDeclaration();
+    expect(entry.apply(relayed.source.view.createUpdate(RECOVERED_TERM, undefined, 0))).toBe(false);
+    expect(entry.declaration?.version).toBe(7);
+    expect(entry.term).toBe(5);
+    expect(entry.getTargets().map((target) => target.id)).toEqual(["new"]);
+  });
+
+  it("stays empty where there is none, whatever is agreed on", () => {
+    const followed = new FollowedView();
+    const relayed = new RelayedView(followed);
+    followed.addDeclaration(create(DeclarationSchema, { version: 7 }));
+    relayed.showDeclaration();
+    expect(relayed.source.view.declarationVersion).toBe(0);
+  });
+
   it("is shown only where there is one: an entry must not stay with a process that lost its disk", () => {
     const empty = new FollowedView();
     const createHub = (relayed: RelayedView, isFirstStart = false) =>
--- a/test/registration/ViewWatcher.test.ts
+++ b/test/registration/ViewWatcher.test.ts
@@ -47,6 +47,7 @@
       clock: new SystemClock(),
       logger: { info: () => {}, warn: () => {} } as never,
       onChange: () => {},
+      onDeclaration: () => {},
     });
     void watcher.run();
     await waitUntil("the leader is found", () => view.term === 1);
