An entry that no control process shows its view any more refuses nothing for good

What users saw: entries go by an outdated declaration seconds after a newer one was acknowledged; one kind of it is to refuse a route or key of the newer one with 401 or 404. Cause: an entry that had once heard a leader took what it holds for confirmed for the rest of its life, also while no control process spoke to it. What it knows is served on as before, so that this costs no service.

--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -28,7 +28,7 @@
   readonly tools: ExchangeTools;
   /** Gets the declaration in force here. */
   readonly getRoutes: () => RouteTable | undefined;
-  /** Gets whether a leader has confirmed that declaration in this process's life. */
+  /** Gets whether a leader has confirmed that declaration in this process's life, and a control process shows its view now. */
   readonly isConfirmed: () => boolean;
   /** Gets what control showed this entry last, and how long ago. */
   readonly getShown: () => ShownView;
@@ -250,8 +250,8 @@
 
   /**
    * Makes the refusal of what the declaration doesn't allow. One that was recovered after a start may be older than the
-   * newest acknowledged one, by whatever came right before all processes ended: nothing is refused for good by
-   * it. After a kill of all processes right after an acknowledgement, a route of that version got 404 from the entry's
+   * newest acknowledged one, by whatever came right before all processes ended, and so may one that no control process
+   * shows any more: nothing is refused for good by it. After a kill of all processes right after an acknowledgement, a route of that version got 404 from the entry's
    * first listening until it heard a leader.
    */
   private _createNo(
--- a/test/system/recovery.test.ts
+++ b/test/system/recovery.test.ts
@@ -5,6 +5,8 @@
 
 /** A view is kept at the latest so long after it changed. */
 const KEPT_MS = 1_000;
+/** An entry gives a silent control process up after a second. */
+const UNHEARD_MS = 1_200;
 
 describe("after a loss of every process", () => {
   let cluster: PlatformCluster;
@@ -52,6 +54,23 @@
     });
   });
 
+  it("an entry that no control process speaks to any more serves on, but refuses nothing for good", async () => {
+    const callUnknown = () => cluster.call("/app/x", { "api-key": "unknown" });
+    await waitUntil("an unknown key is refused for good", async () => (await callUnknown()).status === 401);
+    await Promise.all(cluster.controls.map((handle) => handle.kill()));
+    await new Promise((resolve) => setTimeout(resolve, UNHEARD_MS));
+    const refused = await callUnknown();
+    expect(refused.status).toBe(503);
+    expect(refused.body).toContain("unconfirmed_declaration");
+    expect((await cluster.call("/app/x")).status).toBe(200);
+    await waitForStream();
+    for (const control of cluster.controls) control.start();
+    await waitUntil(
+      "an unknown key is refused for good again",
+      async () => (await callUnknown()).status === 401,
+    );
+  });
+
   it("a control process that hears no leader names no entry that is gone", async () => {
     const [first, ...others] = cluster.controls;
     const resolve = () => fetch(`http://${cluster.getDirectory(0)}/-/resolve?name=n&region=r&zone=zone-a`);
