--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -201,11 +201,18 @@
   private _noteAgreed(declaration: Declaration | undefined): void {
     if (declaration === undefined || declaration === this._agreed) return;
     this._agreed = declaration;
-    this._options.logger.info({ event: "declaration_agreed", version: declaration.version });
+    this._tellAgreed(declaration.version);
     this.view.addDeclaration(declaration);
     this._showDeclaration();
   }
 
+  /** A process that starts applies its whole log once more: what it had kept before is not told again. */
+  private _tellAgreed(version: number): void {
+    const { recovered, logger } = this._options;
+    if (version < (recovered?.declaration?.version ?? 0)) return;
+    logger.info({ event: "declaration_agreed", version });
+  }
+
   private _showDeclaration(): void {
     this._relayed.showDeclaration();
     this.hub.notify();
