--- a/test/registration/outdated/SimulatedFleet.ts
+++ b/test/registration/outdated/SimulatedFleet.ts
@@ -183,18 +183,13 @@
   private async *_watch(request: WatchRequest, signal: AbortSignal): AsyncGenerator<unknown> {
     await delay(1);
     if (!this.isUp) throw new ConnectError("refused", Code.Unavailable);
-    const life = this._life.signal;
-    const call = new AbortController();
-    const end = () => call.abort();
-    signal.addEventListener("abort", end);
-    life.addEventListener("abort", end);
-    await this._waitForTurn(call.signal);
-    for await (const update of this._routes!.watch(request, { signal: call.signal })) {
-      await this._waitForTurn(call.signal);
-      if (signal.aborted || life.aborted) break;
+    const ended = AbortSignal.any([signal, this._life.signal]);
+    await this._waitForTurn(ended);
+    for await (const update of this._routes!.watch(request, { signal: ended })) {
+      await this._waitForTurn(ended);
       yield update;
     }
-    if (signal.aborted || life.aborted) throw new ConnectError("ended", Code.Unavailable);
+    if (ended.aborted) throw new ConnectError("ended", Code.Unavailable);
   }
 
   private async _waitForTurn(signal: AbortSignal): Promise<void> {
