--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -113,6 +113,9 @@
     const targets = view.getTargets();
     pool.setTargets(targets);
     suspicions.retain(new Set(targets.map((target) => target.id)));
+    updateRoutes();
+  };
+  const updateRoutes = () => {
     const held = view.declaration;
     if (held === undefined || held.version === routes?.declaration.version) return;
     routes = new RouteTable(format.parse(unpackDocument(held.document)));
@@ -144,7 +147,8 @@
       },
     },
     getRoutes: () => routes,
-    isConfirmed: () => view.isConfirmed,
+    isConfirmed: () => view.isConfirmed && watcher.isConnected,
+    getShown: () => watcher.getLastShown(clock.getMonotonicMs()),
     onRequest: () => budget.addRequest(clock.getMonotonicMs(), getEntryCount()),
   });
   const watcherId = `${process.name}.${randomBytes(6).toString("hex")}`;
@@ -163,6 +167,7 @@
     clock,
     logger,
     onChange,
+    onDeclaration: updateRoutes,
   });
   const suspicions = new SuspicionReporter(watcher, clock, SUSPICION_PAUSE_MS);
   const reporter = new CrashReporter(ledger, watcher, logger);
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -6,6 +6,7 @@
 import type { DeclaredOrganisation, Route, RouteTable } from "../declaration";
 import { splitAddress } from "../http";
 import type { Logger, Metrics } from "../metrics";
+import type { ShownView } from "../registration";
 import { CallerWaits } from "./CallerWaits";
 import type { CallFacts } from "./Dialect";
 import { Exchange, type ExchangeRequest, type ExchangeTools } from "./Exchange";
@@ -27,8 +28,10 @@
   readonly tools: ExchangeTools;
   /** Gets the declaration in force here. */
   readonly getRoutes: () => RouteTable | undefined;
-  /** Gets whether a leader has confirmed that declaration in this process's life. */
+  /** Gets whether a leader has confirmed that declaration in this process's life, and a control process shows its view now. */
   readonly isConfirmed: () => boolean;
+  /** Gets what control showed this entry last, and how long ago. */
+  readonly getShown: () => ShownView;
   /** Called with each request that is let in. */
   readonly onRequest: () => void;
 }
@@ -247,8 +250,8 @@
 
   /**
    * Makes the refusal of what the declaration doesn't allow. One that was recovered after a start may be older than the
-   * newest acknowledged one, by whatever came right before all processes ended: nothing is refused for good by
-   * it. After a kill of all processes right after an acknowledgement, a route of that version got 404 from the entry's
+   * newest acknowledged one, by whatever came right before all processes ended, and so may one that no control process
+   * shows any more: nothing is refused for good by it. After a kill of all processes right after an acknowledgement, a route of that version got 404 from the entry's
    * first listening until it heard a leader.
    */
   private _createNo(
@@ -359,6 +362,7 @@
     const { metrics, clock } = this._options;
     const tookMs = Math.round(clock.getMonotonicMs() - receivedAt);
     const kind = route?.kind ?? "none";
+    const shown = this._options.getShown();
     metrics.increment("gateway_requests", 1, { kind, outcome, code });
     metrics.timing("gateway_answer_ms", tookMs, { kind });
     if (exchange !== undefined)
@@ -371,6 +375,10 @@
       objective_ms: route?.objectiveMs ?? 0,
       gap_objective_ms: route?.gapObjectiveMs,
       declaration: this._options.getRoutes()?.declaration.version ?? 0,
+      view_term: shown.term,
+      view_control: shown.control,
+      // JSON has no infinity: nothing was shown yet.
+      view_silence_ms: shown.control === "" ? undefined : Math.round(shown.silenceMs),
       outcome,
       code,
       took_ms: tookMs,
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -38,6 +38,7 @@
 import { KnownView } from "./KnownView";
 import { Registrar } from "./Registrar";
 import type { ReplicaTimes } from "./ReplicaController";
+import { ShownViewLog } from "./ShownViewLog";
 
 /** What a fleet control process is started with. */
 export interface FleetControlOptions {
@@ -186,9 +187,15 @@
       Effect.sync(() => suspensions.start()),
       () => Effect.sync(() => suspensions.stop()),
     );
+    const shownLog = new ShownViewLog(logger);
     known.start(
-      () => relay.hub.getSource(),
+      () => {
+        const source = relay.hub.getSource();
+        shownLog.update(clock.getMonotonicMs(), source);
+        return source;
+      },
       () => clock.getMonotonicMs(),
+      () => relay.agreed,
     );
     const member = createMember(
       control.publicAddress,
--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -14,6 +14,7 @@
   type SuspectRequest,
   type ViewUpdate,
 } from "../gen/ploverstage/v1/fleet_pb";
+import type { Declaration } from "../gen/ploverstage/v1/state_pb";
 import type { Logger } from "../metrics";
 import { LeaderClient } from "../rpc";
 import { AgreedFacts } from "./AgreedFacts";
@@ -78,6 +79,8 @@
   private readonly _watcher: ViewWatcher;
   private readonly _contact: LeaderContact;
   private readonly _suspicions: SuspicionReporter;
+  private readonly _agreed: AgreedFacts;
+  private _toldVersion: number;
   private _isUpdating = false;
 
   /**
@@ -88,7 +91,10 @@
     const { driver, clock, logger, secret, getLeadership, getSeeds } = options;
     this._contact = new LeaderContact(clock.getMonotonicMs());
     if (options.recovered !== undefined) this.view.apply(options.recovered);
-    const relayed = new RelayedView(this.view, new AgreedFacts(() => driver.machine));
+    this._agreed = new AgreedFacts(() => driver.machine);
+    // A process that starts applies its whole log once more: what it had kept before is not told again.
+    this._toldVersion = options.recovered?.declaration?.version ?? 0;
+    const relayed = new RelayedView(this.view, this._agreed);
     this._relayed = relayed;
     this.hub = new ViewHub({
       clock,
@@ -115,6 +121,10 @@
         relayed.addUpdate(update);
         this.hub.notify();
       },
+      onDeclaration: () => {
+        relayed.updateAgreed();
+        this.hub.notify();
+      },
       isWanted: () => !driver.isLeader(),
     });
     this._suspicions = new SuspicionReporter(this._watcher, clock, SUSPICION_PAUSE_MS);
@@ -145,6 +155,11 @@
     this.sender.start();
   }
 
+  /** Gets the newest declaration that this process knows as agreed. */
+  get agreed(): Declaration | undefined {
+    return this._agreed.declaration;
+  }
+
   /** Follows the leader anew: what it showed last may have been overtaken. */
   restart(): void {
     this._watcher.restart();
@@ -211,17 +226,26 @@
     if (contactAt !== undefined) this._contact.addContact(contactAt);
   }
 
-  /** Entries that are applied in one turn of the event loop are told together. */
+  /** What is applied in one turn of the event loop is told together. */
   private _updateAgreedSoon(): void {
-    if (this._isUpdating || this._options.getLeadership() !== undefined) return;
+    if (this._isUpdating) return;
     this._isUpdating = true;
     setImmediate(() => {
       this._isUpdating = false;
+      this._tellAgreed();
+      if (this._options.getLeadership() !== undefined) return;
       this._relayed.updateAgreed();
       this.hub.notify();
     });
   }
 
+  private _tellAgreed(): void {
+    const version = this._agreed.declaration?.version ?? 0;
+    if (version <= this._toldVersion) return;
+    this._toldVersion = version;
+    this._options.logger.info({ event: "declaration_agreed", version });
+  }
+
   /** Only the leader shows its view to other control processes: while none is known, nobody is asked. */
   private _getLeader(): string[] {
     const { driver, listen } = this._options;
--- a/src/registration/FollowedView.ts
+++ b/src/registration/FollowedView.ts
@@ -1,8 +1,8 @@
 /**
  * The leader's view as a watcher holds it.
  *
- * Updates of an older term are dropped, and so is a declaration below the one held:
- * what a watcher acts on never goes back. Pure.
+ * Updates of an older term are dropped, but for their declaration: each one that is shown was agreed on, and the one with the
+ * highest version holds, whoever shows it. One below the one held is dropped: what a watcher acts on never goes back. Pure.
  */
 import { CrashTable, KEPT_CRASH_RECORDS } from "../containment";
 import type { EntryEndpoint, Target, ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
@@ -61,11 +61,17 @@
     return this._crashes.getRecords();
   }
 
+  /** Takes a declaration over that is agreed on, unless the one held is as new. */
+  addDeclaration(declaration: Declaration): void {
+    if (declaration.version > (this._declaration?.version ?? 0)) this._declaration = declaration;
+  }
+
   /**
    * Takes an update over.
-   * @returns Whether it came from the newest leader heard of, or holds whoever leads.
+   * @returns Whether it came from the newest leader heard of, or holds whoever leads; of another one only the declaration counts.
    */
   apply(update: ViewUpdate): boolean {
+    if (update.declaration !== undefined) this.addDeclaration(update.declaration);
     if (update.pending) {
       this._applyAgreed(update);
       return true;
@@ -83,12 +89,9 @@
     return true;
   }
 
-  /** What is gone stays gone, and a declaration never goes back, whichever leader told of it. */
-  private _applyAgreed({ removedTargetIds, declaration, crashRecords }: ViewUpdate): void {
+  /** What is gone stays gone, whichever leader told of it. */
+  private _applyAgreed({ removedTargetIds, crashRecords }: ViewUpdate): void {
     for (const id of removedTargetIds) this._targets.delete(id);
-    if (declaration !== undefined && declaration.version > (this._declaration?.version ?? 0)) {
-      this._declaration = declaration;
-    }
     for (const record of crashRecords) this._crashes.addRecord(record);
   }
 }
--- a/src/registration/RelayedView.ts
+++ b/src/registration/RelayedView.ts
@@ -7,7 +7,7 @@
 import type { ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
 import type { AgreedFacts } from "./AgreedFacts";
 import { FleetView, type ViewSource } from "./FleetView";
-import type { FollowedView } from "./FollowedView";
+import { type FollowedView, RECOVERED_TERM } from "./FollowedView";
 
 /** A followed view that can be watched. */
 export class RelayedView {
@@ -26,6 +26,11 @@
     this._copyFollowed();
   }
 
+  /** Gets whether it is a view that neither a leader nor an earlier life of this process has shown. */
+  get isEmpty(): boolean {
+    return this._followed.term === RECOVERED_TERM && this._followed.declaration === undefined;
+  }
+
   /** Gets the view of the newest term heard of. */
   get source(): ViewSource {
     return this._source;
--- a/src/registration/ViewHub.ts
+++ b/src/registration/ViewHub.ts
@@ -8,7 +8,6 @@
 import type { EntryEndpoint } from "../gen/ploverstage/v1/fleet_pb";
 import { EntryRoster } from "./EntryRoster";
 import type { ViewSource } from "./FleetView";
-import { RECOVERED_TERM } from "./FollowedView";
 import type { RelayedView } from "./RelayedView";
 
 /** What a hub works with. */
@@ -46,6 +45,12 @@
 
   /**
    * Gets what a watcher is shown now.
+   *
+   * A process without a recovered view, such as one that lost its disk, has nothing to show until it
+   * hears a leader: an entry that stayed with it would refuse everything meanwhile. Where everything was
+   * just started for the first time nobody has anything to show yet: an entry that were refused would only
+   * ask the next process at once, and the founders' votes would wait behind these calls. So it is with an entry
+   * that goes by a view of its own.
    * @param knownVersion - Of the declaration that it holds already, 0 without one.
    * @returns `undefined` when this process can't speak for a leader.
    */
@@ -53,7 +58,7 @@
     const { getOwn, relayed, isInTouch, isFirstStart } = this._options;
     const own = getOwn();
     if (own !== undefined) return own;
-    const isOfUse = isFirstStart || knownVersion > 0 || !isEmpty(relayed.source);
+    const isOfUse = isFirstStart || knownVersion > 0 || !relayed.isEmpty;
     return isInTouch() && isOfUse ? relayed.source : undefined;
   }
 
@@ -86,14 +91,3 @@
     for (const wake of [...this._watchers]) wake();
   }
 }
-
-/**
- * A process without a recovered view, such as one that lost its disk, has nothing to show until it
- * hears a leader: an entry that stayed with it would refuse everything meanwhile. Where everything was
- * just started for the first time nobody has anything to show yet: an entry that were refused would only
- * ask the next process at once, and the founders' votes would wait behind these calls. So it is with an entry
- * that goes by a view of its own.
- */
-function isEmpty({ term, view }: ViewSource): boolean {
-  return term === RECOVERED_TERM && view.declarationVersion === 0;
-}
--- a/test/registration/KnownView.test.ts
+++ b/test/registration/KnownView.test.ts
@@ -5,6 +5,7 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { EntryEndpointSchema, TargetSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { DeclarationSchema } from "../../src/gen/ploverstage/v1/state_pb";
+import { AgreedFacts } from "../../src/registration/AgreedFacts";
 import { FleetView } from "../../src/registration/FleetView";
 import { FollowedView, RECOVERED_TERM } from "../../src/registration/FollowedView";
 import { KnownView } from "../../src/registration/KnownView";
@@ -26,13 +27,18 @@
 describe("KnownView", () => {
   let folder: string;
   let events: string[];
+  let keptVersions: number[];
   let now = 0;
-  const logger = { warn: ({ event }: { event: string }) => events.push(event) } as never;
+  const logger = {
+    info: ({ version }: { version: number }) => keptVersions.push(version),
+    warn: ({ event }: { event: string }) => events.push(event),
+  } as never;
   const getNow = () => now;
 
   beforeEach(() => {
     folder = mkdtempSync(join(tmpdir(), "view-"));
     events = [];
+    keptVersions = [];
     now = 0;
   });
   afterEach(() => rmSync(folder, { recursive: true, force: true }));
@@ -70,6 +76,34 @@
     await waitForVersion(8);
     known.stop();
     expect(events).toEqual([]);
+    expect(keptVersions).toEqual([7, 8]);
+  });
+
+  it("keeps a declaration that is agreed on beside what was shown, though nobody has shown it yet", async () => {
+    const known = await KnownView.open(folder, logger);
+    known.start(() => ({ term: 3, view: createView(7, ["a"]) }), getNow);
+    await waitForVersion(7);
+    known.stop();
+
+    const later = await KnownView.open(folder, logger);
+    const getAgreed = () => create(DeclarationSchema, { version: 9 });
+    later.start(() => undefined, getNow, getAgreed);
+    await waitForVersion(9);
+    later.stop();
+    const { recovered } = await KnownView.open(folder, logger);
+    expect(recovered?.targets.map((target) => target.id)).toEqual(["a"]);
+  });
+
+  it("keeps no declaration alone: an entry would find no target there", async () => {
+    const known = await KnownView.open(folder, logger);
+    known.start(
+      () => undefined,
+      getNow,
+      () => create(DeclarationSchema, { version: 9 }),
+    );
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    known.stop();
+    expect((await KnownView.open(folder, logger)).recovered).toBeUndefined();
   });
 
   it("takes a damaged file for none, and goes on when it can't be written", async () => {
@@ -94,10 +128,22 @@
   const recovered = createView(4, ["old", "kept"]).createUpdate(RECOVERED_TERM, undefined, 0);
   recovered.complete = false;
 
+  let agreedVersion = 0;
+  const agreed = new AgreedFacts(() => ({
+    getDeclaration: () =>
+      agreedVersion === 0 ? undefined : create(DeclarationSchema, { version: agreedVersion }),
+    getReplica: () => undefined,
+    hasDeparted: () => false,
+  }));
+
+  beforeEach(() => {
+    agreedVersion = 0;
+  });
+
   function createRelay() {
     const followed = new FollowedView();
     followed.apply(recovered);
-    return { followed, relayed: new RelayedView(followed) };
+    return { followed, relayed: new RelayedView(followed, agreed) };
   }
 
   it("is shown until a leader is heard, and ends with that leader's complete view", () => {
@@ -132,6 +178,26 @@
     expect(entry.declaration?.version).toBe(6);
   });
 
+  it("is shown with a declaration that was agreed on since, and an entry that heard a leader takes that over alone", () => {
+    const { relayed } = createRelay();
+    const entry = new FollowedView();
+    entry.apply(createView(6, ["new"]).createUpdate(5, undefined, 0));
+    agreedVersion = 7;
+    relayed.updateAgreed();
+    expect(entry.apply(relayed.source.view.createUpdate(RECOVERED_TERM, undefined, 0))).toBe(false);
+    expect(entry.declaration?.version).toBe(7);
+    expect(entry.term).toBe(5);
+    expect(entry.getTargets().map((target) => target.id)).toEqual(["new"]);
+  });
+
+  it("stays empty where there is none, whatever is agreed on", () => {
+    const relayed = new RelayedView(new FollowedView(), agreed);
+    agreedVersion = 7;
+    relayed.updateAgreed();
+    expect(relayed.isEmpty).toBe(true);
+    expect(createRelay().relayed.isEmpty).toBe(false);
+  });
+
   it("is shown only where there is one: an entry must not stay with a process that lost its disk", () => {
     const empty = new FollowedView();
     const createHub = (relayed: RelayedView, isFirstStart = false) =>
--- a/test/registration/heldEntries.test.ts
+++ b/test/registration/heldEntries.test.ts
@@ -121,6 +121,7 @@
       clock: new SystemClock(),
       logger: { info: () => {}, warn: () => {} } as never,
       onChange: () => {},
+      onDeclaration: () => {},
     });
     void watcher.run();
   });
