Log how old the answer is by which an instance may join another replica

An instance that answered that it left its last replica is given a place in the next one without being asked again, whatever lies between. No log said how long that is. No logic is changed: a join that was sent tells the age of the answer (join_after_leave). Tests run: GivenUpPlaces, OrderDispatcher, ReplicaController.

--- a/src/registration/GivenUpPlaces.ts
+++ b/src/registration/GivenUpPlaces.ts
@@ -47,6 +47,11 @@
     if (known === undefined || epoch >= known.epoch) this._givenUp.set(instanceId, { epoch, at: now });
   }
 
+  /** Gets when an instance answered last that it is out of a replica; `undefined` if it never told this leader. */
+  getAnsweredAt(instanceId: string): number | undefined {
+    return this._givenUp.get(instanceId)?.at;
+  }
+
   /**
    * Gets the place that an instance has to leave before it takes another one.
    * @param next - The replica that it is to join.
--- a/src/registration/OrderDispatcher.ts
+++ b/src/registration/OrderDispatcher.ts
@@ -106,20 +106,21 @@
     return this._send(now, receiver, order);
   }
 
-  /** Sends an order that makes its receiver load, if the weight store bears one more. */
-  async sendLoad(receiver: OrderReceiver, order: InstanceOrder): Promise<void> {
+  /**
+   * Sends an order that makes its receiver load, if the weight store bears one more.
+   * @returns `undefined` when it was not sent.
+   */
+  async sendLoad(receiver: OrderReceiver, order: InstanceOrder): Promise<OrderOutcome | undefined> {
     const now = this._options.clock.getMonotonicMs();
-    if (!this._isDue(now, receiver, order)) return;
-    if (!this._limiter.takeLoad(now, this._options.getLoadLimit())) return;
+    if (!this._isDue(now, receiver, order)) return undefined;
+    if (!this._limiter.takeLoad(now, this._options.getLoadLimit())) return undefined;
     const key = getLifeKey(receiver);
     this._toldToLoadAt.set(key, now);
-    if (order.kind !== "stage") {
-      await this._send(now, receiver, order);
-      return;
-    }
+    if (order.kind !== "stage") return this._send(now, receiver, order);
     this._staging.set(key, { model: order.model, until: now + STAGING_MS });
     const outcome = await this._send(now, receiver, order);
     if (outcome !== "begun" && outcome !== "done") this._staging.delete(key);
+    return outcome;
   }
 
   private _isDue(now: number, life: Life, order: InstanceOrder): boolean {
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -316,22 +316,33 @@
   private _joinInstance(replica: Replica, instance: InstanceFacts): void {
     const held = this._givenUp.getHeldPlace(instance.id, replica);
     if (held === undefined) {
-      this._sendJoin(replica, instance);
+      void this._sendJoin(replica, instance);
       return;
     }
     void this._leave(getReceiver(instance), held).then((hasLeft) => {
       const isWanted = this._options.driver.machine.getReplica(replica.id)?.phase === ReplicaPhase.FORMING;
-      if (hasLeft && isWanted) this._sendJoin(replica, instance);
+      if (hasLeft && isWanted) void this._sendJoin(replica, instance);
     });
   }
 
-  private _sendJoin(replica: Replica, instance: InstanceFacts): void {
+  private async _sendJoin(replica: Replica, instance: InstanceFacts): Promise<void> {
     const members = replica.members.map((member) => member.instanceId);
     const { id: replicaId, epoch, model } = replica;
     const order: InstanceOrder = { kind: "join", replicaId, epoch, model, members };
     const receiver = getReceiver(instance);
-    if (instance.model === model) void this._dispatcher.send(receiver, order);
-    else void this._dispatcher.sendLoad(receiver, order);
+    const leftAt = this._givenUp.getAnsweredAt(instance.id);
+    const sentAt = this._options.clock.getMonotonicMs();
+    const outcome = await (instance.model === model
+      ? this._dispatcher.send(receiver, order)
+      : this._dispatcher.sendLoad(receiver, order));
+    if (outcome === undefined || leftAt === undefined) return;
+    this._options.logger.info({
+      event: "join_after_leave",
+      instance: instance.id,
+      replica: replicaId,
+      outcome,
+      left_ms_ago: Math.round(sentAt - leftAt),
+    });
   }
 
   /** The head is opened only after every member was seen ready in this epoch. */
--- a/test/registration/GivenUpPlaces.test.ts
+++ b/test/registration/GivenUpPlaces.test.ts
@@ -55,6 +55,13 @@
     expect(places.getHeldPlace("f1", next)).toEqual(held);
   });
 
+  it("tells when an instance answered last that it is out of a replica", () => {
+    expect(places.getAnsweredAt("f0")).toBeUndefined();
+    places.addLeave(RELEASED_AT, "f0", 3);
+    places.addLeave(RELEASED_AT + 700, "f0", 3);
+    expect(places.getAnsweredAt("f0")).toBe(RELEASED_AT + 700);
+  });
+
   it("holds it again once it reports that place after its answer", () => {
     report(RELEASED_AT - 10, 3);
     places.addLeave(RELEASED_AT, "f0", 3);
