Model of an overloaded control: instances in two replicas by late joins (known red)

Reports reach a leader up to 10 s late and at once, relays tell again what they put back, orders and answers take up to 0.9 s, leaders follow each other.

--- a/test/registration/ownership/FleetModel.ts
+++ b/test/registration/ownership/FleetModel.ts
@@ -15,6 +15,7 @@
   InstanceReportSchema,
   PlaceState,
   ReportRequestSchema,
+  SuspectRequestSchema,
 } from "../../../src/gen/ploverstage/v1/fleet_pb";
 import { type Command, CommandSchema, ReplicaPhase } from "../../../src/gen/ploverstage/v1/state_pb";
 import { SilentMetrics } from "../../../src/metrics";
@@ -26,11 +27,14 @@
 import { createMeter } from "../../support/createMeter";
 import { type Host, INSTANCE_TIMES, InstanceModel, type Place } from "./InstanceModel";
 import { OrderModel } from "./OrderModel";
+import { OverloadModel } from "./OverloadModel";
 
 interface Controller {
   readonly name: string;
   readonly relay: ReportRelay;
   leadership: FleetLeadership | undefined;
+  /** Until when a call that tells the leader something is under way. */
+  tellsUntil: number;
 }
 
 interface Delayed {
@@ -74,6 +78,8 @@
   readonly givenUp: string[] = [];
   /** Orders to its instances, and what happens to them. */
   readonly orders: OrderModel;
+  /** When the leader takes what is told to it. */
+  readonly overload: OverloadModel;
   private readonly _random: SeededRandom;
   private readonly _hosts: readonly Host[];
   private readonly _instances: InstanceModel[] = [];
@@ -95,6 +101,7 @@
   constructor(seed: number, options: FleetOptions = {}) {
     this._options = options;
     this._random = new SeededRandom(seed);
+    this.overload = new OverloadModel(this._random);
     this.orders = new OrderModel({
       random: this._random,
       getNow: () => this._now,
@@ -116,6 +123,7 @@
       name,
       relay: new ReportRelay(),
       leadership: undefined,
+      tellsUntil: 0,
     }));
     for (const host of this._hosts) this._startLife(host).sequence = FIRST_COUNT;
     this._lead(this._controllers[0]!);
@@ -157,6 +165,22 @@
     this._lead(this._draw(this._controllers.filter((controller) => controller !== deposed)));
   }
 
+  /** Draws how long something lasts, milliseconds. */
+  drawTime(shortestMs: number, longestMs: number): number {
+    return shortestMs + this._drawNumber(longestMs - shortestMs);
+  }
+
+  /** Entries take replicas for standing still, and tell the leader. */
+  suspect(count: number): void {
+    const leader = this._controllers.find(({ leadership }) => leadership !== undefined)?.leadership;
+    const heads = this._instances.filter(({ isAlive, place }) => isAlive && place?.state === PlaceState.OPEN);
+    for (let i = 0; i < count && heads.length > 0; i++) {
+      const { id, place } = this._draw(heads);
+      const suspicion = { targetId: place!.replicaId, instanceId: id, unreachable: false };
+      leader?.addSuspicion(create(SuspectRequestSchema, suspicion));
+    }
+  }
+
   /** In each fabric domain the head of a replica crashes for good. */
   loseHeads(): void {
     for (const domain of DOMAINS) {
@@ -305,24 +329,50 @@
 
   private _deliver(report: InstanceReport): void {
     const controller = this._draw(this._controllers);
-    if (controller.leadership !== undefined) void controller.leadership.addReports([report]);
+    const { leadership } = controller;
+    if (leadership !== undefined) this._reach(leadership, () => void leadership.addReports([report]));
     else controller.relay.addReport(this._now, report);
   }
 
+  /** A leader takes a call once it gets round to it, if it still leads by then. */
+  private _reach(leadership: FleetLeadership, call: () => void): void {
+    const waitMs = this.overload.getWaitMs(this._now);
+    if (waitMs === 0) call();
+    else this._after(waitMs, () => (leadership.isEnded ? undefined : call()));
+  }
+
   /** What is new is passed on at once, the rest now and then. */
   private async _relayReports(): Promise<void> {
     const leader = this._controllers.find(({ leadership }) => leadership !== undefined);
     if (leader?.leadership === undefined) return;
-    for (const { name, relay } of this._controllers) {
-      if (!relay.hasNews() && this._now % RELAY_MS !== 0) continue;
-      const { reports, signs } = relay.takeBatch(this._now, 40);
-      const request = create(ReportRequestSchema, {
-        relayAddress: name === leader.name ? "" : name,
-        reports: [...reports],
-        signs: [...signs],
-      });
-      relay.addAnswer(leader.leadership.term, await leader.leadership.addRelayed(request));
+    for (const controller of this._controllers) {
+      if (controller.tellsUntil > this._now) continue;
+      if (!controller.relay.hasNews() && this._now % RELAY_MS !== 0) continue;
+      await this._tell(controller, leader);
+    }
+  }
+
+  /** A call that the leader does not answer in time is given up: its batch is put back and told again. */
+  private async _tell(controller: Controller, leader: Controller): Promise<void> {
+    const { name, relay } = controller;
+    const leadership = leader.leadership!;
+    const batch = relay.takeBatch(this._now, 40);
+    const request = create(ReportRequestSchema, {
+      relayAddress: name === leader.name ? "" : name,
+      reports: [...batch.reports],
+      signs: [...batch.signs],
+    });
+    const waitMs = name === leader.name ? 0 : this.overload.getWaitMs(this._now);
+    const { patienceMs } = this.overload.times;
+    if (waitMs === 0) {
+      relay.addAnswer(leadership.term, await leadership.addRelayed(request));
+      return;
+    }
+    if (waitMs <= patienceMs || this.overload.isTakenAnyway()) {
+      this._after(waitMs, () => (leadership.isEnded ? undefined : void leadership.addRelayed(request)));
     }
+    controller.tellsUntil = this._now + Math.min(waitMs, patienceMs);
+    this._after(Math.min(waitMs, patienceMs), () => relay.restoreBatch(batch));
   }
 
   private _endLeadership(controller: Controller | undefined): void {
--- a/test/registration/ownership/OrderModel.ts
+++ b/test/registration/ownership/OrderModel.ts
@@ -23,6 +23,8 @@
   readonly unanswered: number;
   /** It gets no answer and is carried out seconds later, after newer ones. */
   readonly late: number;
+  /** An order, and its answer, are under way for up to so long beyond the usual, milliseconds. */
+  readonly slowMs?: number;
 }
 
 /** Orders that arrive and are answered. */
@@ -68,6 +70,7 @@
     const drawn = random.next();
     const { lost, unanswered, late } = this.faults;
     await wait(ORDER_MS);
+    await this._waitSlow();
     const listener = getListener(receiver.address);
     if (listener === undefined) return "absent";
     if (listener.isCut || drawn < lost) return miss();
@@ -81,7 +84,9 @@
       runAfter(lateMs, () => this._carryOut(receiver, order, fence));
       return miss();
     }
-    return this._carryOut(receiver, order, fence);
+    const outcome = this._carryOut(receiver, order, fence);
+    await this._waitSlow();
+    return outcome;
   }
 
   /** Asks by an order, which may be lost as any other. */
@@ -105,13 +110,20 @@
   }
 
   /** Asks for a sign of life. */
-  async probe({ address }: OrderReceiver): Promise<ProbeOutcome> {
+  async probe({ address }: OrderReceiver, timeoutMs: number): Promise<ProbeOutcome> {
     await wait(ORDER_MS);
+    const { slowMs = 0 } = this.faults;
+    if (slowMs > 0 && this._options.random.next() * slowMs > timeoutMs) return "silent";
     const listener = this._options.getListener(address);
     if (listener === undefined) return "absent";
     return listener.isCut ? "silent" : "present";
   }
 
+  private async _waitSlow(): Promise<void> {
+    const { slowMs = 0 } = this.faults;
+    if (slowMs > 0) await wait(this._options.random.next() * slowMs);
+  }
+
   private _carryOut(receiver: OrderReceiver, order: InstanceOrder, fence: number): OrderOutcome {
     const { getNow, getListener, onPlaceGivenUp } = this._options;
     const listener = getListener(receiver.address);
--- a/test/registration/ownership/ownership.test.ts
+++ b/test/registration/ownership/ownership.test.ts
@@ -24,52 +24,16 @@
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { FleetModel, type FleetOptions } from "./FleetModel";
-import { type OrderFaults, RELIABLE } from "./OrderModel";
+import type { OrderFaults } from "./OrderModel";
+import { FORMATION_MS, playFleet, SEEDS, WANTED_REPLICAS } from "./playFleet";
 
-/** The first of the seeds, and how many: others are tried by hand. */
-const [FIRST_SEED = 1, SEED_COUNT = 40] = process.env.PLOVERSTAGE_MODEL_SEEDS?.split(",").map(Number) ?? [];
-/** Seeds of what goes wrong, and when. */
-const SEEDS = Array.from({ length: SEED_COUNT }, (_, i) => FIRST_SEED + i);
 /** Seeds with which a head that had left was opened again, while reports proved nothing any more. */
 const REOPENING_SEEDS = [68, 91, 93, 129, 162];
-const FORMATION_MS = 6_000;
-/** Long enough for a head without its members to break, and for replicas to be formed again. */
-const RECOVERY_MS = 15_000;
 /** Silence until an instance is missed, 3.6 s, the time to join and to open, 0.9 s, and some turns. */
 const REPAIR_MS = 7_000;
-/** Two fabric domains of seven instances, replicas of three. */
-const WANTED_REPLICAS = 4;
 /** A third of all orders, as in the worst trouble that the users describe. */
 const UNRELIABLE: OrderFaults = { lost: 0.05, unanswered: 0.05, late: 0.35 };
 
-interface Outcome {
-  /** Instances that were in two replicas. */
-  readonly shared: string[];
-  /** Seeds whose replicas did not come back. */
-  readonly unrecovered: number[];
-}
-
-/** Plays one kind of trouble with each seed. */
-async function play(
-  seeds: readonly number[],
-  trouble: (fleet: FleetModel) => Promise<void>,
-  options: FleetOptions = {},
-): Promise<Outcome> {
-  const shared: string[] = [];
-  const unrecovered: number[] = [];
-  for (const seed of seeds) {
-    const fleet = new FleetModel(seed, options);
-    await fleet.run(FORMATION_MS);
-    await trouble(fleet);
-    fleet.orders.faults = RELIABLE;
-    await fleet.run(RECOVERY_MS);
-    fleet.end();
-    shared.push(...fleet.orders.shared.map((found) => `seed ${seed}: ${found}`));
-    if (fleet.countServing() < WANTED_REPLICAS) unrecovered.push(seed);
-  }
-  return { shared, unrecovered };
-}
-
 async function cutAndElect(fleet: FleetModel): Promise<void> {
   for (let round = 0; round < 4; round++) {
     fleet.cut(0.35, 3_000);
@@ -109,16 +73,16 @@
   });
 
   it("are in one replica at a time though reports of ended ones arrive late and leaders change", async () => {
-    expect(await play(SEEDS, cutAndElect)).toEqual({ shared: [], unrecovered: [] });
+    expect(await playFleet(SEEDS, cutAndElect)).toEqual({ shared: [], unrecovered: [] });
   });
 
   it("are in one replica at a time though orders are lost and carried out late", async () => {
-    expect(await play(SEEDS, restartWithLateOrders)).toEqual({ shared: [], unrecovered: [] });
+    expect(await playFleet(SEEDS, restartWithLateOrders)).toEqual({ shared: [], unrecovered: [] });
   });
 
   it("are in one replica at a time though deposed leaders go on and orders are carried out late", async () => {
     const seeds = [...SEEDS, ...REOPENING_SEEDS];
-    expect(await play(seeds, deposeWithLateOrders)).toEqual({ shared: [], unrecovered: [] });
+    expect(await playFleet(seeds, deposeWithLateOrders)).toEqual({ shared: [], unrecovered: [] });
   });
 
   /**
@@ -128,7 +92,7 @@
    * had said so 0.7 s before. Now each instance answers itself that it is out of its replica first.
    */
   it("are in one replica at a time though a head leaves, joins and opens late while it is to break", async () => {
-    expect(await play([1_097], deposeWithLateOrders)).toEqual({ shared: [], unrecovered: [] });
+    expect(await playFleet([1_097], deposeWithLateOrders)).toEqual({ shared: [], unrecovered: [] });
   });
 
   /**
@@ -137,7 +101,10 @@
    * 113 orders to leave got no answer, 7 without that.
    */
   it("are given to other replicas though their heads have crashed for good and answer nothing", async () => {
-    expect(await play(SEEDS, async (fleet) => fleet.loseHeads())).toEqual({ shared: [], unrecovered: [] });
+    expect(await playFleet(SEEDS, async (fleet) => fleet.loseHeads())).toEqual({
+      shared: [],
+      unrecovered: [],
+    });
   });
 
   /** The instances of a head that had crashed were idle for 4.7 s after it was missed, until it must have broken. */
@@ -156,7 +123,7 @@
 
   it("that check fencing tokens are so as well, and take the orders of each new leader", async () => {
     const seeds = [...SEEDS, ...REOPENING_SEEDS];
-    expect(await play(seeds, deposeWithLateOrders, { checksFences: true })).toEqual({
+    expect(await playFleet(seeds, deposeWithLateOrders, { checksFences: true })).toEqual({
       shared: [],
       unrecovered: [],
     });
@@ -185,7 +152,7 @@
     ];
 
     it.each(kinds)("are in one replica at a time, %s", async (_, options) => {
-      expect(await play(SEEDS, restartEverything, options)).toEqual({ shared: [], unrecovered: [] });
+      expect(await playFleet(SEEDS, restartEverything, options)).toEqual({ shared: [], unrecovered: [] });
     });
 
     it("are missed where their starts are not told (a defect on purpose)", async () => {
@@ -193,14 +160,14 @@
         for (let i = 0; i < 8; i++) fleet.restart(300);
       };
       const seeds = SEEDS.slice(0, 5);
-      expect(await play(seeds, restartMany, MOVING)).toEqual({ shared: [], unrecovered: [] });
-      const hidden = await play(seeds, restartMany, { ...MOVING, hidesStarts: true });
+      expect(await playFleet(seeds, restartMany, MOVING)).toEqual({ shared: [], unrecovered: [] });
+      const hidden = await playFleet(seeds, restartMany, { ...MOVING, hidesStarts: true });
       expect(hidden.unrecovered.length).toBeGreaterThan(0);
     });
   });
 
   it("are seen to be in two replicas where heads only say that they left (a defect on purpose)", async () => {
-    const { shared } = await play(SEEDS.slice(0, 5), async (fleet) => {
+    const { shared } = await playFleet(SEEDS.slice(0, 5), async (fleet) => {
       fleet.orders.ignoresLeaves = true;
       await restartWithLateOrders(fleet);
     });
