Test of calls after a session that ended while it was being looked at: fails

Cause, shown here on the real transport: a session that has rested for a second is pinged before the next call. If it ends meanwhile without an error (the peer closes it: its own pings went unanswered, or a cut healed), that look is never over, since neither an error nor an answer comes and the timer of the ping is cleared with the session. The manager keeps the look: every later call that follows a second without an answer waits for it until its own time is up, on new and healthy sessions as well.

--- a/test/rpc/createRpcTransport.test.ts
+++ b/test/rpc/createRpcTransport.test.ts
@@ -3,8 +3,17 @@
 import { FleetService } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { createRpcTransport, RpcServer } from "../../src/rpc";
 import { getFreeAddresses } from "../support/ports";
+import { Relay } from "../support/Relay";
 import { waitUntil } from "../support/waitUntil";
 
+/** A session that has rested for so long is looked at before the next call. */
+const REST_MS = 1_200;
+const CALL_MS = 700;
+
+function rest(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
 describe("createRpcTransport", () => {
   it("outlives a peer that closes its sessions after the last call ended, and calls it again", async () => {
     const [address] = (await getFreeAddresses(1)) as [string];
@@ -43,4 +52,36 @@
     process.off("uncaughtException", onError);
     expect(errors).toEqual([]);
   });
+
+  it("calls a peer again whose session ended, without an error, while it was being looked at", async () => {
+    const [listen] = (await getFreeAddresses(1)) as [string];
+    const server = await RpcServer.start({
+      listen,
+      interceptors: [],
+      routes: (router) => {
+        router.service(FleetService, { getDeclaration: () => ({}) });
+      },
+    });
+    const relay = await Relay.start(listen);
+    const client = createClient(FleetService, createRpcTransport(relay.address, undefined));
+    const call = () =>
+      client.getDeclaration({}, { timeoutMs: CALL_MS }).then(
+        () => "answered",
+        (cause: unknown) => String(cause),
+      );
+    const outcomes = [await call()];
+    await rest(REST_MS);
+    relay.cut("fromTarget");
+    const lost = call();
+    await rest(CALL_MS / 7);
+    relay.heal();
+    await lost;
+    for (let i = 0; i < 3; i++) {
+      outcomes.push(await call());
+      await rest(REST_MS);
+    }
+    await relay.stop();
+    await server.stop();
+    expect(outcomes).toEqual(["answered", "answered", "answered", "answered"]);
+  });
 });
