Take another session manager once a session of it has ended

What callers saw: calls of one process to the leader timed out one after the other, each after its whole patience, while the leader answered others at once.

Cause: a session that has rested for a second is pinged before the next call. Where it ended meanwhile without an error, that look was never over, and the manager had each later call wait for it.

A manager is left once one of its sessions has closed, and calls that still wait there learn at once that the session ended, so that they are made again. Streams that are open on other sessions of it go on.

--- a/src/rpc/GuardedSessionManager.ts
+++ b/src/rpc/GuardedSessionManager.ts
@@ -1,50 +1,82 @@
 /**
- * Sessions of calls over HTTP/2 whose late errors end nobody.
+ * Sessions of calls over HTTP/2 whose ends end nobody, and keep nobody waiting.
  *
  * A peer that closes its side (it stops, or took this process for gone while it was frozen)
  * makes a session end with an error. Where no call is open any more, nothing listens to it,
- * and an error event without a listener ends the process.
+ * and an error event without a listener ends the process. A session that ends without an error
+ * while its manager waits for a ping would keep that manager waiting for good: each session that
+ * has ended takes its manager with it.
  */
 import type { ClientHttp2Stream, Http2Session } from "node:http2";
+import { Code, ConnectError } from "@connectrpc/connect";
 import type { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 
 type TransportOptions = Extract<Parameters<typeof createConnectTransport>[0], { httpVersion: "2" }>;
 /** What a transport asks of whoever opens its sessions. */
 type SessionManager = NonNullable<TransportOptions["sessionManager"]>;
 
-/** Passes everything on to a session manager, and listens to the errors of its sessions. */
+/** A manager and what calls that wait for a session of it learn. */
+interface Managed {
+  readonly manager: Http2SessionManager;
+  /** Rejects once one of its sessions has ended. */
+  readonly ended: Promise<never>;
+  readonly end: (reason: ConnectError) => void;
+}
+
+/** Passes everything on to a session manager, and takes another one once a session of it has ended. */
 export class GuardedSessionManager implements SessionManager {
-  private readonly _inner: Http2SessionManager;
-  private readonly _guarded = new WeakSet<Http2Session>();
+  private readonly _createManager: () => Http2SessionManager;
+  private readonly _guarded = new WeakMap<Http2Session, Managed>();
+  private _current: Managed;
 
   /**
-   * @param inner - Opens sessions, and finds out that they have ended.
+   * @param createManager - Makes one that opens sessions, and finds out that they have ended.
    */
-  constructor(inner: Http2SessionManager) {
-    this._inner = inner;
+  constructor(createManager: () => Http2SessionManager) {
+    this._createManager = createManager;
+    this._current = this._create();
   }
 
   /** Gets the host that sessions connect to. */
   get authority(): string {
-    return this._inner.authority;
+    return this._current.manager.authority;
   }
 
-  /** Issues a request on a session. */
+  /**
+   * Issues a request on a session.
+   * @throws ConnectError - When the session ended before the request was sent.
+   */
   async request(...parameters: Parameters<Http2SessionManager["request"]>): Promise<ClientHttp2Stream> {
-    const stream = await this._inner.request(...parameters);
-    if (stream.session !== undefined) this._guard(stream.session);
+    const managed = this._current;
+    const stream = await Promise.race([managed.manager.request(...parameters), managed.ended]);
+    if (stream.session !== undefined) this._guard(managed, stream.session);
     return stream;
   }
 
   /** Notes that bytes of an answer were read. */
   notifyResponseByteRead(stream: ClientHttp2Stream): void {
-    this._inner.notifyResponseByteRead(stream);
+    const { manager } = (stream.session && this._guarded.get(stream.session)) ?? this._current;
+    manager.notifyResponseByteRead(stream);
+  }
+
+  private _create(): Managed {
+    let end: Managed["end"] = () => {};
+    const ended = new Promise<never>((_, reject) => {
+      end = reject;
+    });
+    // Mostly nobody waits for a session when one ends.
+    ended.catch(() => {});
+    return { manager: this._createManager(), ended, end };
   }
 
   /** Open calls learn of the end from their streams, later ones get a new session. */
-  private _guard(session: Http2Session): void {
+  private _guard(managed: Managed, session: Http2Session): void {
     if (this._guarded.has(session)) return;
-    this._guarded.add(session);
+    this._guarded.set(session, managed);
     session.on("error", () => {});
+    session.once("close", () => {
+      if (this._current === managed) this._current = this._create();
+      managed.end(new ConnectError("the session ended", Code.Unavailable));
+    });
   }
 }
--- a/src/rpc/createRpcTransport.ts
+++ b/src/rpc/createRpcTransport.ts
@@ -23,7 +23,7 @@
     interceptors: secret === undefined ? [] : [createSecretSender(secret)],
     acceptCompression: [],
     sessionManager: new GuardedSessionManager(
-      new Http2SessionManager(baseUrl, pings, { createConnection: () => openSocket(address) }),
+      () => new Http2SessionManager(baseUrl, pings, { createConnection: () => openSocket(address) }),
     ),
   });
 }
--- a/test/rpc/GuardedSessionManager.test.ts
+++ b/test/rpc/GuardedSessionManager.test.ts
@@ -12,7 +12,7 @@
       notifyResponseByteRead: () => {},
     };
     expect(() => session.emit("error", new Error("received GOAWAY"))).toThrow("received GOAWAY");
-    const guarded = new GuardedSessionManager(inner as unknown as Http2SessionManager);
+    const guarded = new GuardedSessionManager(() => inner as unknown as Http2SessionManager);
     await guarded.request("POST", "/", {}, {});
     await guarded.request("POST", "/", {}, {});
     expect(session.listenerCount("error")).toBe(1);
