--- a/src/rpc/createRpcTransport.ts
+++ b/src/rpc/createRpcTransport.ts
@@ -8,6 +8,8 @@
 /** A peer that doesn't answer a ping for so long is cut off. */
 const PING_INTERVAL_MS = 1_000;
 const PING_TIMEOUT_MS = 1_000;
+/** A session without calls is closed after this time, milliseconds. */
+const IDLE_MS = 30_000;
 
 /**
  * Makes a transport to one process.
@@ -16,14 +18,18 @@
  */
 export function createRpcTransport(address: string, secret: string | undefined): Transport {
   const baseUrl = `http://${address}`;
-  const pings = { pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS };
+  const times = {
+    pingIntervalMs: PING_INTERVAL_MS,
+    pingTimeoutMs: PING_TIMEOUT_MS,
+    idleConnectionTimeoutMs: IDLE_MS,
+  };
   return createConnectTransport({
     baseUrl,
     httpVersion: "2",
     interceptors: secret === undefined ? [] : [createSecretSender(secret)],
     acceptCompression: [],
     sessionManager: new GuardedSessionManager(
-      new Http2SessionManager(baseUrl, pings, { createConnection: () => openSocket(address) }),
+      () => new Http2SessionManager(baseUrl, times, { createConnection: () => openSocket(address) }),
     ),
   });
 }
