--- a/src/consensus/ConsensusDriver.ts
+++ b/src/consensus/ConsensusDriver.ts
@@ -79,7 +79,7 @@
   private readonly _clock: Clock;
   private readonly _maxVoters: number | undefined;
   private readonly _onFatal: (cause: unknown) => void;
-  private readonly _appliedListeners: ((entry: LogEntry) => void)[] = [];
+  private readonly _stateListeners: (() => void)[] = [];
   private _machine: StateMachine;
   private _hardState: HardState;
   private _snapshotIndex: number;
@@ -122,17 +122,17 @@
   }
 
   /**
-   * Gets when this follower heard last of a leader all of whose commits, as far as it told of them, are applied here.
-   * @returns Monotonic milliseconds; `undefined` while there is none.
+   * Gets when this follower heard its leader last, as long as it has applied all that leaders told it was committed.
+   * @returns Monotonic milliseconds; `undefined` while it lacks any of that, or knows no leader.
    */
-  getAgreedContactAt(): number | undefined {
-    const isCurrent = this._machine.appliedIndex >= this.node.commitIndex;
-    return isCurrent ? this.node.getLeaderContactAt() : undefined;
+  getCaughtUpContactAt(): number | undefined {
+    const isCaughtUp = this._machine.appliedIndex >= this.node.toldCommitIndex;
+    return isCaughtUp ? this.node.getLeaderContactAt() : undefined;
   }
 
-  /** Adds a listener that is called after each applied entry. */
-  addAppliedListener(listener: (entry: LogEntry) => void): void {
-    this._appliedListeners.push(listener);
+  /** Adds a listener that is called after each change of the state: an applied entry, or a snapshot in its place. */
+  addStateListener(listener: () => void): void {
+    this._stateListeners.push(listener);
   }
 
   /** Starts ticking. */
@@ -315,6 +315,7 @@
       await this._storage.writeSnapshot(ready.snapshot, this._hardState, ready.entries);
       this._snapshotIndex = ready.snapshot.index;
       this._machine = new StateMachine(getStateBytes(ready.snapshot));
+      this._tellState();
     } else if (ready.hardState !== undefined || ready.entries.length > 0) {
       await this._storage.writeBatch({ hardState: ready.hardState, entries: ready.entries });
     }
@@ -343,7 +344,11 @@
       if (proposal.term === entry.term) proposal.resolve(result);
       else proposal.reject(this._createAbsentLeader());
     }
-    for (const listener of this._appliedListeners) listener(entry);
+    this._tellState();
+  }
+
+  private _tellState(): void {
+    for (const listener of this._stateListeners) listener();
   }
 
   private _resolveBarrier(confirmed: ConfirmedBarrier): void {
--- a/src/consensus/RaftNode.ts
+++ b/src/consensus/RaftNode.ts
@@ -63,6 +63,7 @@
   private _term: number;
   private _vote: string;
   private _leaderId = "";
+  private _toldCommitIndex = 0;
   private _commitIndex: number;
   private _deliveredIndex: number;
   private _durableIndex: number;
@@ -237,6 +238,11 @@
     return this._hasMajority(new Set([this.id, ...this._election.getLeaderless(now)]));
   }
 
+  /** Gets how far leaders said that they had committed, whether the entries have come here or not. */
+  get toldCommitIndex(): number {
+    return Math.max(this._toldCommitIndex, this._commitIndex);
+  }
+
   /** Gets when a follower heard its leader last, monotonic milliseconds; `undefined` while it knows none. */
   getLeaderContactAt(): number | undefined {
     return this._role === "follower" && this._leaderId !== "" ? this._election.leaderContactAt : undefined;
@@ -283,6 +289,7 @@
         return;
       case "appendRequest":
         this._followLeader(now, message.from);
+        this._toldCommitIndex = Math.max(this._toldCommitIndex, body.value.commitIndex);
         this._appendEntries(message, body.value);
         return;
       case "appendResponse":
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -147,7 +147,7 @@
       },
     },
     getRoutes: () => routes,
-    isConfirmed: () => view.isConfirmed && watcher.isConnected,
+    isConfirmed: () => view.isConfirmed && watcher.isShown,
     getShown: () => watcher.getLastShown(clock.getMonotonicMs()),
     onRequest: () => budget.addRequest(clock.getMonotonicMs(), getEntryCount()),
   });
--- a/src/registration/AgreedFacts.ts
+++ b/src/registration/AgreedFacts.ts
@@ -5,12 +5,21 @@
  * that is agreed on holds, and an instance that left or a replica that retired takes no work any more.
  */
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
-import { type Declaration, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
-import { parseLifeKey } from "../ids";
+import { type Declaration, type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
+import { getLifeKey, parseLifeKey } from "../ids";
 import type { StateMachine } from "../state";
 
 /** What is needed of the agreed state. */
-export type AgreedState = Pick<StateMachine, "getDeclaration" | "getReplica" | "hasDeparted">;
+export type AgreedState = Pick<
+  StateMachine,
+  "getDeclaration" | "getReplica" | "getKnownReplicas" | "getDepartures" | "hasDeparted"
+>;
+
+/**
+ * Departures that are named, the newest ones: whoever holds an older target drops it with the complete view, seconds
+ * later. With more of them than a view keeps removals each change would tell all watchers of all of them again.
+ */
+const TOLD_DEPARTURES = 300;
 
 /** The agreed state as far as it is applied here. */
 export class AgreedFacts {
@@ -33,9 +42,18 @@
     const state = this._getState();
     if (target.model === "") return state.hasDeparted(parseLifeKey(target.instanceId, target.id));
     const replica = state.getReplica(target.id);
-    if (replica === undefined) return false;
-    const { phase, members } = replica;
-    const isOver = phase === ReplicaPhase.RETIRING || phase === ReplicaPhase.RELEASED;
-    return isOver || members.some((member) => state.hasDeparted(member));
+    return replica !== undefined && isOver(state, replica);
+  }
+
+  /** Gets the targets that are to take no work any more, whoever holds them. */
+  getEndedTargetIds(): string[] {
+    const state = this._getState();
+    const ended = state.getKnownReplicas().filter((replica) => isOver(state, replica));
+    return [...ended.map(({ id }) => id), ...state.getDepartures().slice(-TOLD_DEPARTURES).map(getLifeKey)];
   }
 }
+
+function isOver(state: AgreedState, { phase, members }: Replica): boolean {
+  if (phase === ReplicaPhase.RETIRING || phase === ReplicaPhase.RELEASED) return true;
+  return members.some((member) => state.hasDeparted(member));
+}
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -125,7 +125,10 @@
         getTimes,
         getRoutes,
         entries: relay.hub.entries,
-        onChange: () => relay.hub.notify(),
+        onChange: () => {
+          relay.hub.notify();
+          relay.updateSoon();
+        },
       });
     const watch = yield* Effect.acquireRelease(
       Effect.sync(() => new LeadershipWatch({ driver, createLeadership, logger, metrics: options.metrics })),
--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -20,6 +20,7 @@
 } from "../gen/ploverstage/v1/state_pb";
 import { getLifeKey, type Life } from "../ids";
 import type { Logger, Metrics, WorkMeter } from "../metrics";
+import { AgreedFacts } from "./AgreedFacts";
 import { CrashRegistry } from "./CrashRegistry";
 import { type EntryRoster, sortEntries } from "./EntryRoster";
 import { FleetView } from "./FleetView";
@@ -60,13 +61,6 @@
 /** A plain service's instance stays a target that long after its last report: entries find out sooner. */
 const SILENT_TARGET_MS = 20_000;
 
-/**
- * Departures that a leader names before its view is complete, the newest ones: whoever holds an older
- * target drops it with the complete view, seconds later. With more of them than a view keeps removals
- * each publication told all watchers of all of them again.
- */
-const TOLD_DEPARTURES = 300;
-
 /** One term of leadership at work. */
 export class FleetLeadership {
   /** The term that it belongs to. */
@@ -76,6 +70,7 @@
   private readonly _options: FleetLeadershipOptions;
   private readonly _registry: InstanceRegistry;
   private readonly _controller: ReplicaController;
+  private readonly _agreed: AgreedFacts;
   private readonly _relays = new RelayRoster();
   private readonly _crashes: CrashRegistry;
   private readonly _pace: PlanningPace;
@@ -88,6 +83,7 @@
    */
   constructor(options: FleetLeadershipOptions) {
     this._options = options;
+    this._agreed = new AgreedFacts(() => options.driver.machine);
     this.term = options.driver.node.term;
     const now = options.clock.getMonotonicMs();
     this._hearing = new Hearing(now);
@@ -313,7 +309,7 @@
     this._crashes.publish(this.view);
     this.view.setTargets(this._createTargets(now));
     // Once the view is complete, watchers hold nothing but what it told them.
-    if (!this.view.isComplete) this.view.removeTargets(this._getUnusable());
+    if (!this.view.isComplete) this.view.removeTargets(this._agreed.getEndedTargetIds());
     if (this._hearing.getListenedMs(now) > getTimes().presenceMs) this._setComplete();
     this.view.setEntries(
       sortEntries([...this._options.entries.getEntries(now), ...this._relays.getEntries(now)]),
@@ -399,16 +395,6 @@
     const { machine } = this._options.driver;
     return replica.members.some((member) => machine.hasDeparted(member));
   }
-
-  /** Gets what an earlier leader may have told of and what must take no new work. */
-  private _getUnusable(): string[] {
-    const { machine } = this._options.driver;
-    const replicas = machine
-      .getReplicasChangedSince(0)
-      ?.filter((replica) => replica.phase !== ReplicaPhase.SERVING || this._hasDepartedMember(replica))
-      .map((replica) => replica.id);
-    return [...(replicas ?? []), ...machine.getDepartures().slice(-TOLD_DEPARTURES).map(getLifeKey)];
-  }
 }
 
 function createPlainTarget({ report }: RegisteredInstance): Target {
--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -60,6 +60,11 @@
  * they ask may be so as well.
  */
 const ISOLATED_PATIENCE_MS = 1_500;
+/**
+ * A process that follows a leader in the agreement and can't tell it of reports for so long takes none: instances turn to
+ * others. A new leader answers its first calls later than the patience of a calm day.
+ */
+const MAX_UNTOLD_MS = 4_000;
 /** An entry that told of crashes waits half a second for an answer. */
 const CRASHES_MS = 450;
 /** A target that several entries suspect is reported no more often than this. */
@@ -77,7 +82,9 @@
   private readonly _options: FleetRelayOptions;
   private readonly _relayed: RelayedView;
   private readonly _watcher: ViewWatcher;
-  private readonly _contact: LeaderContact;
+  /** When a leader showed its view last, and when it was heard in the agreement. */
+  private readonly _shown: LeaderContact;
+  private _followedAt = Number.NEGATIVE_INFINITY;
   private readonly _suspicions: SuspicionReporter;
   private readonly _agreed: AgreedFacts;
   private _toldVersion: number;
@@ -89,7 +96,7 @@
   constructor(options: FleetRelayOptions) {
     this._options = options;
     const { driver, clock, logger, secret, getLeadership, getSeeds } = options;
-    this._contact = new LeaderContact(clock.getMonotonicMs());
+    this._shown = new LeaderContact(clock.getMonotonicMs());
     if (options.recovered !== undefined) this.view.apply(options.recovered);
     this._agreed = new AgreedFacts(() => driver.machine);
     // A process that starts applies its whole log once more: what it had kept before is not told again.
@@ -99,7 +106,7 @@
     this.hub = new ViewHub({
       clock,
       getOwn: () => {
-        this._noteLeadership(clock.getMonotonicMs());
+        this._noteLeadership();
         return getLeadership();
       },
       relayed,
@@ -117,7 +124,7 @@
       clock,
       logger,
       onChange: (update) => {
-        this._contact.addContact(clock.getMonotonicMs());
+        this._shown.addContact(clock.getMonotonicMs());
         relayed.addUpdate(update);
         this.hub.notify();
       },
@@ -150,7 +157,7 @@
 
   /** Starts following the leader and telling it. */
   start(): void {
-    this._options.driver.addAppliedListener(() => this._updateAgreedSoon());
+    this._options.driver.addStateListener(() => this.updateSoon());
     void this._watcher.run();
     this.sender.start();
   }
@@ -173,7 +180,9 @@
 
   /** Checks whether reports may be taken here: the leader is told of them in time, or there is none. */
   takesReports(): boolean {
-    return this._isInTouch(this._options.getReportPatienceMs());
+    const patienceMs = this._options.getReportPatienceMs();
+    const failingMs = this.sender.getFailingMs(this._options.clock.getMonotonicMs());
+    return this._isShown(patienceMs) || (this._isInTouch(patienceMs) && failingMs <= MAX_UNTOLD_MS);
   }
 
   /**
@@ -184,10 +193,23 @@
   getEntries(): readonly EntryEndpoint[] {
     const own = this._options.getLeadership()?.view.entries ?? [];
     if (own.length > 0) return own;
-    const followed = this._isInTouch(this._getWatchPatienceMs()) ? this.view.getEntries() : [];
+    const followed = this._isShown(this._getWatchPatienceMs()) ? this.view.getEntries() : [];
     return followed.length > 0 ? followed : this.hub.entries.getEntries(this._options.clock.getMonotonicMs());
   }
 
+  /** Shows watchers what was agreed on since; what is applied in one turn of the event loop is shown together. */
+  updateSoon(): void {
+    if (this._isUpdating) return;
+    this._isUpdating = true;
+    setImmediate(() => {
+      this._isUpdating = false;
+      this._tellAgreed();
+      if (this._options.getLeadership() !== undefined) return;
+      this._relayed.updateAgreed();
+      this.hub.notify();
+    });
+  }
+
   /** Passes on what an entry saw of a target. */
   reportSuspicion(suspicion: SuspectRequest): void {
     this._suspicions.report(suspicion);
@@ -206,37 +228,32 @@
     return this._options.driver.node.leaderId === "" ? ISOLATED_PATIENCE_MS : WATCH_PATIENCE_MS;
   }
 
+  /** Checks whether this process may keep its entries: it follows a leader, or nobody knows better. */
   private _isInTouch(patienceMs: number): boolean {
     const now = this._options.clock.getMonotonicMs();
-    const { driver, getLeadership } = this._options;
-    this._noteLeadership(now);
-    if (getLeadership() !== undefined) return true;
-    // While a majority elects a leader nobody knows better: refusing would only have everyone ask on.
-    return this._contact.isInTouch(now, patienceMs) || driver.node.isElecting(now);
+    const contactAt = this._options.driver.getCaughtUpContactAt();
+    // Who follows a leader in the agreement speaks for it before it is shown its view: what is agreed is told here.
+    if (contactAt !== undefined) this._followedAt = contactAt;
+    return this._isShown(patienceMs) || now - this._followedAt <= patienceMs;
+  }
+
+  /** Checks whether a leader has shown this process its view lately, or nobody knows better. */
+  private _isShown(patienceMs: number): boolean {
+    const now = this._options.clock.getMonotonicMs();
+    if (this._noteLeadership()) return true;
+    // While a majority elects a leader refusing would only have everyone ask on.
+    return this._shown.isInTouch(now, patienceMs) || this._options.driver.node.isElecting(now);
   }
 
   /**
    * A leader that is cut off leads on until it misses the majority: what it shows is no newer than their last answer.
-   * Who follows a leader in the agreement speaks for it before it is shown its view: what is agreed is told here.
+   * @returns Whether this process leads.
    */
-  private _noteLeadership(now: number): void {
-    const { driver, getLeadership } = this._options;
-    const isLeading = getLeadership() !== undefined;
-    const contactAt = isLeading ? driver.node.getQuorumContactAt(now) : driver.getAgreedContactAt();
-    if (contactAt !== undefined) this._contact.addContact(contactAt);
-  }
-
-  /** What is applied in one turn of the event loop is told together. */
-  private _updateAgreedSoon(): void {
-    if (this._isUpdating) return;
-    this._isUpdating = true;
-    setImmediate(() => {
-      this._isUpdating = false;
-      this._tellAgreed();
-      if (this._options.getLeadership() !== undefined) return;
-      this._relayed.updateAgreed();
-      this.hub.notify();
-    });
+  private _noteLeadership(): boolean {
+    const { driver, clock, getLeadership } = this._options;
+    if (getLeadership() === undefined) return false;
+    this._shown.addContact(driver.node.getQuorumContactAt(clock.getMonotonicMs()));
+    return true;
   }
 
   private _tellAgreed(): void {
--- a/src/registration/FleetView.ts
+++ b/src/registration/FleetView.ts
@@ -37,6 +37,8 @@
 /** A revisioned view. */
 export class FleetView {
   private readonly _targets = new Map<string, RevisedTarget>();
+  /** Targets that are agreed to be over, and the numbers of the changes by which they were. */
+  private readonly _ended = new Map<string, number>();
   private readonly _crashRecords = new Map<string, RevisedCrashRecord>();
   private _entries: readonly EntryEndpoint[] = [];
   private _controlAddresses: readonly string[] = [];
@@ -98,6 +100,13 @@
     this._forgetRemovals();
   }
 
+  /** Sets the targets that are agreed to be over, whether this view ever held them or not. */
+  setEnded(ids: readonly string[]): void {
+    const present = new Set(ids);
+    for (const id of this._ended.keys()) if (!present.has(id)) this._ended.delete(id);
+    for (const id of ids) if (!this._ended.has(id)) this._ended.set(id, this._advance());
+  }
+
   /** Says that every target is known: what a watcher holds beyond them is gone. */
   setComplete(): void {
     if (this._isComplete) return;
@@ -180,12 +189,9 @@
    * @param position - `undefined` at the start of a call.
    */
   createPendingUpdate(term: number, position: WatchPosition | undefined, knownVersion: number): ViewUpdate {
-    const { removedTargetIds, declaration, crashRecords } = this.createUpdate(
-      term,
-      position,
-      knownVersion,
-      true,
-    );
+    const since = position?.revision ?? -1;
+    const { declaration, crashRecords } = this.createUpdate(term, position, knownVersion, true);
+    const removedTargetIds = [...this._ended].filter(([, revision]) => revision > since).map(([id]) => id);
     return create(ViewUpdateSchema, { term, pending: true, removedTargetIds, declaration, crashRecords });
   }
 
--- a/src/registration/RelayedView.ts
+++ b/src/registration/RelayedView.ts
@@ -64,6 +64,7 @@
     view.setTargets(this._followed.getTargets().filter((target) => this._agreed?.hasEnded(target) !== true));
     view.setDeclaration(this._followed.declaration);
     view.setDeclaration(this._agreed?.declaration);
+    view.setEnded(this._agreed?.getEndedTargetIds() ?? []);
     view.setEntries(this._followed.getEntries());
     view.setControlAddresses(this._followed.getControlAddresses());
   }
--- a/src/registration/ReportSender.ts
+++ b/src/registration/ReportSender.ts
@@ -49,7 +49,7 @@
   private _dueAt = Number.POSITIVE_INFINITY;
   private _sending: Promise<void> | undefined;
   private _isStopped = false;
-  private _isFailing = false;
+  private _failingSince: number | undefined;
   /** Term of the leader that was told of the entries, and which of their changes it was told. */
   private _entriesTold = { term: 0, revision: -1 };
   private _term = 0;
@@ -73,6 +73,11 @@
     clearTimeout(this._timer);
   }
 
+  /** Gets for how long the leader could not be told, milliseconds; 0 when it was told last time. */
+  getFailingMs(now: number): number {
+    return this._failingSince === undefined ? 0 : now - this._failingSince;
+  }
+
   /** Tells what is new in a moment, together with what else turns up until then. */
   sendSoon(): void {
     this._schedule(NEWS_MS);
@@ -110,7 +115,7 @@
       (cause: unknown) => this._addFailure(cause),
     );
     if (wasTold) {
-      this._isFailing = false;
+      this._failingSince = undefined;
       this._patienceMs = FIRST_PATIENCE_MS;
     }
     this._schedule(wasTold && this._options.relay.hasNews() ? NEWS_MS : SIGN_MS);
@@ -172,8 +177,11 @@
 
   /** One line for each time that the leader is lost. */
   private _addFailure(cause: unknown): false {
-    if (!this._isFailing) this._options.logger.warn({ event: "reports_not_relayed", reason: String(cause) });
-    this._isFailing = true;
+    const { clock, logger } = this._options;
+    if (this._failingSince === undefined) {
+      this._failingSince = clock.getMonotonicMs();
+      logger.warn({ event: "reports_not_relayed", reason: String(cause) });
+    }
     this._patienceMs = Math.min(MAX_PATIENCE_MS, this._patienceMs * 2);
     return false;
   }
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -53,12 +53,15 @@
 /** A leader silent for so long is given up. */
 const SILENCE_MS = 1_000;
 /**
- * The first answer may wait for a connection to come up. Where the same process is asked again, since
- * it alone leads, the time is doubled up to the longest: a leader that has just begun answers late, and
- * each call that is given up makes it later.
+ * The first answer may wait for a connection to come up. After each round of all that are asked the time is doubled, up to
+ * the longest: processes that have just begun answer late, and each call that is given up makes them later.
  */
 const FIRST_ANSWER_MS = 700;
 const MAX_FIRST_ANSWER_MS = 2_800;
+/** A process that was followed for so long had what was looked for: the next search begins anew. */
+const SETTLED_MS = 3_000;
+/** A process that has nothing newer to show for so long is left for the next one, which may know more. */
+const MAX_PENDING_MS = 5_000;
 const IDLE_MS = 100;
 const STOP_MS = 700;
 const SUSPICION_MS = 500;
@@ -76,9 +79,12 @@
   private _heardAt = Number.NEGATIVE_INFINITY;
   private _shown = { control: "", term: RECOVERED_TERM };
   private _isConnected = false;
+  /** Since when the process that is followed has had nothing newer to show than what is held. */
+  private _pendingSince: number | undefined;
+  private _connectedAt = Number.NEGATIVE_INFINITY;
   private _isStopped = false;
-  /** Who did not answer in time last, and how long it is given next. */
-  private _late = { address: "", patienceMs: FIRST_ANSWER_MS };
+  /** Processes in a row that did not answer in time. */
+  private _lateAnswers = 0;
   private _vainTries = 0;
   private _vainTriesToldAt = Number.NEGATIVE_INFINITY;
   private _call = new AbortController();
@@ -105,6 +111,11 @@
     return this._isConnected;
   }
 
+  /** Gets whether the process that is followed shows a view as new as the one held. */
+  get isShown(): boolean {
+    return this._isConnected && this._pendingSince === undefined;
+  }
+
   /** Gets the control process that is followed, or asked; "" before the first one. */
   get currentAddress(): string {
     return this._current;
@@ -123,10 +134,11 @@
       if (failure === undefined) continue;
       if (this._isConnected) {
         this._options.logger.warn({ event: "control_lost", control: this._current, reason: failure.message });
-        search.reset();
-        this._next = -1;
+        if (this._options.clock.getMonotonicMs() - this._connectedAt >= SETTLED_MS) search.reset();
+        this._next = this._isPendingLong() ? this._getCandidates().indexOf(this._current) : -1;
       } else this._addVainTry(failure);
       this._isConnected = false;
+      this._pendingSince = undefined;
       this._current = this._getNext(failure);
       await pause(search.addFailure(this._getCandidates().length));
     }
@@ -194,7 +206,7 @@
         if (!this._take(update)) break;
         this._heardAt = clock.getMonotonicMs();
         this._shown = { control: this._current, term: view.term };
-        if (this._options.isWanted?.() === false) break;
+        if (this._options.isWanted?.() === false || this._isPendingLong()) break;
         if (this._moveToPreferred(update)) return undefined;
       }
       return new ConnectError("the call ended");
@@ -238,12 +250,24 @@
       if (version !== before) onDeclaration();
       return false;
     }
-    this._isConnected = true;
-    this._late = { address: "", patienceMs: FIRST_ANSWER_MS };
+    this._noteAnswer(update);
     onChange(update);
     return true;
   }
 
+  private _noteAnswer({ pending }: ViewUpdate): void {
+    const now = this._options.clock.getMonotonicMs();
+    if (!this._isConnected) this._connectedAt = now;
+    this._isConnected = true;
+    this._lateAnswers = 0;
+    this._pendingSince = pending ? (this._pendingSince ?? now) : undefined;
+  }
+
+  private _isPendingLong(): boolean {
+    const since = this._pendingSince;
+    return since !== undefined && this._options.clock.getMonotonicMs() - since >= MAX_PENDING_MS;
+  }
+
   /** Followers are spread anew whenever the control processes are others. */
   private _moveToPreferred({ controlAddresses }: ViewUpdate): boolean {
     const known = controlAddresses.join();
@@ -261,19 +285,22 @@
   }
 
   private _startFirstTimer(): NodeJS.Timeout {
-    const address = this._current;
-    const firstMs = address === this._late.address ? this._late.patienceMs : FIRST_ANSWER_MS;
-    return setTimeout(() => {
-      this._late = { address, patienceMs: Math.min(MAX_FIRST_ANSWER_MS, firstMs * 2) };
-      this._call.abort();
-    }, firstMs);
+    const rounds = Math.floor(this._lateAnswers / Math.max(1, this._getCandidates().length));
+    return setTimeout(
+      () => {
+        this._lateAnswers += 1;
+        this._call.abort();
+      },
+      Math.min(MAX_FIRST_ANSWER_MS, FIRST_ANSWER_MS * 2 ** rounds),
+    );
   }
 
   private _getNext(failure: ConnectError): string {
     const hint = failure.metadata.get(LEADER_HEADER) ?? "";
-    // The leader shows its view to the other control processes, and those to entries.
-    const isFollower = this._options.entry === undefined;
-    if (isFollower && hint !== "" && hint !== this._current) return hint;
+    // The leader shows its view to the other control processes, and those to entries; one that holds nothing takes any.
+    const { entry, view } = this._options;
+    const followsHint = entry === undefined || view.declaration === undefined;
+    if (followsHint && hint !== "" && hint !== this._current) return hint;
     const candidates = this._getCandidates();
     this._next += 1;
     return candidates[this._next % candidates.length] ?? "";
--- a/src/registration/watchers.ts
+++ b/src/registration/watchers.ts
@@ -95,7 +95,8 @@
       const isUrgent = state.hasUrgentNews(getSource());
       if (isUrgent && request.entry !== undefined) await hub.turns.enter();
       const source = getSource();
-      if (source === undefined) return;
+      // Its caller may have gone while it waited for its turn.
+      if (source === undefined || signal.aborted) return;
       if (isUrgent || isDue) {
         toldAt = clock.getMonotonicMs();
         const createUpdate = () => state.createUpdate(source);
--- a/test/registration/AgreedFacts.test.ts
+++ b/test/registration/AgreedFacts.test.ts
@@ -23,6 +23,8 @@
       const member = create(ReplicaMemberSchema, { instanceId: `${id}-head`, born: BORN });
       return create(ReplicaSchema, { id, phase, members: [member] });
     },
+    getKnownReplicas: () => [],
+    getDepartures: () => [...departed],
     hasDeparted: (life) => gone.has(getLifeKey(life)),
   };
   return new AgreedFacts(() => state);
--- a/test/registration/FleetLeadership.test.ts
+++ b/test/registration/FleetLeadership.test.ts
@@ -94,7 +94,7 @@
     const machine = {
       getReplicas: () => REPLICAS,
       getReplica: (id: string) => REPLICAS.find((replica) => replica.id === id),
-      getReplicasChangedSince: () => REPLICAS,
+      getKnownReplicas: () => REPLICAS,
       getDeclaration: () => undefined,
       crashIndex: 0,
       getCrashRecords: () => [],
--- a/test/registration/FleetRelay.test.ts
+++ b/test/registration/FleetRelay.test.ts
@@ -10,7 +10,13 @@
  * Evidence: in the entry's log the last version before the cut, the end of the call 3.5 s after it, and the versions that
  * it was told of once it had found another process; two plays of two broke the promise.
  */
-import { beforeEach, describe, expect, it } from "vitest";
+import { create } from "@bufbuild/protobuf";
+import { beforeEach, describe, expect, it, vi } from "vitest";
+import {
+  EntryEndpointSchema,
+  EntryListSchema,
+  ViewUpdateSchema,
+} from "../../src/gen/ploverstage/v1/fleet_pb";
 import { FleetRelay } from "../../src/registration/FleetRelay";
 import { FleetView } from "../../src/registration/FleetView";
 import { StateMachine } from "../../src/state";
@@ -28,6 +34,11 @@
 /** Longer than an election between members that answer. */
 const ELECTION_MS = 1_400;
 
+/** What it showed before it was started: an entry that may be gone. */
+const recovered = create(ViewUpdateSchema, {
+  entries: create(EntryListSchema, { entries: [create(EntryEndpointSchema, { address: "127.0.0.1:3" })] }),
+});
+
 describe("a control process that no longer hears a leader", () => {
   let now: number;
   let leads: boolean;
@@ -59,7 +70,7 @@
         node,
         isLeader: () => leads,
         getLeaderAddress: () => "",
-        getAgreedContactAt: () => agreedContactAt,
+        getCaughtUpContactAt: () => agreedContactAt,
         machine: new StateMachine(),
       } as never,
       getLeadership: () => (leads ? (leadership as never) : undefined),
@@ -67,7 +78,7 @@
       listen: "127.0.0.1:1",
       publicAddress: "127.0.0.1:2",
       secret: undefined,
-      recovered: undefined,
+      recovered,
       isFirstStart: true,
       clock: { getMonotonicMs: () => now, getWallMs: () => now },
       logger: { info: () => {}, warn: () => {} } as never,
@@ -124,4 +135,32 @@
     }
     expect(isSpokenFor(heardAt + 3 * CONTACT_MS + CONTACT_MS - WATCH_HEARTBEAT_MS)).toBe(false);
   });
+
+  it("names no entry that no leader has shown it, though it follows one in the agreement", () => {
+    leads = false;
+    leaderId = "other";
+    expect(relay.getEntries()).toHaveLength(1);
+    for (const after of [6_000, 20_000]) {
+      now = 10_000 + after;
+      agreedContactAt = now;
+      expect(relay.hub.getSource(1)).toBeDefined();
+      expect(relay.getEntries()).toEqual([]);
+    }
+  });
+
+  it("takes reports for a leader that it follows, unless it could tell it of none for long", () => {
+    leads = false;
+    leaderId = "other";
+    now = 20_000;
+    agreedContactAt = now;
+    expect(relay.takesReports()).toBe(true);
+    const failing = vi.spyOn(relay.sender, "getFailingMs").mockReturnValue(3_000);
+    expect(relay.takesReports()).toBe(true);
+    failing.mockReturnValue(4_500);
+    expect(relay.takesReports()).toBe(false);
+    agreedContactAt = undefined;
+    failing.mockReturnValue(0);
+    now += 1_000;
+    expect(relay.takesReports()).toBe(false);
+  });
 });
--- a/test/registration/KnownView.test.ts
+++ b/test/registration/KnownView.test.ts
@@ -133,6 +133,8 @@
     getDeclaration: () =>
       agreedVersion === 0 ? undefined : create(DeclarationSchema, { version: agreedVersion }),
     getReplica: () => undefined,
+    getKnownReplicas: () => [],
+    getDepartures: () => [],
     hasDeparted: () => false,
   }));
 
--- a/test/registration/heldEntries.test.ts
+++ b/test/registration/heldEntries.test.ts
@@ -56,6 +56,7 @@
         return agreed.getDeclaration();
       },
       hasEnded: agreed.hasEnded,
+      getEndedTargetIds: () => [...this.ended],
     } as never);
     this.hub = new ViewHub({
       clock: new SystemClock(),
@@ -151,6 +152,20 @@
     for (const control of controls) control.showLeader(createUpdate(4, 8, ["kept", "new"]));
     await waitUntil("it has the view", () => view.term === 4);
     expect(view.getTargets().map(({ id }) => id)).toEqual(["kept", "new"]);
+    expect(watcher.isShown).toBe(true);
     expect(getCalls()).toBe(calls);
   });
+
+  it("loses a target that is agreed to be over, whether its control process ever held it or not, and no other", async () => {
+    await waitUntil("it is held", () => watcher.isConnected);
+    view.apply(createUpdate(3, 7, ["kept", "left", "elsewhere"]));
+    for (const control of controls) {
+      // In an older term it was closed for a moment.
+      control.showLeader(createUpdate(2, 7, ["kept", "left"]));
+      control.showLeader(create(ViewUpdateSchema, { term: 2, removedTargetIds: ["kept"] }));
+      control.agree(8, ["elsewhere"]);
+    }
+    await waitUntil("it has the declaration", () => view.declaration?.version === 8);
+    expect(view.getTargets().map(({ id }) => id)).toEqual(["kept", "left"]);
+  });
 });
--- a/test/registration/outdated/SimulatedFleet.ts
+++ b/test/registration/outdated/SimulatedFleet.ts
@@ -98,12 +98,14 @@
       machine: {
         getDeclaration: () => agreement.committed[this._applied - 1],
         getReplica: () => undefined,
+        getKnownReplicas: () => [],
+        getDepartures: () => [],
         hasDeparted: () => false,
       },
-      getAgreedContactAt: () => (fleet.isHeard(agreement.leader) ? this._appendedAt : undefined),
+      getCaughtUpContactAt: () => (fleet.isHeard(agreement.leader) ? this._appendedAt : undefined),
       isLeader: () => agreement.leader === index,
       getLeaderAddress: () => (fleet.isHeard(agreement.leader) ? `c${agreement.leader}:1` : ""),
-      addAppliedListener: (listener: () => void) => this._listeners.push(listener),
+      addStateListener: (listener: () => void) => this._listeners.push(listener),
     } as never;
     const getLeadership = () => this._leadership as never;
     const relay = new FleetRelay({
