A new leader doubts no instance after one unanswered question

Callers saw: replicas that serve retired within a quarter of a second of a new leader's term. Cause: an instance that was not heard in the term counted as silent for ever, so that one question of 0.25 s without an answer was enough; one that was heard is asked until it has been silent for 0.6 s. Why this holds: nobody can have been heard before the term began: silence counts from then.

--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -151,13 +151,20 @@
       const isCertain = outcome === "absent" || lag.getWorstMs() < MAX_LAG_MS;
       if (!isCertain) return;
       // Too soon after its last report: it is asked once more instead of after the next suspicion.
-      if (this._getSilentMs(member.instanceId) < MIN_SILENCE_MS) continue;
+      if (this._getUnheardMs(member.instanceId) < MIN_SILENCE_MS) continue;
       this._doubts.addDoubt(sentAt, member.instanceId);
       logger.info({ event: "instance_doubted", instance: member.instanceId, replica: replica.id, outcome });
       return;
     }
   }
 
+  /** Nobody can have been heard before the term began. */
+  private _getUnheardMs(instanceId: string): number {
+    const { clock, hearing, registry } = this._options;
+    const heardAt = registry.getInstance(instanceId)?.reportedAt ?? hearing.startedAt;
+    return clock.getMonotonicMs() - Math.max(heardAt, hearing.startedAt);
+  }
+
   private _getSilentMs(instanceId: string): number {
     const reportedAt = this._options.registry.getInstance(instanceId)?.reportedAt;
     return this._options.clock.getMonotonicMs() - (reportedAt ?? Number.NEGATIVE_INFINITY);
--- a/test/registration/ReplicaController.test.ts
+++ b/test/registration/ReplicaController.test.ts
@@ -24,7 +24,17 @@
     now = 10_000;
     events = [];
     registry = new InstanceRegistry();
-    controller = new ReplicaController({
+    controller = createController();
+    for (const instanceId of ["f0", "f1"]) {
+      registry.addReport(
+        now,
+        create(InstanceReportSchema, { instanceId, sequence: 1, address: `${instanceId}:1` }),
+      );
+    }
+  });
+
+  function createController(): ReplicaController {
+    return new ReplicaController({
       driver: { node: { term: 1 }, machine: { getReplica: () => replica } } as unknown as ConsensusDriver,
       registry,
       hearing: new Hearing(now),
@@ -49,13 +59,7 @@
       getTimes: () => ({}) as never,
       getRoutes: () => undefined,
     });
-    for (const instanceId of ["f0", "f1"]) {
-      registry.addReport(
-        now,
-        create(InstanceReportSchema, { instanceId, sequence: 1, address: `${instanceId}:1` }),
-      );
-    }
-  });
+  }
 
   it("asks a silent member again at once, until it has been silent for long enough", async () => {
     outcomes = ["silent", "silent", "silent"];
@@ -71,4 +75,13 @@
     await waitUntil("both probes are over", () => outcomes.length === 1);
     expect(events).toEqual([]);
   });
+
+  it("doubts nobody that it has not heard in its term after one question without an answer", async () => {
+    registry = new InstanceRegistry();
+    controller = createController();
+    outcomes = ["silent", "present", "silent"];
+    controller.checkReplica(replica.id);
+    await waitUntil("both probes are over", () => outcomes.length === 1);
+    expect(events).toEqual([]);
+  });
 });
