--- a/bench/overload.ts
+++ b/bench/overload.ts
@@ -99,7 +99,7 @@
   const cluster = await PlatformCluster.start(INSTANCES, {
     controls: CONTROLS,
     seeds: FOUNDERS,
-    controlShare: SHARE,
+    controlQuota: SHARE,
     reportMs: REPORT_MS,
     domainSize: DOMAIN_SIZE,
   });
--- a/test/platform/PlatformCluster.ts
+++ b/test/platform/PlatformCluster.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { ProcessHandle } from "../support/ProcessHandle";
+import { ProcessorQuota } from "../support/ProcessorQuota";
 import { getFreeAddresses } from "../support/ports";
 import { Throttle } from "../support/Throttle";
 import { renderTemplate } from "./renderTemplate";
@@ -44,6 +45,8 @@
   readonly seeds?: number;
   /** Part of a core that each control process has from its start on; a whole one if not given. */
   readonly controlShare?: number;
+  /** Part of a core that each control process may use from its start on, however full this machine is. */
+  readonly controlQuota?: number;
   /** How many reports the first workers have sent already. */
   readonly firstReportCount?: number;
   /** A defect on purpose: no worker tells when it started. */
@@ -75,7 +78,7 @@
   readonly crashes: number[] = [];
   private readonly _folder = mkdtempSync(join(tmpdir(), "platform-"));
   private _ports: number[] = [];
-  private _throttle: Throttle | undefined;
+  private _throttle: Throttle | ProcessorQuota | undefined;
   private _requests = 0;
   private _isStopping = false;
   private readonly _options: ClusterOptions;
@@ -93,8 +96,9 @@
     const addresses = await getFreeAddresses(6);
     cluster._ports = addresses.map((address) => Number(address.split(":")[1]));
     for (const ip of cluster._controlIps) cluster.controls.push(cluster._createProcess("control", ip));
-    const { controlShare } = options;
+    const { controlShare, controlQuota } = options;
     if (controlShare !== undefined) cluster._throttle = new Throttle(cluster.controls, controlShare);
+    if (controlQuota !== undefined) cluster._throttle = new ProcessorQuota(cluster.controls, controlQuota);
     const entryIps = Array.from({ length: options.entries ?? 1 }, (_, i) => getEntryIp(i));
     for (const ip of entryIps) cluster.entries.push(cluster._createProcess("entry", ip));
     for (const handle of [...cluster.controls, ...cluster.entries]) handle.start();
