--- a/test/system/overload.test.ts
+++ b/test/system/overload.test.ts
@@ -7,14 +7,14 @@
 
 const CONTROLS = 5;
 const FOUNDERS = 3;
-const WORKERS = 48;
-const WATCHERS = 16;
+const WORKERS = 96;
+const WATCHERS = 36;
 const REPLICA_SIZE = 4;
 const REPORT_MS = 1_200;
 /** Of a core: less than the smallest machines for control, as there are fewer workers and watchers. */
-const SHARE = 0.15;
+const SHARE = 0.14;
 /** Tries at the directory a second. */
-const QUESTIONS = 50;
+const QUESTIONS = 100;
 const ORDER_GAP_MS = 1_500;
 const SETTLE_MS = 6_000;
 const OFF_MS = 1_000;
@@ -52,6 +52,8 @@
   callers.start();
   operator.start(2, ORDER_GAP_MS);
   await pause(SETTLE_MS);
+  const calm = operator.orders[1]!;
+  expect(calm.readBackAt ?? Number.POSITIVE_INFINITY).toBeLessThan(calm.sentAt + ACKNOWLEDGEMENT_MS);
 
   await losePower(cluster, watchers);
   await pause(ON_MS);
