An order that comes again joins the one on its way, and one that was overtaken is confirmed alone

Callers saw: orders unanswered after a loss of power while control agreed on the same ones again and again. Cause: an operator asks another process after a second, and each process proposed each copy, up to three times, also of versions that a newer one had overtaken. Why this holds: the same document joins the call that is on its way, before it is parsed; the leader proposes no version that isn't above the one it holds, it confirms its leadership as for a read.

--- a/src/registration/Registrar.ts
+++ b/src/registration/Registrar.ts
@@ -54,6 +54,12 @@
 /** Departures that arrive within this time travel to the leader in one call. */
 const BATCH_MS = 15;
 
+/** A declaration on its way to the leader. */
+interface AgreeingDeclaration {
+  readonly document: Uint8Array;
+  readonly outcome: Promise<Declaration>;
+}
+
 /** A departure on its way to the leader. */
 interface WaitingDeparture {
   readonly report: InstanceReport;
@@ -64,6 +70,8 @@
 /** Forwards to the leader, in batches where many come at once. */
 export class Registrar {
   private readonly _options: RegistrarOptions;
+  /** Declarations that are on their way. */
+  private readonly _agreeing = new Set<AgreeingDeclaration>();
   private _waiting: WaitingDeparture[] = [];
   private _isSending = false;
 
@@ -123,11 +131,22 @@
   }
 
   /**
-   * Checks a declaration and has it agreed on.
+   * Checks a declaration and has it agreed on; one that comes again while it is on its way joins the first.
    * @returns Its version; a higher one may hold already.
    * @throws InvalidDeclaration, UnreachableControl, UnknownProposal, AbsentLeader
    */
-  async putDeclaration(document: Uint8Array): Promise<Declaration> {
+  putDeclaration(document: Uint8Array): Promise<Declaration> {
+    for (const agreeing of this._agreeing) {
+      if (Buffer.compare(agreeing.document, document) === 0) return agreeing.outcome;
+    }
+    const agreeing = { document, outcome: this._putDeclaration(document) };
+    this._agreeing.add(agreeing);
+    const forget = () => this._agreeing.delete(agreeing);
+    agreeing.outcome.then(forget, forget);
+    return agreeing.outcome;
+  }
+
+  private async _putDeclaration(document: Uint8Array): Promise<Declaration> {
     const arrivedAt = this._options.clock.getMonotonicMs();
     const declaration = this._parse(arrivedAt, document);
     const trace = new CallTrace();
--- a/src/registration/fleetRoutes.ts
+++ b/src/registration/fleetRoutes.ts
@@ -63,6 +63,13 @@
       return calls.follow("relay", answer);
     },
     putDeclaration(request) {
+      // One that was overtaken, or comes again, changes nothing: it is not agreed on once more.
+      const heldVersion = driver.machine.getDeclaration()?.version ?? 0;
+      if (request.version <= heldVersion)
+        return calls.follow(
+          "declaration",
+          guard.run(() => ({})),
+        );
       const answer = guard.propose(async (leadership) => {
         await driver.propose({
           case: "putDeclaration",
--- a/test/platform/WatcherGroup.ts
+++ b/test/platform/WatcherGroup.ts
@@ -66,6 +66,7 @@
       clock: new SystemClock(),
       logger: SILENT,
       onChange: () => {},
+      onDeclaration: () => {},
     });
     return { watcher, view };
   }
