--- a/bench/overload.ts
+++ b/bench/overload.ts
@@ -206,6 +206,7 @@
 /** What the busiest process uses in a second, some time after the first leader of the last span began. */
 function getLateProcessorTime(sampler: CpuSampler, span: PowerSpan, lines: readonly LogLine[]): Figure[] {
   const from = getFirstLeader(lines, span).at + LATE_MS;
-  const value = Number.isFinite(from) ? Math.max(...sampler.getRates(from, from + SECOND_MS)) : NEVER;
+  const isSeen = from + SECOND_MS <= span.offAt;
+  const value = isSeen ? Math.max(...sampler.getRates(from, from + SECOND_MS)) : NEVER;
   return [{ figure: "late_processor_time", value, unit: "ms/s" }];
 }
