A follower that has nobody to choose from stays where it is

Callers saw: a control process that lost its leader's view asked an address that is none (control_lost without an address, 'lastIndexOf' of undefined). Cause: it was told of other control processes at a moment at which it knew no leader, and took the first of no candidates. Why this holds: nobody to turn to is no reason to leave.

--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -273,8 +273,9 @@
     const known = controlAddresses.join();
     if (known === "" || known === this._known) return false;
     this._known = known;
-    const preferred = this._getCandidates()[0]!;
-    if (preferred === this._current) return false;
+    const preferred = this._getCandidates()[0];
+    // A control process that loses the leader meanwhile has nobody to turn to.
+    if (preferred === undefined || preferred === this._current) return false;
     this._current = preferred;
     this._next = 0;
     return true;
--- a/test/registration/searches.test.ts
+++ b/test/registration/searches.test.ts
@@ -162,4 +162,35 @@
     await waitUntil("it follows the leader", () => watcher.isConnected);
     expect(asked).toBe(1);
   });
+
+  it("stays where it is when it is told of control processes while it has none to choose from", async () => {
+    const showMembers: Answer = async function* (signal) {
+      for (let i = 0; !signal.aborted; i++) {
+        yield create(ViewUpdateSchema, { term: 1, controlAddresses: i === 0 ? ["127.0.0.1:1"] : [] });
+        await wait(PENDING_SIGN_MS);
+      }
+    };
+    const addresses = await start([showMembers]);
+    const lost: object[] = [];
+    let isLeaderKnown = true;
+    watcher = new ViewWatcher({
+      watcherId: "control",
+      entry: undefined,
+      getSeeds: () => addresses,
+      orderCandidates: () => (isLeaderKnown ? addresses : []),
+      secret: undefined,
+      view: new FollowedView(),
+      clock: new SystemClock(),
+      logger: { info: () => {}, warn: (line: object) => lost.push(line) } as never,
+      onChange: () => {},
+      onDeclaration: () => {},
+    });
+    void watcher.run();
+    await waitUntil("it is called", () => getCalls() === 1);
+    isLeaderKnown = false;
+    await waitUntil("it follows", () => watcher.isConnected);
+    await wait(2 * PENDING_SIGN_MS);
+    expect(lost).toEqual([]);
+    expect(getCalls()).toBe(1);
+  });
 });
