--- a/src/metrics/WorkMeter.ts
+++ b/src/metrics/WorkMeter.ts
@@ -44,7 +44,7 @@
     }
   }
 
-  /** Notes work that was measured elsewhere. */
+  /** Adds work that the caller timed, in milliseconds. */
   addWork(work: Work, items: number, milliseconds: number): void {
     const { logger, metrics } = this._options;
     metrics.timing("control_work_ms", milliseconds, { work });
