--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,6 +9,7 @@
 import { fleetBench } from "./fleet";
 import { gatewayBench } from "./gateway";
 import { livesBench } from "./lives";
+import { overloadBench } from "./overload";
 import { pathBench } from "./path";
 import { plannerBench } from "./planner";
 import { powerLossBench } from "./powerLoss";
@@ -30,6 +31,7 @@
   fleetBench,
   powerLossBench,
   firstStartBench,
+  overloadBench,
   livesBench,
   gatewayBench,
   containmentBench,
--- a/bench/support/controlLog.ts
+++ b/bench/support/controlLog.ts
@@ -9,6 +9,12 @@
   readonly replica?: string;
   readonly phase?: string;
   readonly lag_ms?: number;
+  readonly term?: number;
+  /** Refused calls of a kind. */
+  readonly watch?: number;
+  readonly relay?: number;
+  readonly instance?: number;
+  readonly declaration?: number;
 }
 
 /** Reads the lines that processes logged from a moment on, Unix milliseconds, in the order of time. */
--- /dev/null
+++ b/test/platform/WatcherGroup.ts
@@ -0,0 +1,72 @@
+/** Watchers that are to control as entries of their own, and lose power and come back together. */
+import { SystemClock } from "../../src/clock";
+import { FollowedView, orderByAffinity, ViewWatcher } from "../../src/registration";
+
+const SILENT = { info: () => {}, warn: () => {}, error: () => {} } as never;
+/** Entries don't come back all at the same moment. */
+const SPREAD_MS = 400;
+
+/** A watcher and the view that it holds. */
+interface Watching {
+  readonly watcher: ViewWatcher;
+  readonly view: FollowedView;
+}
+
+/** A group of watchers. */
+export class WatcherGroup {
+  private readonly _count: number;
+  private readonly _seeds: readonly string[];
+  private _watching: readonly Watching[] = [];
+  private readonly _timers = new Set<NodeJS.Timeout>();
+
+  /**
+   * @param seeds - host:port of control processes that each of them is told of.
+   */
+  constructor(count: number, seeds: readonly string[]) {
+    this._count = count;
+    this._seeds = seeds;
+  }
+
+  /** Starts all of them, knowing nothing. */
+  start(): void {
+    this._watching = Array.from({ length: this._count }, (_, i) => this._create(i));
+    for (const [index, { watcher }] of this._watching.entries()) {
+      const timer = setTimeout(() => void watcher.run(), (SPREAD_MS * index) / this._count);
+      this._timers.add(timer);
+    }
+  }
+
+  /** Ends all of them without a word. */
+  stop(): void {
+    for (const timer of this._timers) clearTimeout(timer);
+    this._timers.clear();
+    for (const { watcher } of this._watching) watcher.stop();
+    this._watching = [];
+  }
+
+  /** Gets the lowest term of a leader that any of them follows now; 0 while one follows none. */
+  getLowestTerm(): number {
+    const terms = this._watching.map(({ watcher, view }) => (watcher.isConnected ? view.term : 0));
+    return terms.length === 0 ? 0 : Math.min(...terms);
+  }
+
+  private _create(index: number): Watching {
+    const view = new FollowedView();
+    const watcher = new ViewWatcher({
+      watcherId: `bench-${index}`,
+      entry: {
+        $typeName: "ploverstage.v1.EntryEndpoint",
+        address: `127.0.0.1:${index + 1}`,
+        failureDomain: "zone-a",
+      },
+      getSeeds: () => this._seeds,
+      orderCandidates: (addresses) => orderByAffinity(`bench-${index}`, addresses),
+      secret: undefined,
+      view,
+      clock: new SystemClock(),
+      logger: SILENT,
+      onChange: () => {},
+    });
+    return { watcher, view };
+  }
+}
