Suspicions are gathered: one call an entry at a time, and from a follower to the leader none of their own

Cause: an entry told control of each target that stood still in a call of its own, a second apart for each target; a follower made a call of each to the leader, 0.3 s apart. The later control is, the longer targets stand still: calls grew with entries times targets, and with being late.

Why it works: a call holds all that was seen since the last one, there is one at a time, what failed is told again later and later. A follower tells the leader with what it tells anyway; only a target that nobody told of lately makes it tell at once. The leader logs those that it acts upon.

--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -43,8 +43,6 @@
 }
 
 const IDLE_ENDPOINT_MS = 30_000;
-/** A target is reported as suspect no more often than this. */
-const SUSPICION_PAUSE_MS = 1_000;
 /**
  * Part of an entry's share of the endpoints' slots that may wait for a first event at first: the rest
  * is writing. Callers that come back after a loss of power find few replicas: with a first window of
@@ -112,7 +110,6 @@
     }
     const targets = view.getTargets();
     pool.setTargets(targets);
-    suspicions.retain(new Set(targets.map((target) => target.id)));
     updateRoutes();
   };
   const updateRoutes = () => {
@@ -169,7 +166,11 @@
     onChange,
     onDeclaration: updateRoutes,
   });
-  const suspicions = new SuspicionReporter(watcher, clock, SUSPICION_PAUSE_MS);
+  const suspicions = new SuspicionReporter({
+    tell: (told) => watcher.reportSuspicions(told),
+    clock,
+    logger,
+  });
   const reporter = new CrashReporter(ledger, watcher, logger);
   const suspensions = new SuspensionWatch({
     clock: getSuspensionClock(),
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -165,7 +165,7 @@
         calls,
         meter,
         getLeadership,
-        relaySuspicion: (suspicion) => relay.reportSuspicion(suspicion),
+        relaySuspicions: (suspicions) => relay.reportSuspicions(suspicions),
         relayCrashes: (crashes) => relay.reportCrashes(crashes),
         relayEntries: () => relay.sender.sendNow(),
       });
--- a/src/registration/FleetLeadership.ts
+++ b/src/registration/FleetLeadership.ts
@@ -8,7 +8,7 @@
   type InstanceReport,
   PlaceState,
   type ReportRequest,
-  type SuspectRequest,
+  type Suspicion,
   type Target,
   TargetSchema,
 } from "../gen/ploverstage/v1/fleet_pb";
@@ -169,12 +169,13 @@
    * Takes over what another control process heard; resolves once departures in it are agreed.
    * @returns Instances that this leader has to be told of in full.
    */
-  async addRelayed({ relayAddress, reports, signs, entries }: ReportRequest): Promise<string[]> {
+  async addRelayed({ relayAddress, reports, signs, entries, suspicions }: ReportRequest): Promise<string[]> {
     const now = this._options.clock.getMonotonicMs();
     if (relayAddress !== "") this._relays.addReport(now, relayAddress, entries?.entries);
     const unknown = signs
       .filter((sign) => this._registry.addSign(now - sign.ageMs, sign) === "unknown")
       .map((sign) => sign.instanceId);
+    this.addSuspicions(suspicions);
     await this.addReports(reports);
     if (entries !== undefined) this._publish();
     return unknown;
@@ -193,16 +194,17 @@
     this._publish();
   }
 
-  /** Notes what an entry saw of a target. */
-  addSuspicion(suspicion: SuspectRequest): void {
-    const { targetId, instanceId, unreachable } = suspicion;
-    this._options.logger.info({
-      event: "target_suspected",
-      target: targetId,
-      instance: instanceId,
-      unreachable,
-    });
-    this._controller.checkReplica(targetId);
+  /** Notes what entries saw of targets. */
+  addSuspicions(suspicions: readonly Suspicion[]): void {
+    for (const { targetId, instanceId, unreachable } of suspicions) {
+      if (!this._controller.checkReplica(targetId)) continue;
+      this._options.logger.info({
+        event: "target_suspected",
+        target: targetId,
+        instance: instanceId,
+        unreachable,
+      });
+    }
   }
 
   /** Takes over what an entry saw of requests under which instances ended; resolves once it is agreed on. */
--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -11,7 +11,7 @@
   type EntryEndpoint,
   FleetService,
   type ReportCrashesRequest,
-  type SuspectRequest,
+  type Suspicion,
   type ViewUpdate,
 } from "../gen/ploverstage/v1/fleet_pb";
 import type { Declaration } from "../gen/ploverstage/v1/state_pb";
@@ -24,7 +24,7 @@
 import { RelayedView } from "./RelayedView";
 import { ReportRelay } from "./ReportRelay";
 import { ReportSender } from "./ReportSender";
-import { SuspicionReporter } from "./SuspicionReporter";
+import { SuspicionQueue } from "./SuspicionQueue";
 import { ViewHub } from "./ViewHub";
 import { ViewWatcher } from "./ViewWatcher";
 
@@ -68,7 +68,7 @@
 /** An entry that told of crashes waits half a second for an answer. */
 const CRASHES_MS = 450;
 /** A target that several entries suspect is reported no more often than this. */
-const SUSPICION_PAUSE_MS = 300;
+const SUSPICION_PAUSE_MS = 500;
 
 /** The relay of one control process. */
 export class FleetRelay {
@@ -85,7 +85,7 @@
   /** When a leader showed its view last, and when it was heard in the agreement. */
   private readonly _shown: LeaderContact;
   private _followedAt = Number.NEGATIVE_INFINITY;
-  private readonly _suspicions: SuspicionReporter;
+  private readonly _suspicions = new SuspicionQueue(SUSPICION_PAUSE_MS);
   private readonly _agreed: AgreedFacts;
   private _toldVersion: number;
   private _isUpdating = false;
@@ -134,7 +134,6 @@
       },
       isWanted: () => !driver.isLeader(),
     });
-    this._suspicions = new SuspicionReporter(this._watcher, clock, SUSPICION_PAUSE_MS);
     const getAddresses = () => [...new Set([...getSeeds(), ...this.view.getControlAddresses()])];
     this.client = new LeaderClient(FleetService, {
       get addresses() {
@@ -150,6 +149,7 @@
       ...options,
       relay: this.reports,
       entries: this.hub.entries,
+      suspicions: this._suspicions,
       client: this.client,
       isLeaderKnown: () => driver.node.leaderId !== "",
     });
@@ -210,9 +210,11 @@
     });
   }
 
-  /** Passes on what an entry saw of a target. */
-  reportSuspicion(suspicion: SuspectRequest): void {
-    this._suspicions.report(suspicion);
+  /** Passes on what an entry saw of targets: of new ones at once, of the others with what else the leader is told. */
+  reportSuspicions(suspicions: readonly Suspicion[]): void {
+    const now = this._options.clock.getMonotonicMs();
+    const news = suspicions.map((suspicion) => this._suspicions.add(now, suspicion));
+    if (news.includes("first")) this.sender.sendSoon();
   }
 
   /**
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -132,14 +132,18 @@
     return replica.members.every((member) => this._isPresent(now, member.instanceId));
   }
 
-  /** Asks the members of a replica that an entry saw stand still for a sign of life. */
-  checkReplica(replicaId: string): void {
+  /**
+   * Asks the members of a replica that an entry saw stand still for a sign of life.
+   * @returns Whether they are asked now; not so if they were a moment ago.
+   */
+  checkReplica(replicaId: string): boolean {
     const now = this._options.clock.getMonotonicMs();
     const replica = this._options.driver.machine.getReplica(replicaId);
-    if (replica?.phase !== ReplicaPhase.SERVING) return;
-    if (now - (this._probedAt.get(replicaId) ?? Number.NEGATIVE_INFINITY) < PROBE_PAUSE_MS) return;
+    if (replica?.phase !== ReplicaPhase.SERVING) return false;
+    if (now - (this._probedAt.get(replicaId) ?? Number.NEGATIVE_INFINITY) < PROBE_PAUSE_MS) return false;
     this._probedAt.set(replicaId, now);
     for (const member of replica.members) void this._probeMember(replica, member);
+    return true;
   }
 
   private async _probeMember(replica: Replica, member: OrderReceiver): Promise<void> {
--- a/src/registration/ReportSender.ts
+++ b/src/registration/ReportSender.ts
@@ -1,22 +1,30 @@
 /**
- * Tells the leader what instances reported to this process and which entries watch it: what is
- * new within milliseconds, signs of life now and then.
+ * Tells the leader what instances reported to this process, which entries watch it and what those saw of targets: what is
+ * new within milliseconds, the rest now and then.
  */
 
 import { create } from "@bufbuild/protobuf";
 import type { Clock } from "../clock";
-import { EntryListSchema, type FleetService, ReportRequestSchema } from "../gen/ploverstage/v1/fleet_pb";
+import {
+  EntryListSchema,
+  type FleetService,
+  ReportRequestSchema,
+  type Suspicion,
+} from "../gen/ploverstage/v1/fleet_pb";
 import type { Logger } from "../metrics";
 import type { LeaderClient } from "../rpc";
 import type { EntryRoster } from "./EntryRoster";
 import { getUnencodable } from "./encodableReports";
 import type { FleetLeadership } from "./FleetLeadership";
 import type { RelayBatch, ReportRelay } from "./ReportRelay";
+import type { SuspicionQueue } from "./SuspicionQueue";
 
 /** What a sender works with. */
 export interface ReportSenderOptions {
   readonly relay: ReportRelay;
   readonly entries: EntryRoster;
+  /** What entries saw of targets, until the leader is told. */
+  readonly suspicions: SuspicionQueue;
   readonly client: LeaderClient<typeof FleetService>;
   /** Gives the leadership while this process leads. */
   readonly getLeadership: () => FleetLeadership | undefined;
@@ -41,6 +49,8 @@
  * answering the next.
  */
 const MAX_REPORTS = 40;
+/** Suspicions that travel at once. */
+const MAX_SUSPICIONS = 500;
 
 /** Sends one report at a time for as long as it runs. */
 export class ReportSender {
@@ -122,15 +132,18 @@
   }
 
   private async _sendBatch(): Promise<void> {
-    const { relay, clock, isLeaderKnown, getLeadership } = this._options;
+    const { relay, suspicions, clock, isLeaderKnown, getLeadership } = this._options;
     const leads = getLeadership() !== undefined;
     // Without a leader nothing is gained by looking for one from here.
     if (!leads && !isLeaderKnown()) return;
-    const batch = relay.takeBatch(clock.getMonotonicMs(), MAX_REPORTS);
+    const now = clock.getMonotonicMs();
+    const batch = relay.takeBatch(now, MAX_REPORTS);
+    const suspected = suspicions.take(now, MAX_SUSPICIONS);
     try {
-      await this._tell(batch);
+      await this._tell(batch, suspected);
     } catch (cause) {
       relay.restoreBatch(batch);
+      suspicions.restore(clock.getMonotonicMs(), suspected);
       this._dropUnencodable(batch);
       throw cause;
     }
@@ -144,11 +157,15 @@
     }
   }
 
-  private async _tell(batch: RelayBatch): Promise<void> {
+  private async _tell(batch: RelayBatch, suspicions: Suspicion[]): Promise<void> {
     const { relay, entries, client, clock, publicAddress, getLeadership } = this._options;
     const leadership = getLeadership();
     if (leadership !== undefined) {
-      const request = create(ReportRequestSchema, { reports: [...batch.reports], signs: [...batch.signs] });
+      const request = create(ReportRequestSchema, {
+        reports: [...batch.reports],
+        signs: [...batch.signs],
+        suspicions,
+      });
       relay.addAnswer(leadership.term, await leadership.addRelayed(request));
       return;
     }
@@ -161,6 +178,7 @@
           {
             reports: [...batch.reports],
             signs: [...batch.signs],
+            suspicions,
             relayAddress: publicAddress,
             entries: isTold ? undefined : create(EntryListSchema, { entries: watching }),
           },
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -9,7 +9,7 @@
   type EntryEndpoint,
   FleetService,
   type ReportCrashesRequestSchema,
-  type SuspectRequestSchema,
+  type Suspicion,
   type ViewUpdate,
 } from "../gen/ploverstage/v1/fleet_pb";
 import type { Logger } from "../metrics";
@@ -64,7 +64,8 @@
 const MAX_PENDING_MS = 5_000;
 const IDLE_MS = 100;
 const STOP_MS = 700;
-const SUSPICION_MS = 500;
+/** How long an answer is waited for to what is told of targets and requests. */
+const TELLING_MS = 500;
 /** A search is told no more often than this. */
 const SEARCH_TOLD_MS = 1_000;
 
@@ -144,12 +145,12 @@
     }
   }
 
-  /** Tells control of a suspicion; it may be lost. */
-  reportSuspicion(suspicion: MessageInitShape<typeof SuspectRequestSchema>): void {
-    if (!this._isConnected) return;
-    void this._getClient(this._current)
-      .suspect(suspicion, { timeoutMs: SUSPICION_MS })
-      .catch(() => {});
+  /**
+   * Tells control of targets that can't be reached or stand still.
+   * @throws ConnectError - When that may be lost.
+   */
+  async reportSuspicions(suspicions: readonly Suspicion[]): Promise<void> {
+    await this._getFollowedOrThrow().suspect({ suspicions: [...suspicions] }, { timeoutMs: TELLING_MS });
   }
 
   /**
@@ -157,8 +158,7 @@
    * @throws ConnectError - When that may be lost.
    */
   async reportCrashes(crashes: MessageInitShape<typeof ReportCrashesRequestSchema>): Promise<void> {
-    if (!this._isConnected) throw new ConnectError("no control process is followed", Code.Unavailable);
-    await this._getClient(this._current).reportCrashes(crashes, { timeoutMs: SUSPICION_MS });
+    await this._getFollowedOrThrow().reportCrashes(crashes, { timeoutMs: TELLING_MS });
   }
 
   /** Tells control that this entry stops; callers are sent elsewhere from then on. */
@@ -313,6 +313,11 @@
     return [...new Set([...known, ...orderCandidates(getSeeds())])];
   }
 
+  private _getFollowedOrThrow(): Client<typeof FleetService> {
+    if (!this._isConnected) throw new ConnectError("no control process is followed", Code.Unavailable);
+    return this._getClient(this._current);
+  }
+
   private _getClient(address: string): Client<typeof FleetService> {
     const known = this._clients.get(address);
     if (known !== undefined) return known;
--- a/src/registration/fleetRoutes.ts
+++ b/src/registration/fleetRoutes.ts
@@ -5,7 +5,7 @@
 import {
   FleetService,
   type ReportCrashesRequest,
-  type SuspectRequest,
+  type Suspicion,
   type WatchRequest,
 } from "../gen/ploverstage/v1/fleet_pb";
 import type { LeaderGuard } from "../membership";
@@ -26,8 +26,8 @@
   readonly meter: WorkMeter;
   /** Gives the leadership while this process leads. */
   readonly getLeadership: () => FleetLeadership | undefined;
-  /** Passes on to the leader what an entry saw. */
-  readonly relaySuspicion: (suspicion: SuspectRequest) => void;
+  /** Passes on to the leader what an entry saw of targets. */
+  readonly relaySuspicions: (suspicions: readonly Suspicion[]) => void;
   /** Passes on to the leader what an entry saw of requests under which instances ended. */
   readonly relayCrashes: (crashes: ReportCrashesRequest) => Promise<void>;
   /** Resolves once the leader was told which entries watch this process. */
@@ -89,10 +89,10 @@
       const answer = guard.run(() => ({ declaration: driver.machine.getDeclaration() }));
       return calls.follow("declaration", answer);
     },
-    suspect(request) {
+    suspect({ suspicions }) {
       const leadership = getLeadership();
-      if (leadership === undefined) options.relaySuspicion(request);
-      else leadership.addSuspicion(request);
+      if (leadership === undefined) options.relaySuspicions(suspicions);
+      else leadership.addSuspicions(suspicions);
       return {};
     },
     async reportCrashes(request) {
--- a/test/registration/FleetRelay.test.ts
+++ b/test/registration/FleetRelay.test.ts
@@ -15,6 +15,7 @@
 import {
   EntryEndpointSchema,
   EntryListSchema,
+  SuspicionSchema,
   ViewUpdateSchema,
 } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { FleetRelay } from "../../src/registration/FleetRelay";
@@ -148,6 +149,17 @@
     }
   });
 
+  it("tells the leader at once of targets that it was not told of, and of the others with what else it is told", () => {
+    const sendSoon = vi.spyOn(relay.sender, "sendSoon").mockImplementation(() => {});
+    const see = (...ids: string[]) =>
+      relay.reportSuspicions(ids.map((targetId) => create(SuspicionSchema, { targetId })));
+    see("a", "b");
+    for (let entry = 0; entry < 64; entry++) see("b", "a");
+    expect(sendSoon).toHaveBeenCalledTimes(1);
+    see("a", "c");
+    expect(sendSoon).toHaveBeenCalledTimes(2);
+  });
+
   it("takes reports for a leader that it follows, unless it could tell it of none for long", () => {
     leads = false;
     leaderId = "other";
--- a/test/registration/ReportSender.test.ts
+++ b/test/registration/ReportSender.test.ts
@@ -6,10 +6,12 @@
   EntryEndpointSchema,
   InstanceReportSchema,
   type ReportRequest,
+  SuspicionSchema,
 } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { EntryRoster } from "../../src/registration/EntryRoster";
 import { ReportRelay } from "../../src/registration/ReportRelay";
 import { ReportSender } from "../../src/registration/ReportSender";
+import { SuspicionQueue } from "../../src/registration/SuspicionQueue";
 import { waitUntil } from "../support/waitUntil";
 
 const ENTRY: EntryEndpoint = create(EntryEndpointSchema, { address: "127.0.0.1:1", failureDomain: "a" });
@@ -19,6 +21,7 @@
   let answer: { term: number; unknownInstanceIds: string[] } | undefined;
   let relay: ReportRelay;
   let entries: EntryRoster;
+  let suspicions: SuspicionQueue;
   let sender: ReportSender;
   let warnings: number;
   let dropped: string[];
@@ -32,6 +35,7 @@
     answer = { term: 1, unknownInstanceIds: [] };
     relay = new ReportRelay();
     entries = new EntryRoster();
+    suspicions = new SuspicionQueue(500);
     const leader = {
       report: (request: ReportRequest) => {
         requests.push(request);
@@ -44,6 +48,7 @@
     sender = new ReportSender({
       relay,
       entries,
+      suspicions,
       client: { call: (call: (client: unknown, timeoutMs: number) => unknown) => call(leader, 100) } as never,
       getLeadership: () => undefined,
       isLeaderKnown: () => true,
@@ -100,6 +105,17 @@
     expect(requests.at(-1)?.reports.map((report) => report.instanceId)).toEqual(["i"]);
   });
 
+  it("tells what entries saw of targets with the next report, and again when that was lost", async () => {
+    suspicions.add(performance.now(), create(SuspicionSchema, { targetId: "t" }));
+    answer = undefined;
+    await sender.sendNow();
+    answer = { term: 1, unknownInstanceIds: [] };
+    await sender.sendNow();
+    await sender.sendNow();
+    const told = requests.map((request) => request.suspicions.map(({ targetId }) => targetId));
+    expect(told).toEqual([["t"], ["t"], []]);
+  });
+
   it("tells what is new without being asked twice", async () => {
     addReport(1);
     sender.sendSoon();
--- a/test/registration/outdated/SimulatedFleet.ts
+++ b/test/registration/outdated/SimulatedFleet.ts
@@ -132,7 +132,7 @@
       calls: this._calls,
       meter: createMeter(clock),
       getLeadership,
-      relaySuspicion: () => {},
+      relaySuspicions: () => {},
       relayCrashes: async () => {},
       relayEntries: async () => {},
     });
--- a/test/registration/ownership/FleetModel.ts
+++ b/test/registration/ownership/FleetModel.ts
@@ -15,7 +15,7 @@
   InstanceReportSchema,
   PlaceState,
   ReportRequestSchema,
-  SuspectRequestSchema,
+  SuspicionSchema,
 } from "../../../src/gen/ploverstage/v1/fleet_pb";
 import { type Command, CommandSchema, ReplicaPhase } from "../../../src/gen/ploverstage/v1/state_pb";
 import { SilentMetrics } from "../../../src/metrics";
@@ -177,7 +177,7 @@
     for (let i = 0; i < count && heads.length > 0; i++) {
       const { id, place } = this._draw(heads);
       const suspicion = { targetId: place!.replicaId, instanceId: id, unreachable: false };
-      leader?.addSuspicion(create(SuspectRequestSchema, suspicion));
+      leader?.addSuspicions([create(SuspicionSchema, suspicion)]);
     }
   }
 
--- a/test/rpc/createRpcTransport.test.ts
+++ b/test/rpc/createRpcTransport.test.ts
@@ -48,7 +48,7 @@
       expect(watching).toBeGreaterThanOrEqual(round);
     }
     // The end of the last session has been seen once a further call is refused.
-    await expect(client.suspect({ targetId: "t" }, { timeoutMs: 1_000 })).rejects.toThrow();
+    await expect(client.suspect({ suspicions: [{ targetId: "t" }] }, { timeoutMs: 1_000 })).rejects.toThrow();
     process.off("uncaughtException", onError);
     expect(errors).toEqual([]);
   });
