Windows of 2 MB: a large declaration no longer waits for six turns of both ends

What callers saw: a valid order had no acknowledgement in calm; the larger it was, the longer it took (57 to 353 kB).

Cause: sessions between processes had the protocol's usual windows of 64 KB. Whoever sends more waits until the other end has read, and has told so, after each 64 KB: a turn of both event loops each. Between processes whose turns take 0.5 s that is a second for each 64 KB, in the call of the order, in the agreement's messages that carry it, and in views.

Why it works: a call and a session may bring 2 MB before anything has to be read, above the largest declarations and views; what is kept in memory stays bounded by it.

--- a/src/rpc/GuardedSessionManager.ts
+++ b/src/rpc/GuardedSessionManager.ts
@@ -10,6 +10,7 @@
 import { type ClientHttp2Stream, constants, type Http2Session } from "node:http2";
 import { Code, ConnectError } from "@connectrpc/connect";
 import type { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { widenWindow } from "./flowControl";
 
 type TransportOptions = Extract<Parameters<typeof createConnectTransport>[0], { httpVersion: "2" }>;
 /** What a transport asks of whoever opens its sessions. */
@@ -84,6 +85,7 @@
     if (this._guarded.has(session)) return;
     this._guarded.set(session, managed);
     session.on("error", () => {});
+    widenWindow(session);
     session.once("close", () => {
       if (this._current === managed) this._current = this._create();
       managed.end(new ConnectError("the session ended", Code.Unavailable));
--- a/src/rpc/RpcServer.ts
+++ b/src/rpc/RpcServer.ts
@@ -4,6 +4,7 @@
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { SystemClock } from "../clock";
 import { splitAddress } from "../http";
+import { SESSION_SETTINGS, widenWindow } from "./flowControl";
 import { SessionPings } from "./SessionPings";
 
 /** What a server serves, and to whom. */
@@ -25,6 +26,7 @@
 
   private constructor(options: RpcServerOptions) {
     this._server = createServer(
+      { settings: SESSION_SETTINGS },
       connectNodeAdapter({
         routes: options.routes,
         interceptors: options.interceptors,
@@ -34,6 +36,7 @@
     const clock = new SystemClock();
     this._server.on("session", (session) => {
       this._sessions.add(session);
+      widenWindow(session);
       options.onSession?.();
       const pings = new SessionPings(session, clock);
       session.once("close", () => {
--- a/src/rpc/createRpcTransport.ts
+++ b/src/rpc/createRpcTransport.ts
@@ -1,6 +1,7 @@
 /** The calling side of our own protocol. */
 import type { Transport } from "@connectrpc/connect";
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { SESSION_SETTINGS } from "./flowControl";
 import { GuardedSessionManager } from "./GuardedSessionManager";
 import { openSocket } from "./openSocket";
 import { createSecretSender } from "./secrets";
@@ -29,7 +30,11 @@
     interceptors: secret === undefined ? [] : [createSecretSender(secret)],
     acceptCompression: [],
     sessionManager: new GuardedSessionManager(
-      () => new Http2SessionManager(baseUrl, times, { createConnection: () => openSocket(address) }),
+      () =>
+        new Http2SessionManager(baseUrl, times, {
+          createConnection: () => openSocket(address),
+          settings: SESSION_SETTINGS,
+        }),
     ),
   });
 }
--- a/test/rpc/GuardedSessionManager.test.ts
+++ b/test/rpc/GuardedSessionManager.test.ts
@@ -5,7 +5,7 @@
 
 describe("GuardedSessionManager", () => {
   it("outlives the error of a session on which no call is open any more, and listens once", async () => {
-    const session = new EventEmitter();
+    const session = Object.assign(new EventEmitter(), { setLocalWindowSize: () => {} });
     const inner = {
       authority: "http://127.0.0.1:1",
       request: () => Promise.resolve({ session }),
