All that a process asks of a peer shares one session

Cause: the agreement, the view that is followed, calls to the leader and joining had each their own sessions to the same process. Setting one up costs both ends more than most calls, and the session for orders and reads had mostly rested.

Why it works: transports come from a pool of the process, one a peer.

--- a/bench/support/createWatcher.ts
+++ b/bench/support/createWatcher.ts
@@ -1,5 +1,6 @@
 import { SystemClock } from "../../src/clock";
 import { FollowedView, orderByAffinity, ViewWatcher } from "../../src/registration";
+import { TransportPool } from "../../src/rpc";
 
 const SILENT = { info: () => {}, warn: () => {}, error: () => {} } as never;
 
@@ -14,7 +15,7 @@
     },
     getSeeds: () => seeds,
     orderCandidates: (addresses) => orderByAffinity(`bench-${index}`, addresses),
-    secret: undefined,
+    transports: new TransportPool(undefined),
     view: new FollowedView(),
     clock: new SystemClock(),
     logger: SILENT,
--- a/src/cli/OperatorClient.ts
+++ b/src/cli/OperatorClient.ts
@@ -10,7 +10,7 @@
   type StatusResponse,
 } from "../gen/ploverstage/v1/control_pb";
 import type { ConfigurationVersion } from "../gen/ploverstage/v1/state_pb";
-import { LeaderClient } from "../rpc";
+import { LeaderClient, TransportPool } from "../rpc";
 import { readSecret } from "../settings";
 
 /** How operators reach the system. */
@@ -41,7 +41,8 @@
   static async create(options: OperatorOptions): Promise<OperatorClient> {
     const secret = await readSecret(options.secretFile);
     const addresses = options.control.split(",").map((address) => address.trim());
-    const client = new LeaderClient(OperatorService, { addresses, secret, clock: new SystemClock() });
+    const transports = new TransportPool(secret);
+    const client = new LeaderClient(OperatorService, { addresses, transports, clock: new SystemClock() });
     return new OperatorClient(client, Number(options.timeout) * MS_PER_SECOND);
   }
 
--- a/src/control/ControlProcess.ts
+++ b/src/control/ControlProcess.ts
@@ -29,7 +29,7 @@
 } from "../membership";
 import type { Logger, Metrics } from "../metrics";
 import { startHealthServer } from "../process";
-import { createRpcTransport } from "../rpc";
+import { createRpcTransport, TransportPool } from "../rpc";
 import type { ControlSettings } from "../settings";
 import { ConfigurationCache } from "./ConfigurationCache";
 import { Leadership } from "./Leadership";
@@ -62,13 +62,14 @@
 ): Effect.Effect<ConsensusDriver, unknown, Scope.Scope> {
   return Effect.gen(function* () {
     const clock = new SystemClock();
+    const transports = new TransportPool(options.secrets.cluster);
     const { storage, stored } = yield* Effect.tryPromise({
       try: () =>
         openDataFolder(options.settings.control.dataFolder, options.settings.process.name, options.logger),
       catch: (cause) => cause,
     });
     const transport = yield* Effect.acquireRelease(
-      Effect.sync(() => new PeerTransport(options.secrets.cluster)),
+      Effect.sync(() => new PeerTransport(transports)),
       (opened) => Effect.sync(() => opened.close()),
     );
     const driver = createMemberDriver({
@@ -100,7 +101,7 @@
       () => Effect.promise(() => driver.stop()),
     );
     yield* Effect.addFinalizer(() => Effect.promise(() => driver.handOver(HAND_OVER_MS)));
-    yield* Effect.forkScoped(createJoin(options, driver, clock));
+    yield* Effect.forkScoped(createJoin(options, driver, clock, transports));
     options.logger.info({ event: "control_started", member: driver.node.id, term: stored.hardState.term });
     return driver;
   });
@@ -182,9 +183,10 @@
 
 /** Gets what this process joins the members with; settings name itself and all others. */
 function createJoin(
-  { settings, secrets, logger }: ControlProcessOptions,
+  { settings, logger }: ControlProcessOptions,
   driver: ConsensusDriver,
   clock: SystemClock,
+  transports: TransportPool,
 ): Effect.Effect<unknown> {
   const { control, process } = settings;
   const self = control.peers.find((peer) => peer.name === process.name);
@@ -195,7 +197,7 @@
     member: createMember(process.name, MemberId(driver.node.id), self.address, process.failureDomain),
     getAddresses: () => others,
     followsHints: false,
-    secret: secrets.cluster,
+    transports,
     clock,
     logger,
   });
--- a/src/entry/EntryProcess.ts
+++ b/src/entry/EntryProcess.ts
@@ -15,7 +15,7 @@
 import { EntryId } from "../ids";
 import type { Logger, Metrics } from "../metrics";
 import { startHealthServer } from "../process";
-import { LeaderClient } from "../rpc";
+import { LeaderClient, TransportPool } from "../rpc";
 import type { EntrySettings } from "../settings";
 import { Claims } from "./Claims";
 import { ClusterView } from "./ClusterView";
@@ -83,7 +83,8 @@
     new HttpEngine({ client, address, orderSecret, connectMs: CONNECT_MS, getIdleMs });
   const router = new ReplicaRouter(view, createEngine, clock, random);
   const admission = new Admission(clock, random);
-  const leaderOptions = { addresses: settings.entry.controls, secret: clusterSecret, clock };
+  const transports = new TransportPool(clusterSecret);
+  const leaderOptions = { addresses: settings.entry.controls, transports, clock };
   const renewals = new LeaderClient(EntryService, leaderOptions);
   const claims = new Claims(new LeaderClient(EntryService, leaderOptions), entryId, clock, logger);
   const keeper = new LeaseKeeper({
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -24,6 +24,7 @@
   ViewWatcher,
 } from "../registration";
 import { type RetryBound, SharedRetryBudget } from "../routing";
+import { TransportPool } from "../rpc";
 import type { GatewaySettings, LiveSettings } from "../settings";
 import { CrashWatch } from "./CrashWatch";
 import type { Dialect } from "./Dialect";
@@ -159,7 +160,7 @@
     getSeeds: () => getControlAddresses(live.current),
     // Entries are spread over the control processes.
     orderCandidates: (addresses) => orderByAffinity(watcherId, addresses),
-    secret,
+    transports: new TransportPool(secret),
     view,
     clock,
     logger,
--- a/src/membership/PeerTransport.ts
+++ b/src/membership/PeerTransport.ts
@@ -9,7 +9,7 @@
   ConsensusService,
   type DeliverRequestSchema,
 } from "../gen/ploverstage/v1/consensus_pb";
-import { createRpcTransport } from "../rpc";
+import type { TransportPool } from "../rpc";
 
 const MAX_QUEUED = 2_000;
 const REOPEN_MS = 50;
@@ -22,8 +22,8 @@
   private _isOpen = false;
   private readonly _closed = new AbortController();
 
-  constructor(address: string, secret: string | undefined) {
-    this._client = createClient(ConsensusService, createRpcTransport(address, secret));
+  constructor(address: string, transports: TransportPool) {
+    this._client = createClient(ConsensusService, transports.getTransport(address));
   }
 
   close(): void {
@@ -73,14 +73,14 @@
 
 /** Queues to all members. */
 export class PeerTransport implements Transport {
-  private readonly _secret: string | undefined;
+  private readonly _transports: TransportPool;
   private readonly _queues = new Map<string, PeerQueue>();
 
   /**
-   * @param secret - The cluster's shared secret.
+   * @param transports - To the other members.
    */
-  constructor(secret: string | undefined) {
-    this._secret = secret;
+  constructor(transports: TransportPool) {
+    this._transports = transports;
   }
 
   /** Queues a message; one without an address is dropped. */
@@ -88,7 +88,7 @@
     if (address === "") return;
     let queue = this._queues.get(address);
     if (queue === undefined) {
-      queue = new PeerQueue(address, this._secret);
+      queue = new PeerQueue(address, this._transports);
       this._queues.set(address, queue);
     }
     queue.add(message);
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -15,7 +15,13 @@
 import { MemberId } from "../ids";
 import { FileStorage, type StoredState } from "../log";
 import type { Logger } from "../metrics";
-import { createSecretGuard, LeaderClient, RpcServer, type RpcServerOptions } from "../rpc";
+import {
+  createSecretGuard,
+  LeaderClient,
+  RpcServer,
+  type RpcServerOptions,
+  type TransportPool,
+} from "../rpc";
 
 const JOIN_MS = 2_000;
 const JOIN_PAUSE_MS = 300;
@@ -107,7 +113,7 @@
   /** Gives where other members may be found now. */
   readonly getAddresses: () => readonly string[];
   readonly followsHints: boolean;
-  readonly secret: string | undefined;
+  readonly transports: TransportPool;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -141,13 +147,13 @@
  * leader: it may have been taken for gone and its place given to another.
  */
 export function joinMembership(options: JoinOptions): Effect.Effect<never> {
-  const { driver, member, getAddresses, followsHints, secret, clock, logger } = options;
+  const { driver, member, getAddresses, followsHints, transports, clock, logger } = options;
   const clientOptions = {
     get addresses() {
       return getAddresses();
     },
     followsHints,
-    secret,
+    transports,
     clock,
   };
   let client: LeaderClient<typeof ConsensusService> | undefined;
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -28,7 +28,7 @@
 } from "../membership";
 import { CallLoad, type Logger, type Metrics, WorkMeter } from "../metrics";
 import { LoadWatch, SuspensionWatch } from "../process";
-import { createCallCounter } from "../rpc";
+import { createCallCounter, TransportPool } from "../rpc";
 import type { FleetControlSettings, LiveSettings } from "../settings";
 import { CallLedger } from "./CallLedger";
 import { FleetLeadership } from "./FleetLeadership";
@@ -67,6 +67,7 @@
     const settings = options.settings.current;
     const { control } = settings;
     const clock = new SystemClock();
+    const transports = new TransportPool(secret);
     const meter = new WorkMeter({ clock, logger, metrics: options.metrics });
     const calls = yield* Effect.acquireRelease(
       Effect.sync(() => new CallLedger(logger, options.metrics)),
@@ -84,7 +85,7 @@
       (opened) => Effect.sync(() => opened.stop()),
     );
     const transport = yield* Effect.acquireRelease(
-      Effect.sync(() => new PeerTransport(secret)),
+      Effect.sync(() => new PeerTransport(transports)),
       (opened) => Effect.sync(() => opened.close()),
     );
     // A member's name is its address, so that an answer can be sent before the members are known.
@@ -143,7 +144,7 @@
       getSeeds,
       listen: control.listen,
       publicAddress: control.publicAddress,
-      secret,
+      transports,
       clock,
       logger,
       getReportPatienceMs: () => getReportPatienceMs(options.settings.current),
@@ -212,7 +213,15 @@
         (address) => address !== "" && address !== control.listen,
       );
     yield* Effect.forkScoped(
-      joinMembership({ driver, member, getAddresses: getOthers, followsHints: true, secret, clock, logger }),
+      joinMembership({
+        driver,
+        member,
+        getAddresses: getOthers,
+        followsHints: true,
+        transports,
+        clock,
+        logger,
+      }),
     );
     logger.info({
       event: "control_started",
--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -16,7 +16,7 @@
 } from "../gen/ploverstage/v1/fleet_pb";
 import type { Declaration } from "../gen/ploverstage/v1/state_pb";
 import type { Logger } from "../metrics";
-import { LeaderClient } from "../rpc";
+import { LeaderClient, type TransportPool } from "../rpc";
 import { AgreedFacts } from "./AgreedFacts";
 import type { FleetLeadership } from "./FleetLeadership";
 import { FollowedView } from "./FollowedView";
@@ -39,7 +39,7 @@
   readonly listen: string;
   /** Where instances reach this one. */
   readonly publicAddress: string;
-  readonly secret: string | undefined;
+  readonly transports: TransportPool;
   /** What this process showed before it started; shown again until a leader is heard. */
   readonly recovered: ViewUpdate | undefined;
   /** Whether this process was started with the whole system, for the first time. */
@@ -95,7 +95,7 @@
    */
   constructor(options: FleetRelayOptions) {
     this._options = options;
-    const { driver, clock, logger, secret, getLeadership, getSeeds } = options;
+    const { driver, clock, logger, transports, getLeadership, getSeeds } = options;
     this._shown = new LeaderContact(clock.getMonotonicMs());
     if (options.recovered !== undefined) this.view.apply(options.recovered);
     this._agreed = new AgreedFacts(() => driver.machine);
@@ -119,7 +119,7 @@
       entry: undefined,
       getSeeds,
       orderCandidates: () => this._getLeader(),
-      secret,
+      transports,
       view: this.view,
       clock,
       logger,
@@ -140,7 +140,7 @@
         return getAddresses();
       },
       followsHints: true,
-      secret,
+      transports,
       clock,
       // The agreement tells who leads.
       getLeaderAddress: () => driver.getLeaderAddress(),
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -13,7 +13,7 @@
   type ViewUpdate,
 } from "../gen/ploverstage/v1/fleet_pb";
 import type { Logger } from "../metrics";
-import { createRpcTransport, LEADER_HEADER, SearchPause } from "../rpc";
+import { LEADER_HEADER, SearchPause, type TransportPool } from "../rpc";
 import { type FollowedView, RECOVERED_TERM } from "./FollowedView";
 
 /** What a watcher works with. */
@@ -28,7 +28,7 @@
    * @param addresses - Those that are known; with none to ask, it is called again after a while.
    */
   readonly orderCandidates: (addresses: readonly string[]) => readonly string[];
-  readonly secret: string | undefined;
+  readonly transports: TransportPool;
   readonly view: FollowedView;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -321,7 +321,7 @@
   private _getClient(address: string): Client<typeof FleetService> {
     const known = this._clients.get(address);
     if (known !== undefined) return known;
-    const client = createClient(FleetService, createRpcTransport(address, this._options.secret));
+    const client = createClient(FleetService, this._options.transports.getTransport(address));
     this._clients.set(address, client);
     return client;
   }
--- a/src/rpc/LeaderClient.ts
+++ b/src/rpc/LeaderClient.ts
@@ -10,8 +10,8 @@
 import { type Clock, pause } from "../clock";
 import { UnreachableControl } from "../errors";
 import { CallTrace } from "./CallTrace";
-import { createRpcTransport } from "./createRpcTransport";
 import { SearchPause } from "./SearchPause";
+import type { TransportPool } from "./TransportPool";
 
 /** Header in which a process that doesn't lead names the one that does. */
 export const LEADER_HEADER = "leader-address";
@@ -22,7 +22,7 @@
   readonly addresses: readonly string[];
   /** Whether a leader that is not among them may be asked, where settings name only some. */
   readonly followsHints?: boolean;
-  readonly secret: string | undefined;
+  readonly transports: TransportPool;
   readonly clock: Clock;
   /** Gives the leader's address where this process knows it otherwise, empty where it does not: it is asked first. */
   readonly getLeaderAddress?: () => string;
@@ -105,7 +105,7 @@
   private _getClient(address: string): Client<S> {
     const known = this._clients.get(address);
     if (known !== undefined) return known;
-    const client = createClient(this._service, createRpcTransport(address, this._options.secret));
+    const client = createClient(this._service, this._options.transports.getTransport(address));
     this._clients.set(address, client);
     return client;
   }
--- a/src/rpc/index.ts
+++ b/src/rpc/index.ts
@@ -7,3 +7,4 @@
 export { RpcServer, type RpcServerOptions } from "./RpcServer";
 export { SearchPause } from "./SearchPause";
 export { createSecretGuard, createSecretSender } from "./secrets";
+export { TransportPool } from "./TransportPool";
--- a/test/membership/member.test.ts
+++ b/test/membership/member.test.ts
@@ -6,7 +6,7 @@
 import { MemberId } from "../../src/ids";
 import { createMember, joinMembership, VoterPatience } from "../../src/membership/member";
 import type { Logger } from "../../src/metrics";
-import { RpcServer } from "../../src/rpc";
+import { RpcServer, TransportPool } from "../../src/rpc";
 import { getFreeAddresses } from "../support/ports";
 import { waitUntil } from "../support/waitUntil";
 
@@ -47,7 +47,7 @@
         member: createMember("m", MemberId("m.1"), own!, "zone"),
         getAddresses: () => addresses,
         followsHints: true,
-        secret: undefined,
+        transports: new TransportPool(undefined),
         clock: new SystemClock(),
         logger: { warn: () => (failures += 1) } as unknown as Logger,
       }),
--- a/test/platform/WatcherGroup.ts
+++ b/test/platform/WatcherGroup.ts
@@ -1,6 +1,7 @@
 /** Watchers that are to control as entries of their own, and lose power and come back together. */
 import { SystemClock } from "../../src/clock";
 import { FollowedView, orderByAffinity, ViewWatcher } from "../../src/registration";
+import { TransportPool } from "../../src/rpc";
 
 const SILENT = { info: () => {}, warn: () => {}, error: () => {} } as never;
 /** Entries don't come back all at the same moment. */
@@ -61,7 +62,7 @@
       },
       getSeeds: () => this._seeds,
       orderCandidates: (addresses) => orderByAffinity(`bench-${index}`, addresses),
-      secret: undefined,
+      transports: new TransportPool(undefined),
       view,
       clock: new SystemClock(),
       logger: SILENT,
--- a/test/registration/FleetRelay.test.ts
+++ b/test/registration/FleetRelay.test.ts
@@ -20,6 +20,7 @@
 } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { FleetRelay } from "../../src/registration/FleetRelay";
 import { FleetView } from "../../src/registration/FleetView";
+import { TransportPool } from "../../src/rpc";
 import { StateMachine } from "../../src/state";
 
 /** What entries in touch have to be told of an acknowledged change after a cut, milliseconds. */
@@ -78,7 +79,7 @@
       getSeeds: () => [],
       listen: "127.0.0.1:1",
       publicAddress: "127.0.0.1:2",
-      secret: undefined,
+      transports: new TransportPool(undefined),
       recovered,
       isFirstStart: true,
       clock: { getMonotonicMs: () => now, getWallMs: () => now },
--- a/test/registration/ViewWatcher.test.ts
+++ b/test/registration/ViewWatcher.test.ts
@@ -4,7 +4,7 @@
 import { FleetService, ViewUpdateSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { FollowedView } from "../../src/registration";
 import { ViewWatcher } from "../../src/registration/ViewWatcher";
-import { RpcServer } from "../../src/rpc";
+import { RpcServer, TransportPool } from "../../src/rpc";
 import { getFreeAddresses } from "../support/ports";
 import { waitUntil } from "../support/waitUntil";
 
@@ -42,7 +42,7 @@
       entry: undefined,
       getSeeds: () => [listen!],
       orderCandidates: () => [listen!],
-      secret: undefined,
+      transports: new TransportPool(undefined),
       view,
       clock: new SystemClock(),
       logger: { info: () => {}, warn: () => {} } as never,
--- a/test/registration/heldEntries.test.ts
+++ b/test/registration/heldEntries.test.ts
@@ -14,7 +14,7 @@
 import { ViewHub } from "../../src/registration/ViewHub";
 import { ViewWatcher } from "../../src/registration/ViewWatcher";
 import { watchView } from "../../src/registration/watchers";
-import { RpcServer } from "../../src/rpc";
+import { RpcServer, TransportPool } from "../../src/rpc";
 import { getFreeAddresses } from "../support/ports";
 import { waitUntil } from "../support/waitUntil";
 
@@ -117,7 +117,7 @@
       entry: create(EntryEndpointSchema, { address: "127.0.0.1:1", failureDomain: "a" }),
       getSeeds: () => addresses,
       orderCandidates: (known) => [...known],
-      secret: undefined,
+      transports: new TransportPool(undefined),
       view,
       clock: new SystemClock(),
       logger: { info: () => {}, warn: () => {} } as never,
--- a/test/registration/outdated/SimulatedFleet.ts
+++ b/test/registration/outdated/SimulatedFleet.ts
@@ -17,6 +17,7 @@
 import { addFleetRoutes } from "../../../src/registration/fleetRoutes";
 import { KnownView } from "../../../src/registration/KnownView";
 import { ViewWatcher } from "../../../src/registration/ViewWatcher";
+import { TransportPool } from "../../../src/rpc";
 import { createMeter } from "../../support/createMeter";
 
 /** Clients by address, for the mocked `createClient`. */
@@ -114,7 +115,7 @@
       getSeeds: () => fleet.addresses,
       listen: this.address,
       publicAddress: this.address,
-      secret: undefined,
+      transports: new TransportPool(undefined),
       recovered: known.recovered,
       isFirstStart: false,
       clock,
@@ -229,7 +230,7 @@
       entry: create(EntryEndpointSchema, { address: `${this._id}:1`, failureDomain: "a" }),
       getSeeds: () => this._fleet.addresses,
       orderCandidates: (addresses) => orderByAffinity(this._id, addresses),
-      secret: undefined,
+      transports: new TransportPool(undefined),
       view,
       clock: this._fleet.clock,
       logger: SILENT,
--- a/test/registration/searches.test.ts
+++ b/test/registration/searches.test.ts
@@ -10,7 +10,7 @@
 import { DeclarationSchema } from "../../src/gen/ploverstage/v1/state_pb";
 import { FollowedView } from "../../src/registration";
 import { ViewWatcher } from "../../src/registration/ViewWatcher";
-import { createLeaderRefusal, RpcServer } from "../../src/rpc";
+import { createLeaderRefusal, RpcServer, TransportPool } from "../../src/rpc";
 import { getFreeAddresses } from "../support/ports";
 import { waitUntil } from "../support/waitUntil";
 
@@ -93,7 +93,7 @@
       entry: create(EntryEndpointSchema, { address: "127.0.0.1:1", failureDomain: "a" }),
       getSeeds: () => seeds,
       orderCandidates: (known) => [...known],
-      secret: undefined,
+      transports: new TransportPool(undefined),
       view,
       clock: new SystemClock(),
       logger: { info: () => {}, warn: () => {} } as never,
@@ -178,7 +178,7 @@
       entry: undefined,
       getSeeds: () => addresses,
       orderCandidates: () => (isLeaderKnown ? addresses : []),
-      secret: undefined,
+      transports: new TransportPool(undefined),
       view: new FollowedView(),
       clock: new SystemClock(),
       logger: { info: () => {}, warn: (line: object) => lost.push(line) } as never,
--- a/test/rpc/LeaderClient.test.ts
+++ b/test/rpc/LeaderClient.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { UnreachableControl } from "../../src/errors";
 import { FleetService } from "../../src/gen/ploverstage/v1/fleet_pb";
-import { CallTrace, createLeaderRefusal, LeaderClient } from "../../src/rpc";
+import { CallTrace, createLeaderRefusal, LeaderClient, TransportPool } from "../../src/rpc";
 
 const ADDRESSES = ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"];
 const TOTAL_MS = 1_500;
@@ -18,7 +18,7 @@
     known = "";
     client = new LeaderClient(FleetService, {
       addresses: ADDRESSES,
-      secret: undefined,
+      transports: new TransportPool(undefined),
       clock: { getMonotonicMs: () => Date.now(), getWallMs: () => Date.now() },
       getLeaderAddress: () => known,
     });
--- a/test/rpc/createRpcTransport.test.ts
+++ b/test/rpc/createRpcTransport.test.ts
@@ -9,6 +9,8 @@
 /** A session that has rested for so long is looked at before the next call. */
 const REST_MS = 1_200;
 const CALL_MS = 700;
+const ONE_WAY_MS = 100;
+const LARGE_BYTES = 360_000;
 
 function rest(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
@@ -53,6 +55,27 @@
     expect(errors).toEqual([]);
   });
 
+  it("sends as much as a large declaration in the time of two round trips", async () => {
+    const [listen] = (await getFreeAddresses(1)) as [string];
+    const server = await RpcServer.start({
+      listen,
+      interceptors: [],
+      routes: (router) => {
+        router.service(FleetService, { putDeclaration: () => ({}), getDeclaration: () => ({}) });
+      },
+    });
+    const relay = await Relay.start(listen);
+    const client = createClient(FleetService, createRpcTransport(relay.address, undefined));
+    await client.getDeclaration({});
+    relay.setDelay(ONE_WAY_MS);
+    const startedAt = performance.now();
+    await client.putDeclaration({ version: 1, document: new Uint8Array(LARGE_BYTES) });
+    const tookMs = performance.now() - startedAt;
+    await relay.stop();
+    await server.stop();
+    expect(tookMs).toBeLessThan(2 * 2 * ONE_WAY_MS);
+  });
+
   it("calls a peer again whose session ended, without an error, while it was being looked at", async () => {
     const [listen] = (await getFreeAddresses(1)) as [string];
     const server = await RpcServer.start({
