Calls between processes have headers of their own: a start does not load Node's HTTP client for them

Cause: the web platform's Headers, which each call between processes makes, come with undici. Node loads and compiles all of it at their first use: in each process after each start, in the second in which it has the least time; and each header is checked and sorted as a browser would.

Why it works: the bundle takes CallHeaders wherever code names Headers.

--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -33,6 +33,7 @@
   outfile: bundle,
   logLevel: "warning",
   legalComments: "none",
+  inject: ["src/rpc/bundledHeaders.ts"],
   plugins: [{ name: "late-modules", setup: addLateModules }],
 });
 // Native code can't be bundled: it is opened at its first use from beside the program.
