A leader that answers late is not asked again

What callers saw: a valid order had no acknowledgement in calm; its tries ended with "the operation timed out" at the leader itself, after 0.7 and 1.5 s.

The leader did each of them: orders twice, reads for askers that had gone, reports once more in full. Reports that were given up were also told late, so that instances which ran counted as absent.

Why it works: while the agreement says that a process leads, its answer is waited for; as soon as it names another one, the call goes there, within 50 ms.

--- a/src/registration/ReportSender.ts
+++ b/src/registration/ReportSender.ts
@@ -45,8 +45,8 @@
 /** Signs of life are told this often. */
 const SIGN_MS = 400;
 /** How long an answer is waited for; doubled with each failure up to the longest: a slow leader answers late. */
-const FIRST_PATIENCE_MS = 600;
-const MAX_PATIENCE_MS = 1_500;
+const FIRST_PATIENCE_MS = 1_500;
+const MAX_PATIENCE_MS = 3_000;
 /**
  * Reports in full that travel at once, so that each call is a step forward at a leader that has just
  * begun: one call with all of them timed out, was made again with all, and kept the leader from
--- a/src/rpc/LeaderClient.ts
+++ b/src/rpc/LeaderClient.ts
@@ -31,7 +31,10 @@
 /** A call to whichever process is taken for the leader. */
 export type LeaderCall<S extends DescService, R> = (client: Client<S>, timeoutMs: number) => Promise<R>;
 
+/** A process that was not heard to lead is given up after this time, one that is known to lead only once another one leads. */
 const ATTEMPT_MS = 700;
+/** How often it is looked whether another process leads. */
+const LOOK_MS = 50;
 
 /** A client of one service of the control leader. */
 export class LeaderClient<S extends DescService> {
@@ -66,9 +69,11 @@
       const leader = this._getKnownLeader(failedLeader);
       const asked = leader ?? this._current;
       trace.addTry(asked);
+      const attemptMs = leader === undefined ? Math.min(ATTEMPT_MS, leftMs) : leftMs;
       try {
         // The protocol's timeouts are whole milliseconds.
-        return await call(this._getClient(asked), Math.ceil(Math.min(ATTEMPT_MS, leftMs)));
+        const answer = call(this._getClient(asked), Math.ceil(attemptMs));
+        return await (leader === undefined ? answer : this._waitWhileLeading(leader, answer));
       } catch (cause) {
         reason = this._goOn(asked, cause);
         trace.addFailure(asked, reason);
@@ -79,6 +84,28 @@
     }
   }
 
+  /**
+   * A leader that answers late is doing what it was asked: asked again it would do that twice.
+   * @throws ConnectError - When another process leads.
+   */
+  private async _waitWhileLeading<R>(leader: string, answer: Promise<R>): Promise<R> {
+    let timer: NodeJS.Timeout | undefined;
+    const isDeposed = () => !["", leader].includes(this._options.getLeaderAddress?.() ?? "");
+    const deposed = new Promise<never>((_, reject) => {
+      const look = () => {
+        if (isDeposed()) reject(new ConnectError("another process leads", Code.Unavailable));
+      };
+      timer = setInterval(look, LOOK_MS);
+    });
+    try {
+      return await Promise.race([answer, deposed]);
+    } finally {
+      clearInterval(timer);
+      // What it comes to later concerns nobody.
+      answer.catch(() => {});
+    }
+  }
+
   /** What this process knows of the leader may be outdated: one that has failed is asked again only on others' word. */
   private _getKnownLeader(failedLeader: string): string | undefined {
     const leader = this._options.getLeaderAddress?.() ?? "";
--- a/test/overload/LeaderCalls.ts
+++ b/test/overload/LeaderCalls.ts
@@ -5,6 +5,7 @@
 
 /** As in `LeaderClient`. */
 const ATTEMPT_MS = 700;
+const LOOK_MS = 50;
 
 /** One try of a call. */
 export type Try<R> = (to: Place, timeoutMs: number, onEnd: (outcome: Outcome<R>) => void) => void;
@@ -46,8 +47,10 @@
       }
       const leader = this._findLeader(failedLeader);
       const asked = leader ?? this._current;
-      attempt(asked, Math.min(ATTEMPT_MS, leftMs), (outcome) => {
-        if (!isRunning()) return;
+      let isOver = false;
+      const end = (outcome: Outcome<R>) => {
+        if (!isRunning() || isOver) return;
+        isOver = true;
         if (outcome.kind === "answer") {
           onEnd(outcome.answer);
           return;
@@ -55,11 +58,23 @@
         this._goOn(asked, outcome.kind === "refused" ? outcome.leader : "");
         failedLeader = leader?.name ?? failedLeader;
         simulation.addAfter(Math.min(search.addFailure(this._options.places.length), leftMs), next);
-      });
+      };
+      attempt(asked, leader === undefined ? Math.min(ATTEMPT_MS, leftMs) : leftMs, end);
+      if (leader === undefined) return;
+      const look = () => {
+        if (isOver) return;
+        if (this._isDeposed(leader)) end({ kind: "refused", leader: "" });
+        else simulation.addAfter(LOOK_MS, look);
+      };
+      look();
     };
     next();
   }
 
+  private _isDeposed(leader: Place): boolean {
+    return !["", leader.name].includes(this._options.getLeader());
+  }
+
   private _findLeader(failedLeader: string): Place | undefined {
     const name = this._options.getLeader();
     if (name === "" || name === failedLeader) return undefined;
--- a/test/rpc/LeaderClient.test.ts
+++ b/test/rpc/LeaderClient.test.ts
@@ -69,6 +69,48 @@
     expect(asked).toEqual([known, ADDRESSES[0], ADDRESSES[1]]);
   });
 
+  /** Calls a leader that answers late; gives whom it asked, and when it had an answer. */
+  async function callLate(answerMs: number): Promise<{ asked: string[]; answeredAt: number }> {
+    let answeredAt = Number.NaN;
+    const trace = new CallTrace();
+    const startedAt = Date.now();
+    const tell = (_: unknown, timeoutMs: number) => {
+      asked.push(trace.lastAddress);
+      return new Promise((resolve, reject) => {
+        const isLate = trace.lastAddress === ADDRESSES[0] && answerMs > timeoutMs;
+        const failure = new ConnectError("the operation timed out", Code.DeadlineExceeded);
+        const waitMs = trace.lastAddress === ADDRESSES[0] ? answerMs : 1;
+        setTimeout(() => (isLate ? reject(failure) : resolve(1)), Math.min(waitMs, timeoutMs));
+      });
+    };
+    const call = client.call(tell, TOTAL_MS, trace).then(() => {
+      answeredAt = Date.now() - startedAt;
+    });
+    await Promise.all([call, vi.advanceTimersByTimeAsync(TOTAL_MS)]);
+    return { asked, answeredAt };
+  }
+
+  it("asks a leader that is only late once, for as long as it has time", async () => {
+    known = ADDRESSES[0]!;
+    expect(await callLate(1_300)).toEqual({ asked: [known], answeredAt: 1_300 });
+  });
+
+  it("waits no longer for a late leader once another one leads", async () => {
+    known = ADDRESSES[0]!;
+    setTimeout(() => {
+      known = ADDRESSES[2]!;
+    }, 400);
+    const late = await callLate(10_000);
+    expect(late.asked).toEqual([ADDRESSES[0], ADDRESSES[2]]);
+    expect(late.answeredAt).toBeLessThanOrEqual(500);
+  });
+
+  it("gives up a process soon that it does not know to lead", async () => {
+    const late = await callLate(10_000);
+    expect(late.asked).toEqual([ADDRESSES[0], ADDRESSES[1]]);
+    expect(late.answeredAt).toBeLessThanOrEqual(800);
+  });
+
   describe("calls at once", () => {
     /** Some at a time, as operators and relays make them. */
     const COUNTS = [2, 3, 4, 6, 8];
