A stream that comes too late for its call ends no process

Cause: a call that waits for a session while another session of the same manager ends is rejected at once. The stream that it would have got is closed when it comes, but nobody listened to its error any more; a peer that resets the connection then ends the process. That it was this stream is inferred: the log has no stack. No other emitter without a listener was found on the ways that end with a reset.

Why it works: a stream that came too late is listened to until it has ended, and its session is looked after as any other.

--- a/src/rpc/GuardedSessionManager.ts
+++ b/src/rpc/GuardedSessionManager.ts
@@ -64,7 +64,7 @@
     } catch (cause) {
       // Nobody waits for it any more: a peer would answer it all the same.
       opening.then(
-        (stream) => stream.close(constants.NGHTTP2_CANCEL),
+        (stream) => this._drop(managed, stream),
         () => {},
       );
       throw cause;
@@ -77,6 +77,13 @@
     manager.notifyResponseByteRead(stream);
   }
 
+  /** Closes a stream that came too late for its call: it and its session may still fail, and nobody listens to them. */
+  private _drop(managed: Managed, stream: ClientHttp2Stream): void {
+    stream.on("error", () => {});
+    if (stream.session !== undefined) this._guard(managed, stream.session);
+    stream.close(constants.NGHTTP2_CANCEL);
+  }
+
   private _create(): Managed {
     let end: Managed["end"] = () => {};
     const ended = new Promise<never>((_, reject) => {
