The most valuable call begins first: orders and reads before relays, views and reports

What callers saw: a valid order had no acknowledgement in calm while control led: it waited behind the reports of all instances, entries' calls and callers' questions.

Why it works: both servers of a control process ask one part before anything of a call is done. What is of no use any more is not begun; an instance's report holds though it has stopped to wait.

--- a/src/http/JsonServer.ts
+++ b/src/http/JsonServer.ts
@@ -1,5 +1,6 @@
 /** A plain server of HTTP/1.1 whose calls are short and whose answers are JSON. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { CallClass, CallOrder } from "../admission";
 import { splitAddress } from "./HttpClient";
 
 /** An answer to one call. */
@@ -16,17 +17,31 @@
   readonly handle: (request: IncomingMessage, path: string) => Promise<JsonAnswer>;
   /** Makes the answer to a call that failed. */
   readonly createFailure: (cause: unknown) => JsonAnswer;
+  /** Begins calls at their time. */
+  readonly calls: CallOrder;
+  readonly getCallClass: (path: string) => CallClass;
 }
 
 const KEEP_ALIVE_MS = 20_000;
 
 /** Starts a server; resolves once it listens. */
-export async function startJsonServer({ listen, handle, createFailure }: JsonServerOptions): Promise<Server> {
+export async function startJsonServer(options: JsonServerOptions): Promise<Server> {
+  const { listen, handle, createFailure, calls, getCallClass } = options;
   const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => {
     const path = (request.url ?? "").split("?")[0]!;
-    handle(request, path)
-      .catch((cause: unknown) => createFailure(cause))
-      .then((answer) => send(response, answer));
+    const callClass = getCallClass(path);
+    const begin = () => {
+      handle(request, path)
+        .catch((cause: unknown) => createFailure(cause))
+        .then((answer) => send(response, answer));
+    };
+    calls.add({
+      callClass,
+      // What an instance says of itself holds though it has stopped to wait for the answer.
+      isWanted: () => callClass === "report" || !response.destroyed,
+      begin,
+      refuse: () => send(response, createJson(503, { error: "too many calls wait" })),
+    });
   });
   const { host, port } = splitAddress(listen);
   await new Promise<void>((resolve, reject) => {
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -92,7 +92,7 @@
   secret: string | undefined,
   interfaceName: string,
   routes: RpcServerOptions["routes"],
-  watching: Pick<RpcServerOptions, "interceptors" | "onSession"> = { interceptors: [] },
+  watching: Pick<RpcServerOptions, "interceptors" | "onSession" | "calls"> = { interceptors: [] },
 ) {
   const guards = secret === undefined ? [] : [createSecretGuard(secret, interfaceName)];
   const options = { ...watching, interceptors: [...watching.interceptors, ...guards] };
--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -32,6 +32,7 @@
   | "control_work_ms"
   | "control_calls"
   | "loop_late_ratio"
+  | "calls_not_begun"
   | "rpc_calls"
   | "rpc_sessions"
   | "instance_reports_invalid"
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -7,6 +7,7 @@
  */
 import type { ConnectRouter } from "@connectrpc/connect";
 import { Effect, type Scope } from "effect";
+import { CallOrder } from "../admission";
 import { getProcessorMs, getSuspensionClock, LoopLag, SystemClock } from "../clock";
 import { createMembership, getVoterCount } from "../consensus";
 import { type DeclarationFormat, RouteTable, unpackDocument } from "../declaration";
@@ -151,11 +152,16 @@
     });
     const guard = new LeaderGuard(driver, getLeadership);
     const load = new CallLoad(options.metrics);
+    const callOrder = new CallOrder(options.metrics);
     yield* Effect.acquireRelease(
       Effect.sync(() => new LoadWatch({ clock, lag, load, logger, metrics: options.metrics })),
       (started) => Effect.sync(() => started.stop()),
     );
-    const watching = { interceptors: [createCallCounter(load, clock)], onSession: () => load.addSession() };
+    const watching = {
+      interceptors: [createCallCounter(load, clock)],
+      onSession: () => load.addSession(),
+      calls: callOrder,
+    };
     const addRoutes = (router: ConnectRouter) => {
       addConsensusRoutes(router, driver);
       addFleetRoutes(router, {
@@ -239,6 +245,7 @@
       relay: relay.reports,
       sender: relay.sender,
       calls,
+      callOrder,
       client: relay.client,
       getSeeds,
       format: options.format,
--- a/src/registration/Registrar.ts
+++ b/src/registration/Registrar.ts
@@ -5,6 +5,8 @@
  * once it took them. What instances say otherwise is soft state: it is acknowledged by whoever
  * hears it, and told to the leader a moment later.
  */
+
+import type { CallOrder } from "../admission";
 import { type Clock, pause } from "../clock";
 import { type Declaration, type DeclarationFormat, packDocument, unpackDocument } from "../declaration";
 import { InvalidReport, UnreachableControl } from "../errors";
@@ -38,6 +40,8 @@
   readonly relay: ReportRelay;
   readonly sender: ReportSender;
   readonly calls: CallLedger;
+  /** In which order calls begin, those over the platform as well. */
+  readonly callOrder: CallOrder;
   readonly client: LeaderClient<typeof FleetService>;
   readonly getSeeds: () => readonly string[];
   readonly format: DeclarationFormat;
@@ -82,6 +86,11 @@
     this._options = options;
   }
 
+  /** Gets in which order this process begins calls. */
+  get callOrder(): CallOrder {
+    return this._options.callOrder;
+  }
+
   /**
    * Takes an instance's report.
    * @returns Address for the next reports.
--- a/src/rpc/RpcServer.ts
+++ b/src/rpc/RpcServer.ts
@@ -3,15 +3,19 @@
   constants,
   createServer,
   type Http2Server,
+  type Http2ServerRequest,
+  type Http2ServerResponse,
   type IncomingHttpHeaders,
   type ServerHttp2Session,
   type ServerHttp2Stream,
 } from "node:http2";
 import type { ConnectRouter, Interceptor } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
+import type { CallOrder } from "../admission";
 import { SystemClock } from "../clock";
 import { ConsensusService } from "../gen/ploverstage/v1/consensus_pb";
 import { splitAddress } from "../http";
+import { getCallClass } from "./callClasses";
 import { SESSION_SETTINGS, widenWindow } from "./flowControl";
 import { SessionPings } from "./SessionPings";
 
@@ -21,6 +25,8 @@
   readonly listen: string;
   readonly routes: (router: ConnectRouter) => void;
   readonly interceptors: Interceptor[];
+  /** Begins calls at their time; each begins as it comes in without it. */
+  readonly calls?: CallOrder;
   /** Called when a peer has opened a session. */
   readonly onSession?: () => void;
 }
@@ -43,13 +49,15 @@
   private readonly _pings = new SessionPings(new SystemClock());
 
   private constructor(options: RpcServerOptions) {
+    const serve = connectNodeAdapter({
+      routes: options.routes,
+      interceptors: options.interceptors,
+      readMaxBytes: MAX_MESSAGE_BYTES,
+    });
+    const { calls } = options;
     this._server = createServer(
       { settings: SESSION_SETTINGS },
-      connectNodeAdapter({
-        routes: options.routes,
-        interceptors: options.interceptors,
-        readMaxBytes: MAX_MESSAGE_BYTES,
-      }),
+      calls === undefined ? serve : (request, response) => addCall(calls, serve, request, response),
     );
     this._server.on("session", (session) => {
       options.onSession?.();
@@ -93,3 +101,20 @@
     session.on("error", () => session.destroy());
   }
 }
+
+function addCall(
+  calls: CallOrder,
+  serve: ReturnType<typeof connectNodeAdapter>,
+  request: Http2ServerRequest,
+  response: Http2ServerResponse,
+): void {
+  calls.add({
+    callClass: getCallClass(request.url),
+    isWanted: () => !request.stream.destroyed,
+    begin: () => serve(request, response),
+    refuse: () => {
+      response.writeHead(constants.HTTP_STATUS_SERVICE_UNAVAILABLE);
+      response.end();
+    },
+  });
+}
--- /dev/null
+++ b/src/rpc/callClasses.ts
@@ -0,0 +1,30 @@
+/** How valuable calls of our own protocol are, by their paths. */
+
+import type { CallClass } from "../admission";
+import { ConsensusService } from "../gen/ploverstage/v1/consensus_pb";
+import { FleetService } from "../gen/ploverstage/v1/fleet_pb";
+
+function getPath(service: { readonly typeName: string }, method: { readonly name: string }): string {
+  return `/${service.typeName}/${method.name}`;
+}
+
+const { deliver, join } = ConsensusService.method;
+const { putDeclaration, getDeclaration, reportCrashes, relay, report, watch, suspect } = FleetService.method;
+
+const CLASSES = new Map<string, CallClass>([
+  [getPath(ConsensusService, deliver), "agreement"],
+  [getPath(ConsensusService, join), "relay"],
+  [getPath(FleetService, putDeclaration), "order"],
+  [getPath(FleetService, getDeclaration), "order"],
+  // A request that crashes instances comes again within a fraction of a second.
+  [getPath(FleetService, reportCrashes), "order"],
+  [getPath(FleetService, relay), "relay"],
+  [getPath(FleetService, report), "relay"],
+  [getPath(FleetService, watch), "view"],
+  [getPath(FleetService, suspect), "report"],
+]);
+
+/** Gets the class of a call; one that isn't known goes last. */
+export function getCallClass(path: string): CallClass {
+  return CLASSES.get(path) ?? "report";
+}
