Model of an overloaded control: entries tell of targets that stand still

Control processes of the model, their askers and triggers as before; from a trigger until three seconds after a leader began eleven targets (at size 1) stand still, and entries tell of them each second.

--- a/test/overload/ControlModel.ts
+++ b/test/overload/ControlModel.ts
@@ -47,6 +47,10 @@
   readonly speaksByAgreement: boolean;
   /** Whether a refused entry turns to the leader by name. */
   readonly sendsEntriesToLeader: boolean;
+  /** Whether an entry tells of all targets that stand still in one call, and followers tell the leader with their reports. */
+  readonly gathersSuspicions: boolean;
+  /** Gives how many targets stand still now: entries can't replace them before a leader has shown its view. */
+  readonly countStalledTargets: () => number;
 }
 
 interface Waiting {
@@ -87,6 +91,9 @@
 const ISOLATED_PATIENCE_MS = 1_500;
 const REPORT_PATIENCE_MS = 2_100;
 const WATCH_HEARTBEAT_MS = 300;
+export const SUSPICION_MS = 500;
+/** Of one target by one process, where each is told by itself. */
+const SUSPICION_PAUSE_MS = 300;
 /** Code of a process that has run for as long is compiled. */
 const LONG_AGO_MS = -60_000;
 
@@ -114,6 +121,8 @@
   private _controls: readonly string[] = [];
   private _viewRevision = 0;
   private _shown = new Set<Shown>();
+  /** When the leader was told of a target last, where each is told by itself. */
+  private readonly _suspectedAt = new Map<number, number>();
   private _proposals = new Map<number, Waiting>();
   private _barriers = new Map<number, Waiting>();
   private _isSending = false;
@@ -240,6 +249,26 @@
     );
   }
 
+  /** Takes what an entry saw of one target, or of all of them together. */
+  serveSuspicion(target: number, call: Call<void>): void {
+    call.answer();
+    if (this._world.gathersSuspicions || this.leads) return;
+    const { simulation, network, costs, processes } = this._world;
+    const leader = processes.find(({ name }) => name === this._node?.leaderId);
+    const toldAt = this._suspectedAt.get(target) ?? Number.NEGATIVE_INFINITY;
+    if (leader === undefined || simulation.now - toldAt < SUSPICION_PAUSE_MS) return;
+    this._suspectedAt.set(target, simulation.now);
+    network.call<void>({
+      from: this,
+      to: leader,
+      kind: "report",
+      timeoutMs: SUSPICION_MS,
+      getCostMs: () => costs.callMs,
+      serve: (relayed) => relayed.answer(),
+      onEnd: () => {},
+    });
+  }
+
   /** Gets what beginning a watch costs. */
   getWatchCostMs(watch: Watch): number {
     const { firstViewMs, refusalMs, signMs } = this._world.costs;
--- a/test/overload/OverloadSeries.ts
+++ b/test/overload/OverloadSeries.ts
@@ -19,9 +19,17 @@
 export type Trigger = (typeof TRIGGERS)[number];
 
 /** Rules of the product that a series may be played without. */
-export type Rules = Pick<World, "keepsWatchers" | "speaksByAgreement" | "sendsEntriesToLeader">;
+export type Rules = Pick<
+  World,
+  "keepsWatchers" | "speaksByAgreement" | "sendsEntriesToLeader" | "gathersSuspicions"
+>;
 
-const RULES: Rules = { keepsWatchers: true, speaksByAgreement: true, sendsEntriesToLeader: false };
+const RULES: Rules = {
+  keepsWatchers: true,
+  speaksByAgreement: true,
+  sendsEntriesToLeader: false,
+  gathersSuspicions: true,
+};
 
 /** What a series is played with. */
 export interface SeriesOptions {
@@ -60,6 +68,9 @@
 }
 
 const PROCESSES = 6;
+/** Replicas that lose instances with the trigger, at size 1, and until when after a leader began they are not replaced. */
+const STALLED_TARGETS = 11;
+const REPLACED_MS = 3_000;
 const VOTERS = 5;
 const INSTANCES = 222;
 const ENTRIES = 56;
@@ -94,6 +105,9 @@
   /** Reports taken, term and whether all entries follow, every 100 ms. */
   private readonly _samples: Sample[] = [];
   private _endedAt = 0;
+  /** Term of the leader that was seen last, 0 for none, and since when. */
+  private _ledTerm = 0;
+  private _ledSince = 0;
 
   constructor(options: SeriesOptions) {
     this._options = options;
@@ -112,6 +126,7 @@
       size,
       processes: this._processes,
       founders,
+      countStalledTargets: () => this._countStalledTargets(),
       ...RULES,
       ...defects,
     };
@@ -157,6 +172,19 @@
     this._endedAt = Math.max(this._endedAt, this._simulation.now);
   }
 
+  /** From the trigger on, until a leader has led for long enough to replace them. */
+  private _countStalledTargets(): number {
+    const { now } = this._simulation;
+    if (now <= SETTLING_MS) return 0;
+    const term = this._getLeader()?.term ?? 0;
+    if (term !== this._ledTerm) {
+      this._ledTerm = term;
+      this._ledSince = now;
+    }
+    const areReplaced = term > 0 && now - this._ledSince >= REPLACED_MS;
+    return areReplaced ? 0 : STALLED_TARGETS * this._options.size;
+  }
+
   private _losePower(): void {
     for (const process of this._processes) {
       process.stop(true);
--- a/test/overload/Watcher.ts
+++ b/test/overload/Watcher.ts
@@ -71,6 +71,11 @@
     return this._isConnected;
   }
 
+  /** Gets the process that is followed, or asked; "" before the first one. */
+  get current(): string {
+    return this._current;
+  }
+
   /** Begins to follow. */
   run(): void {
     const { simulation, isRunning, isWanted } = this._options;
--- a/test/overload/askers.ts
+++ b/test/overload/askers.ts
@@ -1,7 +1,7 @@
 /** Those who ask control from outside: instances, operators and entries. Times are simulated milliseconds. */
 import type { SeededRandom } from "../../src/consensus";
 import { orderByAffinity } from "../../src/registration/affinity";
-import { type ControlModel, openWatch, type World } from "./ControlModel";
+import { type ControlModel, openWatch, SUSPICION_MS, type World } from "./ControlModel";
 import type { Outcome } from "./Network";
 import { type Update, Watcher } from "./Watcher";
 
@@ -14,6 +14,8 @@
 const MAX_BACKOFF_MS = 1_000;
 /** A client of the configuration asks so often, wherever. */
 const READ_EVERY_MS = 250;
+/** An entry tells of a target that stands still so often. */
+const SUSPICION_PAUSE_MS = 1_000;
 /** Settings name so many control processes. */
 const SEEDS = 3;
 
@@ -203,6 +205,7 @@
       onUpdate: (update) => this._take(update),
     });
     this._watcher.run();
+    this._suspectLater(life);
   }
 
   /** Ends the process. */
@@ -211,6 +214,35 @@
     this._watcher = undefined;
   }
 
+  private _suspectLater(life: number): void {
+    this._world.simulation.addAfter(SUSPICION_PAUSE_MS, () => {
+      if (life !== this._life) return;
+      this._suspect();
+      this._suspectLater(life);
+    });
+  }
+
+  private _suspect(): void {
+    const { processes, gathersSuspicions, countStalledTargets } = this._world;
+    const followed = processes.find(({ name }) => name === this._watcher?.current);
+    const count = countStalledTargets();
+    if (followed === undefined || !this.isConnected || count === 0) return;
+    const calls = gathersSuspicions ? 1 : count;
+    for (let target = 0; target < calls; target++) this._tell(followed, target);
+  }
+
+  private _tell(to: ControlModel, target: number): void {
+    this._world.network.call<void>({
+      from: undefined,
+      to,
+      kind: "report",
+      timeoutMs: SUSPICION_MS,
+      getCostMs: () => this._world.costs.callMs,
+      serve: (call) => to.serveSuspicion(target, call),
+      onEnd: () => {},
+    });
+  }
+
   private _order(names: readonly string[]): readonly string[] {
     const key = names.join();
     const known = this._orders.get(key) ?? orderByAffinity(this._id, names);
--- a/test/overload/recovery.test.ts
+++ b/test/overload/recovery.test.ts
@@ -123,6 +123,11 @@
     expect(failed).toEqual({ orders: [], reports: [], views: [] });
   });
 
+  it("is kept from it at size 1 where entries tell of each target in a call of its own (a defect on purpose)", () => {
+    const played = atSize1.map((series) => play(series, { gathersSuspicions: false }));
+    expect(getFailed(played, isOrderedInCalm)).not.toEqual([]);
+  });
+
   it("is kept from it at size 1 where entries drop an older view and ask on (a defect on purpose)", () => {
     const defects = { keepsWatchers: false, speaksByAgreement: false, sendsEntriesToLeader: true };
     const played = KEPT.filter(({ size }) => size === 1).map((series) => play(series, defects));
