A relay that waits for a late answer counts the leader as not told, as soon as before

Since a late leader is waited for, the failure to tell it was noticed up to 0.9 s later, and instances were kept for so much longer by a process that can't speak for them. An answer that takes over 0.6 s counts as a failure from then on. Test fails without it.

--- a/src/registration/ReportSender.ts
+++ b/src/registration/ReportSender.ts
@@ -47,6 +47,8 @@
 /** How long an answer is waited for; doubled with each failure up to the longest: a slow leader answers late. */
 const FIRST_PATIENCE_MS = 1_500;
 const MAX_PATIENCE_MS = 3_000;
+/** A leader whose answer takes longer counts as one that could not be told. */
+const LATE_ANSWER_MS = 600;
 /**
  * Reports in full that travel at once, so that each call is a step forward at a leader that has just
  * begun: one call with all of them timed out, was made again with all, and kept the leader from
@@ -64,6 +66,8 @@
   private _sending: Promise<void> | undefined;
   private _isStopped = false;
   private _failingSince: number | undefined;
+  /** When an answer that is awaited counts as late. */
+  private _lateAt = Number.POSITIVE_INFINITY;
   /** Term of the leader that was told of the entries, and which of their changes it was told. */
   private _entriesTold = { term: 0, revision: -1 };
   private _term = 0;
@@ -91,9 +95,9 @@
     this._endCall("this process stops");
   }
 
-  /** Gets for how long the leader could not be told, milliseconds; 0 when it was told last time. */
+  /** Gets for how long the leader could not be told, or has not answered, milliseconds; 0 when it was told last time. */
   getFailingMs(now: number): number {
-    return this._failingSince === undefined ? 0 : now - this._failingSince;
+    return Math.max(0, now - (this._failingSince ?? this._lateAt));
   }
 
   /** Tells what is new in a moment, together with what else turns up until then. */
@@ -188,7 +192,9 @@
       relayAddress: publicAddress,
       entries: isTold ? undefined : create(EntryListSchema, { entries: watching }),
     });
+    this._lateAt = clock.getMonotonicMs() + LATE_ANSWER_MS;
     const answer = await client.call((leader) => this._tellLeader(leader, request), this._patienceMs);
+    this._lateAt = Number.POSITIVE_INFINITY;
     relay.addAnswer(answer.term, answer.unknownInstanceIds);
     // A leader of another term than expected may have been told of no entries.
     const wasTold = !isTold || answer.term === this._term;
@@ -220,9 +226,10 @@
   private _addFailure(cause: unknown): false {
     const { clock, logger } = this._options;
     if (this._failingSince === undefined) {
-      this._failingSince = clock.getMonotonicMs();
+      this._failingSince = Math.min(clock.getMonotonicMs(), this._lateAt);
       logger.warn({ event: "reports_not_relayed", reason: String(cause) });
     }
+    this._lateAt = Number.POSITIVE_INFINITY;
     this._patienceMs = Math.min(MAX_PATIENCE_MS, this._patienceMs * 2);
     return false;
   }
--- a/test/registration/ReportSender.test.ts
+++ b/test/registration/ReportSender.test.ts
@@ -27,12 +27,14 @@
   let calls: number;
   let dropped: string[];
   let onRequest: (request: ReportRequest) => void;
+  let onAnswer: () => Promise<void>;
 
   beforeEach(() => {
     requests = [];
     warnings = 0;
     dropped = [];
     onRequest = () => {};
+    onAnswer = () => Promise.resolve();
     answer = { term: 1, unknownInstanceIds: [] };
     relay = new ReportRelay();
     entries = new EntryRoster();
@@ -44,6 +46,7 @@
         for await (const request of told) {
           requests.push(request);
           onRequest(request);
+          await onAnswer();
           if (answer === undefined) throw new UnreachableControl({ tried: [], reason: "it is cut off" });
           yield answer;
         }
@@ -132,6 +135,22 @@
     expect(requests).toHaveLength(7);
   });
 
+  it("counts a leader as not told while its answer is late, and no more once it came", async () => {
+    let answerNow: () => void = () => {};
+    onAnswer = () =>
+      new Promise((resolve) => {
+        answerNow = resolve;
+      });
+    const sending = sender.sendNow();
+    await waitUntil("the leader is told", () => requests.length === 1);
+    const now = performance.now();
+    expect(sender.getFailingMs(now)).toBe(0);
+    expect(sender.getFailingMs(now + 1_500)).toBeGreaterThan(800);
+    answerNow();
+    await sending;
+    expect(sender.getFailingMs(now + 1_500)).toBe(0);
+  });
+
   it("tells what is new without being asked twice", async () => {
     addReport(1);
     sender.sendSoon();
