A session that is cut ends its calls with an error

Its streams closed with the code for success, and calls that stream, such as the agreement's, waited for an answer for good.

Evidence: the logs of the test; TransportPool's new test fails without the error.

--- a/src/rpc/SessionPings.ts
+++ b/src/rpc/SessionPings.ts
@@ -4,7 +4,8 @@
  * A frozen peer keeps its connection, and a connection may go silent for good: only a missing answer tells them from
  * a quiet one. Whoever says something is not asked.
  */
-import type { Http2Session } from "node:http2";
+import { constants, type Http2Session } from "node:http2";
+import { Code, ConnectError } from "@connectrpc/connect";
 import type { Clock } from "../clock";
 
 /** How often sessions are looked at. */
@@ -88,7 +89,7 @@
     watched.bytesRead = bytesRead;
     if (isHeard) watched.askedAt = undefined;
     else if (watched.askedAt === undefined) this._ask(now, session, watched);
-    else if (!isLate && now - watched.askedAt >= watched.patienceMs) session.destroy();
+    else if (!isLate && now - watched.askedAt >= watched.patienceMs) cut(session);
   }
 
   private _ask(now: number, session: PingedSession, watched: Watched): void {
@@ -99,6 +100,11 @@
   }
 }
 
+/** Calls under way end with an error: without one they would wait for good. */
+function cut(session: PingedSession): void {
+  session.destroy(new ConnectError("a ping was not answered", Code.Unavailable), constants.NGHTTP2_CANCEL);
+}
+
 function getBytesRead({ socket }: PingedSession): number {
   return socket?.bytesRead ?? 0;
 }
--- a/test/rpc/TransportPool.test.ts
+++ b/test/rpc/TransportPool.test.ts
@@ -12,6 +12,8 @@
 /** Between late processes an answer takes so long, both ways together. */
 const ONE_WAY_MS = 600;
 const LATE_FOR_MS = 4_000;
+/** A peer that says nothing is missed within this time. */
+const SILENT_MS = 2_300;
 
 describe("TransportPool", () => {
   let server: RpcServer;
@@ -32,7 +34,13 @@
         sessions += 1;
       },
       routes: (router) => {
-        router.service(FleetService, { getDeclaration: () => ({}) });
+        router.service(FleetService, {
+          getDeclaration: () => ({}),
+          async *watch(_request, context) {
+            yield {};
+            await new Promise((resolve) => context.signal.addEventListener("abort", resolve));
+          },
+        });
         router.service(ConsensusService, {
           async deliver(requests) {
             for await (const { messages } of requests) delivered += messages.length;
@@ -66,6 +74,23 @@
     expect(sessions).toBe(1);
   });
 
+  it("ends all calls of a session that says nothing any more, and opens another one", async () => {
+    const client = createClient(FleetService, transports.getTransport(relay.address));
+    const watching = client.watch({ watcherId: "w" })[Symbol.asyncIterator]();
+    await watching.next();
+    deliver();
+    await waitUntil("it is delivered", () => delivered === 1);
+    relay.cut();
+    const startedAt = performance.now();
+    await expect(watching.next()).rejects.toThrow("a ping was not answered");
+    expect(performance.now() - startedAt).toBeLessThan(SILENT_MS);
+    relay.heal();
+    await waitUntil("what comes later is delivered", () => {
+      deliver();
+      return delivered > 1;
+    });
+  });
+
   it("keeps the session of a member that is only late", async () => {
     deliver();
     await waitUntil("it is delivered", () => delivered === 1);
