A relay's call to a new leader outlives the end of the one to the old leader

Found by reading. While the old leader's answer was awaited, a new leader was told over a new call; the old one's failure, a moment later, ended whichever call was there. The new leader was then told everything over another call. The test fails without the change (two calls).

--- a/src/process/index.ts
+++ b/src/process/index.ts
@@ -1,5 +1,4 @@
 /** What all processes share. */
-
 export { answerHealth, type ReadinessCheck, startHealthServer } from "./HealthServer";
 export { LoadWatch, type LoadWatchOptions } from "./LoadWatch";
 export { reportResources } from "./reportResources";
--- a/src/registration/ReportSender.ts
+++ b/src/registration/ReportSender.ts
@@ -208,11 +208,13 @@
   ): Promise<ReportResponse> {
     if (this._called !== leader) this._endCall("another process leads");
     this._called = leader;
-    this._call ??= new RelayCall(leader);
+    const call = this._call ?? new RelayCall(leader);
+    this._call = call;
     try {
-      return await this._call.tell(request, this._patienceMs);
+      return await call.tell(request, this._patienceMs);
     } catch (cause) {
-      this._endCall("it has failed");
+      // Another leader may be told by now.
+      if (this._call === call) this._endCall("it has failed");
       throw cause;
     }
   }
--- a/test/registration/ReportSender.test.ts
+++ b/test/registration/ReportSender.test.ts
@@ -16,6 +16,9 @@
 
 const ENTRY: EntryEndpoint = create(EntryEndpointSchema, { address: "127.0.0.1:1", failureDomain: "a" });
 
+/** Tells whoever is taken for the leader. */
+type LeaderTelling = (leader: object) => Promise<unknown>;
+
 describe("ReportSender", () => {
   let requests: ReportRequest[];
   let answer: { term: number; unknownInstanceIds: string[] } | undefined;
@@ -28,6 +31,7 @@
   let dropped: string[];
   let onRequest: (request: ReportRequest) => void;
   let onAnswer: () => Promise<void>;
+  let findLeader: (call: LeaderTelling) => Promise<unknown>;
 
   beforeEach(() => {
     requests = [];
@@ -52,11 +56,12 @@
         }
       },
     };
+    findLeader = (call) => call(leader);
     sender = new ReportSender({
       relay,
       entries,
       suspicions,
-      client: { call: (call: (client: unknown, timeoutMs: number) => unknown) => call(leader, 100) } as never,
+      client: { call: (call: LeaderTelling) => findLeader(call) } as never,
       getLeadership: () => undefined,
       isLeaderKnown: () => true,
       publicAddress: "127.0.0.9:1",
@@ -135,6 +140,39 @@
     expect(requests).toHaveLength(7);
   });
 
+  it("goes on over the call to a new leader when the one to the old leader ends", async () => {
+    const told: string[] = [];
+    let callsToNew = 0;
+    const old = {
+      async *relay(_: unknown, { signal }: { signal: AbortSignal }) {
+        yield* [];
+        await new Promise((_resolve, reject) =>
+          signal.addEventListener("abort", () => reject(signal.reason)),
+        );
+      },
+    };
+    const next = {
+      async *relay(requests: AsyncIterable<ReportRequest>) {
+        callsToNew += 1;
+        for await (const request of requests) {
+          told.push(request.relayAddress);
+          yield { term: 2, unknownInstanceIds: [] };
+        }
+      },
+    };
+    // As a client does that learns of a new leader while the old one has not answered.
+    let isFirst = true;
+    findLeader = async (call) => {
+      if (isFirst) call(old).catch(() => {});
+      isFirst = false;
+      await new Promise((resolve) => setImmediate(resolve));
+      return call(next);
+    };
+    for (let i = 0; i < 3; i++) await sender.sendNow();
+    expect(told).toHaveLength(3);
+    expect(callsToNew).toBe(1);
+  });
+
   it("counts a leader as not told while its answer is late, and no more once it came", async () => {
     let answerNow: () => void = () => {};
     onAnswer = () =>
