Test of the kept view: what an earlier test still writes is not counted for the next

The test before ends once its file is there; its write ends, and is logged, after the folder was synced, which took until the next test had begun. The lists were shared. The check is the same.

--- a/test/registration/KnownView.test.ts
+++ b/test/registration/KnownView.test.ts
@@ -5,6 +5,7 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { EntryEndpointSchema, TargetSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { DeclarationSchema } from "../../src/gen/ploverstage/v1/state_pb";
+import type { Logger } from "../../src/metrics";
 import { AgreedFacts } from "../../src/registration/AgreedFacts";
 import { FleetView } from "../../src/registration/FleetView";
 import { FollowedView, RECOVERED_TERM } from "../../src/registration/FollowedView";
@@ -29,16 +30,20 @@
   let events: string[];
   let keptVersions: number[];
   let now = 0;
-  const logger = {
-    info: ({ version }: { version: number }) => keptVersions.push(version),
-    warn: ({ event }: { event: string }) => events.push(event),
-  } as never;
+  let logger: Logger;
   const getNow = () => now;
 
   beforeEach(() => {
     folder = mkdtempSync(join(tmpdir(), "view-"));
-    events = [];
-    keptVersions = [];
+    // A write of an earlier test may end in this one: each has lists of its own.
+    const nowEvents: string[] = [];
+    const nowKept: number[] = [];
+    events = nowEvents;
+    keptVersions = nowKept;
+    logger = {
+      info: ({ version }: { version: number }) => nowKept.push(version),
+      warn: ({ event }: { event: string }) => nowEvents.push(event),
+    } as never;
     now = 0;
   });
   afterEach(() => rmSync(folder, { recursive: true, force: true }));
