--- a/test/rpc/createRpcTransport.test.ts
+++ b/test/rpc/createRpcTransport.test.ts
@@ -6,7 +6,7 @@
 import { Relay } from "../support/Relay";
 import { waitUntil } from "../support/waitUntil";
 
-/** A session that has rested for so long is looked at before the next call. */
+/** Longer than a session says nothing before it is looked at. */
 const REST_MS = 1_200;
 const CALL_MS = 700;
 const ONE_WAY_MS = 100;
