--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,6 +9,7 @@
 import { fleetBench } from "./fleet";
 import { gatewayBench } from "./gateway";
 import { livesBench } from "./lives";
+import { marginBench } from "./margin";
 import { overloadBench } from "./overload";
 import { pathBench } from "./path";
 import { plannerBench } from "./planner";
@@ -32,6 +33,7 @@
   powerLossBench,
   firstStartBench,
   overloadBench,
+  marginBench,
   livesBench,
   gatewayBench,
   containmentBench,
