--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -7,6 +7,8 @@
 export interface FailedAttempt {
   readonly target: string;
   readonly instance: string;
+  /** Failure domain of the endpoint. */
+  readonly domain: string;
   readonly reason: string;
   readonly wasNotRun: boolean;
   /** Whether this entry abandoned the attempt because another attempt produced output. */
--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -443,6 +443,7 @@
     this.failures.push({
       target: target.id,
       instance: target.instanceId,
+      domain: target.failureDomain,
       reason: failure.reason,
       wasNotRun: failure.wasNotRun,
       wasLeft: failure.wasAbandoned === true,
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -442,8 +442,11 @@
       declaration: this._options.getRoutes()?.declaration.version ?? 0,
       view_term: publishedView.term,
       view_control: publishedView.control,
-      // Before the first view is published the age is infinite, which JSON can't represent.
-      view_silence_ms: publishedView.control === "" ? undefined : Math.round(publishedView.heartbeatAgeMs),
+      // Shows whether a failure concerns one endpoint or all of them.
+      endpoint_silence_ms: getFiniteMs(
+        clock.getMonotonicMs() - this._options.dependencies.pool.lastActivityAt,
+      ),
+      view_silence_ms: getFiniteMs(publishedView.heartbeatAgeMs),
       outcome,
       code,
       took_ms: tookMs,
@@ -463,6 +466,11 @@
   return exchange.isCancelled ? "caller_gone" : "endpoint_broke_off";
 }
 
+/** Rounds a duration; `undefined` for an infinite one (nothing was received yet), which JSON can't represent. */
+function getFiniteMs(milliseconds: number): number | undefined {
+  return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined;
+}
+
 function shouldLogDigest(exchange: Exchange | undefined, code: string): boolean {
   return exchange !== undefined && (exchange.failures.length > 0 || code === "kept_away");
 }
--- a/src/gateway/TargetPool.ts
+++ b/src/gateway/TargetPool.ts
@@ -40,6 +40,7 @@
 export class TargetPool {
   private _targets = new Map<string, TargetState>();
   private readonly _random: RandomSource;
+  private _lastActivityAt = NEVER;
 
   /** @param random - Breaks ties, so that different entries choose different targets. */
   constructor(random: RandomSource) {
@@ -122,10 +123,16 @@
 
   /** Records that data arrived from a target. */
   addActivity(now: number, id: string): void {
+    this._lastActivityAt = now;
     const state = this._targets.get(id);
     if (state !== undefined) state.lastActivityAt = now;
   }
 
+  /** Gets when data last arrived from any target, monotonic milliseconds. */
+  get lastActivityAt(): number {
+    return this._lastActivityAt;
+  }
+
   /** Gets when data last arrived from a target, monotonic milliseconds. */
   getLastActivityAt(id: string): number {
     return this._targets.get(id)?.lastActivityAt ?? NEVER;
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -221,6 +221,7 @@
       service: "service",
       instanceId: id,
       address: `127.0.0.1:${port}`,
+      failureDomain: `zone-${index}`,
       slots: 1,
     });
   }
--- a/test/gateway/GatewayServer.test.ts
+++ b/test/gateway/GatewayServer.test.ts
@@ -231,6 +231,16 @@
       expect(getLast()).not.toHaveProperty("view_silence_ms");
     });
 
+    it("logs with each request how long no endpoint has sent data, and where attempts failed", async () => {
+      const breakOff: Script = (_seen, response) => response.destroy();
+      harness = await GatewayHarness.start([breakOff, answer(200, "ok")]);
+      await harness.call();
+      expect(JSON.parse(harness.logLines.at(-1)!)).toMatchObject({
+        endpoint_silence_ms: expect.any(Number),
+        failures: [{ target: "t0", domain: "zone-0" }],
+      });
+    });
+
     it("adds no length to an answer without one, because it may have been cut", async () => {
       const unframed: Script = (seen, response) => {
         response.shouldKeepAlive = false;
