--- a/test/support/TcpProxy.test.ts
+++ b/test/support/TcpProxy.test.ts
@@ -51,6 +51,18 @@
     await waitUntil("all bytes arrive", () => receivedByServer === "abc");
   });
 
+  it.each(["silent", "reset"] as const)("blocks connections of one process only: %s", async (fault) => {
+    proxy.block([process.ppid], fault);
+    client.write("a");
+    await waitUntil("the other process's bytes arrive", () => receivedByServer === "a");
+    proxy.block([process.pid], fault);
+    client.write("b");
+    accepted!.write("c");
+    if (fault === "reset") await waitUntil("the connection is reset", () => isReset);
+    else await new Promise((resolve) => setTimeout(resolve, 50));
+    expect([receivedByServer, receivedByClient]).toEqual(["a", ""]);
+  });
+
   it("cuts one direction and forwards the other", async () => {
     proxy.cut("toTarget");
     client.write("lost");
--- a/test/support/TcpProxy.ts
+++ b/test/support/TcpProxy.ts
@@ -6,10 +6,21 @@
 import type { AddressInfo } from "node:net";
 import { connect, createServer, type Server, type Socket } from "node:net";
 import { splitAddress } from "../../src/http";
+import { isOwnedBy } from "./socketOwner";
 
 /** The direction in which traffic is dropped: towards the target, from it, or both. */
 export type CutDirection = "both" | "toTarget" | "fromTarget";
 
+/**
+ * How connections of some processes fail: all of them are silent, all are reset, or only new ones are reset.
+ */
+export type ConnectionFault = "silent" | "reset" | "newReset";
+
+interface BlockedProcesses {
+  readonly pids: readonly number[];
+  readonly fault: ConnectionFault;
+}
+
 /** A TCP proxy in front of one address. */
 export class TcpProxy {
   address = "";
@@ -21,6 +32,9 @@
   private _cut: CutDirection | undefined;
   private _delayMs = 0;
   private _bytes = 0;
+  private _blocked: BlockedProcesses | undefined;
+  /** Sockets of blocked processes; nothing is forwarded to or from them. */
+  private readonly _silentSockets = new Set<Socket>();
 
   private constructor(target: string) {
     this._target = target;
@@ -61,6 +75,21 @@
     this._delayMs = milliseconds;
   }
 
+  /** Makes the connections of the given processes fail; all other connections are forwarded. */
+  block(pids: readonly number[], fault: ConnectionFault): void {
+    this._blocked = { pids, fault };
+    if (fault === "newReset") return;
+    for (const socket of [...this._sockets]) {
+      if (this._clientSockets.has(socket) && isOwnedBy(socket.remotePort!, pids)) this._fail(socket, fault);
+    }
+  }
+
+  /** Forwards the connections of all processes again; connections that were silent are closed. */
+  unblock(): void {
+    this._blocked = undefined;
+    for (const socket of [...this._silentSockets]) socket.destroy();
+  }
+
   reset(): void {
     for (const socket of this._sockets) socket.resetAndDestroy();
   }
@@ -73,6 +102,14 @@
   }
 
   private _proxyConnection(socket: Socket): void {
+    const blocked = this._blocked;
+    if (blocked !== undefined && isOwnedBy(socket.remotePort!, blocked.pids)) {
+      this._sockets.add(socket);
+      socket.on("error", () => socket.destroy());
+      socket.on("close", () => this._sockets.delete(socket));
+      this._fail(socket, blocked.fault);
+      return;
+    }
     const { host, port } = splitAddress(this._target);
     const upstream = connect(port, host);
     this._clientSockets.add(socket);
@@ -94,7 +131,15 @@
     }
   }
 
+  private _fail(socket: Socket, fault: ConnectionFault): void {
+    if (fault !== "silent") return void socket.resetAndDestroy();
+    socket.pause();
+    this._silentSockets.add(socket);
+    socket.once("close", () => this._silentSockets.delete(socket));
+  }
+
   private _forward(to: Socket, chunk: Buffer): void {
+    if (this._silentSockets.has(to)) return;
     // Timers with equal delays fire in the order in which they were set.
     if (this._delayMs === 0) to.write(chunk);
     else setTimeout(() => to.destroyed || to.write(chunk), this._delayMs);
