--- a/bench/containment.ts
+++ b/bench/containment.ts
@@ -55,7 +55,13 @@
  */
 function measureContainmentUs(ledger: CrashLedger): number {
   const logger = { info: () => {}, warn: () => {} } as never;
-  const monitor = new CrashMonitor({ ledger, logger, metrics: new NoopMetrics(), onChange: () => {} });
+  const monitor = new CrashMonitor({
+    ledger,
+    logger,
+    metrics: new NoopMetrics(),
+    probe: async () => "accepted",
+    onChange: () => {},
+  });
   const body = Buffer.alloc(BODY_BYTES, "x");
   const startedAt = performance.now();
   for (let i = 0; i < REQUEST_COUNT; i++) {
--- a/bench/support/createWatcher.ts
+++ b/bench/support/createWatcher.ts
@@ -1,4 +1,6 @@
+import { create } from "@bufbuild/protobuf";
 import { SystemClock } from "../../src/clock";
+import { EntryEndpointSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { FollowedView, orderByAffinity, ViewWatcher } from "../../src/registration";
 import { TransportPool } from "../../src/rpc";
 
@@ -8,11 +10,8 @@
 export function createWatcher(index: number, seeds: readonly string[]): ViewWatcher {
   return new ViewWatcher({
     watcherId: `bench-${index}`,
-    entry: {
-      $typeName: "ploverstage.v1.EntryEndpoint",
-      address: `127.0.0.1:${index + 1}`,
-      failureDomain: "zone-a",
-    },
+    getEntry: () =>
+      create(EntryEndpointSchema, { address: `127.0.0.1:${index + 1}`, failureDomain: "zone-a" }),
     getSeeds: () => seeds,
     orderCandidates: (addresses) => orderByAffinity(`bench-${index}`, addresses),
     transports: new TransportPool(undefined),
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -193,6 +193,16 @@
   }
 }
 
+/** Thrown if the description of a relayed request or of its answer is missing or malformed. */
+export class InvalidRelay extends Data.TaggedError("InvalidRelay")<{
+  readonly header: string;
+  readonly reason: string;
+}> {
+  override get message(): string {
+    return `invalid header ${this.header}: ${this.reason}`;
+  }
+}
+
 /** Thrown if an answer does not have the published form. */
 export class MalformedAnswer extends Data.TaggedError("MalformedAnswer")<{
   readonly address: string;
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import { LostAnswer, OversizedAnswer, UnreachableEndpoint } from "../errors";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
+import type { RelayedAnswer } from "./relay";
 
 /** A failed attempt, as written to the log. */
 export interface FailedAttempt {
@@ -23,6 +24,10 @@
   readonly target: Target;
   readonly incoming: IncomingMessage;
   readonly startedAt: number;
+  /** Whether the endpoint's answer has a length or chunked framing. */
+  readonly isFramed: boolean;
+  /** How a peer answered; `undefined` for an endpoint. */
+  readonly relayed: RelayedAnswer | undefined;
   readonly end: () => void;
   readonly abort: AbortController;
 }
@@ -35,6 +40,8 @@
   readonly answeredAt?: number | undefined;
   /** Whether the endpoint ended the attempt, not this entry. */
   readonly wasEndedByEndpoint?: boolean;
+  /** Whether the answer arrived and was a refusal or failure; `false` if it broke off. */
+  readonly wasAnswered?: boolean;
   /**
    * Whether this entry abandoned the attempt because another one produced output. This is no failure of the
    * endpoint.
--- a/src/gateway/CrashMonitor.ts
+++ b/src/gateway/CrashMonitor.ts
@@ -11,6 +11,7 @@
 import type { AdmissionDecision, CrashLedger, RequestDigest } from "../containment";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
 import type { CrashRecord } from "../gen/ploverstage/v1/state_pb";
+import type { ProbeOutcome } from "../http";
 import type { Logger, Metrics } from "../metrics";
 import { EndpointProbe } from "./EndpointProbe";
 
@@ -29,6 +30,8 @@
   readonly ledger: CrashLedger;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Opens a connection to an address and closes it at once. */
+  readonly probe: (address: string) => Promise<ProbeOutcome>;
   /** Called when the ledger has changes to report to control. */
   readonly onChange: () => void;
 }
@@ -49,11 +52,12 @@
 /** Crash monitor of one entry. */
 export class CrashMonitor {
   private readonly _options: CrashMonitorOptions;
-  private readonly _endpointProbe = new EndpointProbe();
+  private readonly _endpointProbe: EndpointProbe;
 
   /** @param options - Ledger of crashes, and the callback for its changes. */
   constructor(options: CrashMonitorOptions) {
     this._options = options;
+    this._endpointProbe = new EndpointProbe(options.probe);
   }
 
   /**
--- a/src/gateway/EndpointProbe.ts
+++ b/src/gateway/EndpointProbe.ts
@@ -6,13 +6,10 @@
  * connections is running.
  */
 
-import { connect } from "node:net";
 import { pause } from "../clock";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
-import { splitAddress } from "../http";
+import type { ProbeOutcome } from "../http";
 
-/** A connection within a region is established or refused within a few milliseconds. */
-const CONNECT_TIMEOUT_MS = 300;
 /**
  * A crashing process may close its connections before its listening port, so the port is probed several
  * times.
@@ -35,12 +32,18 @@
 /** Probes the addresses of instances. */
 export class EndpointProbe {
   private readonly _results = new Map<string, ProbeResult>();
+  private readonly _probe: (address: string) => Promise<ProbeOutcome>;
+
+  /** @param probe - Opens a connection to an address and closes it at once. */
+  constructor(probe: (address: string) => Promise<ProbeOutcome>) {
+    this._probe = probe;
+  }
 
   /** Probes whether a target's address refuses connections. */
   probe({ id, address }: Target): ProbeResult {
     const cached = this._results.get(id);
     if (cached !== undefined) return cached;
-    const first = refusesConnections(address);
+    const first = this._refusesConnections(address);
     const result = { first, final: this._probeAgain(id, address, first) };
     this._results.set(id, result);
     if (this._results.size > MAX_CACHED_RESULTS) this._results.delete(this._results.keys().next().value!);
@@ -51,24 +54,14 @@
     if (await first) return true;
     for (let i = 1; i < MAX_ATTEMPTS; i++) {
       await pause(RETRY_DELAY_MS);
-      if (await refusesConnections(address)) return true;
+      if (await this._refusesConnections(address)) return true;
     }
     // The instance is running or partitioned, so the next broken attempt probes it again.
     this._results.delete(id);
     return false;
   }
-}
 
-function refusesConnections(address: string): Promise<boolean> {
-  const { host, port } = splitAddress(address);
-  return new Promise((resolve) => {
-    const socket = connect({ host, port, timeout: CONNECT_TIMEOUT_MS });
-    const end = (isRefused: boolean) => {
-      socket.destroy();
-      resolve(isRefused);
-    };
-    socket.once("connect", () => end(false));
-    socket.once("timeout", () => end(false));
-    socket.once("error", (cause: NodeJS.ErrnoException) => end(cause.code === "ECONNREFUSED"));
-  });
+  private async _refusesConnections(address: string): Promise<boolean> {
+    return (await this._probe(address)) === "refused";
+  }
 }
--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -22,6 +22,7 @@
   wasEndedByEndpoint,
 } from "./Attempt";
 import type { CrashMonitor } from "./CrashMonitor";
+import type { DestinationChooser } from "./DestinationChooser";
 import type { CallMetadata, Dialect } from "./Dialect";
 import {
   createBlockedRefusal,
@@ -29,6 +30,15 @@
   createOutcomeUnknownRefusal,
   type GatewayRefusal,
 } from "./GatewayRefusal";
+import { isFramed } from "./headers";
+import { isPeer } from "./PeerPool";
+import {
+  formatRelay,
+  RELAY_REQUEST_HEADER,
+  RELAY_SECRET_HEADER,
+  type RelayedAnswer,
+  readRelayedAnswer,
+} from "./relay";
 import { getRetryAfterMs } from "./retryAfter";
 import type { StreamAdmission, StreamGate } from "./StreamGate";
 import type { TargetPool } from "./TargetPool";
@@ -50,6 +60,8 @@
   /** Estimated time of the caller's first request. */
   readonly firstRequestedAt: number;
   readonly deadlineAt: number;
+  /** Whether another entry relayed the request; it is not relayed again. */
+  readonly isRelayed: boolean;
 }
 
 export interface ExchangeDependencies {
@@ -57,6 +69,8 @@
   readonly client: HttpClient;
   readonly dialect: Dialect;
   readonly pool: TargetPool;
+  /** Chooses endpoints or peers by the state of this entry's links. */
+  readonly destinations: DestinationChooser;
   /** Queues streams in the entry while endpoints are overloaded. */
   readonly gate: StreamGate;
   /** Decides which requests are blocked because they crash endpoints. */
@@ -67,6 +81,8 @@
   readonly buffers: AnswerBuffers;
   /** Randomises the time at which refused callers retry. */
   readonly random: RandomSource;
+  /** Shared by all entries; `undefined` where none is configured. */
+  readonly secret: string | undefined;
   /** Called when a target can't be reached or has stalled. */
   readonly onSuspicion: (target: Target, isUnreachable: boolean) => void;
 }
@@ -79,6 +95,8 @@
 const IN_TIME_SHARE = 0.8;
 /** Idle time after which a request at a stalled endpoint is sent to another one. */
 const STALLED_TIMEOUT_MS = 100;
+/** Additional idle time before a request that was relayed is relayed to another peer. */
+const PEER_IDLE_MARGIN_MS = 300;
 /** An attempt is not started with less time left than this. */
 const MIN_REMAINING_MS = 5;
 /**
@@ -99,7 +117,22 @@
   /** No other target serves the request. */
   | "noTarget"
   /** The retry budget of the entries is exhausted. */
-  | "noRepeat";
+  | "noRepeat"
+  /** Another entry, to which the request was relayed, refused it finally. */
+  | "refused";
+
+/** Admission of a stream that takes no capacity of this entry. */
+const NO_ADMISSION: StreamAdmission = { addFirstEvent: () => {}, end: () => {} };
+
+/** An attempt in progress. */
+interface RunningAttempt {
+  readonly target: Target;
+  readonly startedAt: number;
+  /** Whether any part of the request was sent. */
+  wasSent: boolean;
+  /** Whether the request was sent over a new connection, or waits for one. */
+  isNewConnection: boolean;
+}
 
 /** The attempts of one request. */
 export class Exchange {
@@ -111,11 +144,9 @@
   private _mayHaveRun = false;
   private _isWithdrawn = false;
   private _isTrial = false;
-  /** Attempts whose request was sent, in order. */
-  private readonly _sentAttempts: { readonly target: Target; readonly startedAt: number }[] = [];
   private readonly _cancellation = new AbortController();
   /** Attempts in progress: one, or two while the primary one is idle. */
-  private readonly _runningAttempts = new Set<AbortController>();
+  private readonly _runningAttempts = new Map<AbortController, RunningAttempt>();
   /** Targets whose suspected failure has been reported. */
   private readonly _suspectedTargetIds = new Set<string>();
   /**
@@ -125,6 +156,12 @@
   private _crashProbe: Promise<void> | undefined;
   private _digest: RequestDigest | undefined;
   private _denial: RetryDenial | undefined;
+  /** The final refusal by the entry to which the request was relayed. */
+  private _peerRefusal: GatewayRefusal | undefined;
+  /** Peers that sent the head of an answer, with the number of their attempts. */
+  private readonly _answeredPeerIds = new Set<string>();
+  private _isCounted = false;
+  private _relayedTo: string | undefined;
 
   /**
    * @param request - The request.
@@ -173,7 +210,8 @@
   withdraw(): void {
     if (this._isWithdrawn) return;
     this._isWithdrawn = true;
-    const sent = this._runningAttempts.size > 1 ? this._sentAttempts.slice(-2) : this._sentAttempts.slice(-1);
+    const running = [...this._runningAttempts.values()];
+    const sent = running.filter(({ target, wasSent }) => wasSent && !isPeer(target));
     this._abortAll();
     const { requestId } = this.request.call;
     for (const { target, startedAt } of sent) {
@@ -191,7 +229,9 @@
    * Waits until endpoints have capacity for one more stream.
    * @returns `undefined` when the request waited for too long or was cancelled.
    */
-  enterGate(): Promise<StreamAdmission | undefined> {
+  async enterGate(): Promise<StreamAdmission | undefined> {
+    // The entry to which a request is relayed admits it.
+    if (this.willRelay) return NO_ADMISSION;
     const { call, route, service, receivedAt, firstRequestedAt, deadlineAt } = this.request;
     return this.dependencies.gate.enter(
       {
@@ -240,9 +280,40 @@
   chooseTarget(): Target | undefined {
     // Checked before each attempt: another entry may have reported crashes while the request waited here.
     if (this.isBlocked) return undefined;
-    const { service, call } = this.request;
-    const { pool } = this.dependencies;
-    return pool.chooseTarget(this.getNow(), { service, model: call.model, excluded: this._triedTargetIds });
+    const { service, call, route, isRelayed } = this.request;
+    return this.dependencies.destinations.choose(this.getNow(), {
+      service,
+      model: call.model,
+      excluded: this._triedTargetIds,
+      isRepeatable: mayRepeat(route),
+      mayRelay: !isRelayed,
+    });
+  }
+
+  /** Gets whether the request will be relayed to another entry. */
+  get willRelay(): boolean {
+    const { destinations } = this.dependencies;
+    if (destinations.getState(this.request.service) === "sound") return false;
+    const target = this.chooseTarget();
+    return target !== undefined && isPeer(target);
+  }
+
+  /** Gets the address of the entry that answered for this one; `undefined` when none did. */
+  get relayedTo(): string | undefined {
+    return this._relayedTo;
+  }
+
+  /** Records that the request was counted for the retry budget. */
+  setCounted(): void {
+    this._isCounted = true;
+  }
+
+  /** Records that data arrived from the target of an attempt. */
+  addActivity(target: Target, isNewConnection: boolean): void {
+    if (isPeer(target)) return;
+    const now = this.getNow();
+    this.dependencies.pool.addActivity(now, target.id);
+    this.dependencies.destinations.addAnswer(now, target, isNewConnection);
   }
 
   /** Checks whether the route and the remaining time allow one more attempt. */
@@ -257,6 +328,8 @@
   isIdleTooLong(target: Target, idleMs: number, timeoutMs: number): boolean {
     const { pool, onSuspicion } = this.dependencies;
     const now = this.getNow();
+    // The peer itself sends the request to another endpoint when one is idle.
+    if (isPeer(target)) return idleMs >= timeoutMs + PEER_IDLE_MARGIN_MS;
     if (pool.isStalled(now, target.id)) {
       onSuspicion(target, false);
       if (idleMs >= STALLED_TIMEOUT_MS) return true;
@@ -299,24 +372,37 @@
     abort: AbortController,
   ): Promise<AnsweringAttempt | AttemptFailure> {
     const startedAt = this.getNow();
-    this._runningAttempts.add(abort);
+    const running: RunningAttempt = { target, startedAt, wasSent: false, isNewConnection: true };
+    this._runningAttempts.set(abort, running);
     this._crashProbe = undefined;
     this._triedTargetIds.add(target.id);
-    const end = this.dependencies.pool.startRequest(target.id);
-    let wasSent = false;
+    const { pool, destinations } = this.dependencies;
+    const end = isPeer(target) ? destinations.startRelay(target) : pool.startRequest(target.id);
+    destinations.addAttempt(startedAt, target);
     try {
-      const incoming = await this._sendRequest(target, lastEventId, abort, () => {
-        wasSent = true;
+      const incoming = await this._sendRequest(target, lastEventId, abort, (isNewConnection) => {
+        running.wasSent = true;
+        running.isNewConnection = isNewConnection;
+        if (isPeer(target)) return;
+        if (isNewConnection) destinations.addConnection(this.getNow(), target);
         this._sentCount += 1;
-        this._sentAttempts.push({ target, startedAt });
       });
-      this.dependencies.pool.addActivity(this.getNow(), target.id);
-      return { target, incoming, startedAt, end, abort };
+      this.addActivity(target, running.isNewConnection);
+      const relayed = isPeer(target) ? this._readRelayedAnswer(target, incoming) : undefined;
+      return {
+        target,
+        incoming,
+        startedAt,
+        isFramed: relayed?.isFramed ?? isFramed(incoming),
+        relayed,
+        end,
+        abort,
+      };
     } catch (cause) {
       end();
       this._runningAttempts.delete(abort);
-      const failure = this._createFailure(cause, wasSent, abort);
-      this._addFailure(target, failure, startedAt);
+      const failure = this._createFailure(cause, running.wasSent, abort);
+      this._addFailure(running, failure);
       return failure;
     }
   }
@@ -326,20 +412,29 @@
     attempt.end();
     this._runningAttempts.delete(attempt.abort);
     attempt.abort.abort();
-    this._addFailure(attempt.target, failure, attempt.startedAt);
+    const { target, startedAt } = attempt;
+    // Its connection has carried an answer.
+    this._addFailure({ target, startedAt, wasSent: true, isNewConnection: false }, failure);
   }
 
   /** Records that an attempt completed successfully. */
   addSuccessfulAttempt(attempt: AnsweringAttempt): void {
     attempt.end();
     this._runningAttempts.delete(attempt.abort);
+    if (isPeer(attempt.target)) this._relayedTo = attempt.target.address;
     this.dependencies.pool.addSuccess(attempt.target.id);
     this.dependencies.crashMonitor.addSuccess(this.getNow(), () => this.digest);
   }
 
+  /** Records a refusal by the entry to which the request was relayed; no further attempt is made. */
+  setPeerRefusal(refusal: GatewayRefusal): void {
+    this._peerRefusal = refusal;
+  }
+
   /** Creates the refusal for the caller after all attempts have failed. */
   createRefusal(): GatewayRefusal {
     const last = this.failures.at(-1);
+    if (this._peerRefusal !== undefined && !this._mayHaveRun) return this._peerRefusal;
     if (this._mayHaveRun) {
       const isExpired = this.getRemainingMs() <= MIN_REMAINING_MS;
       return createOutcomeUnknownRefusal(
@@ -359,6 +454,7 @@
 
   private _getDenial(): RetryDenial | undefined {
     if (this.isCancelled) return "over";
+    if (this._peerRefusal !== undefined) return "refused";
     if (!this.hasAttemptsLeft()) return "noAttempt";
     // A suspected request may run only once.
     if (this._mayHaveRun && (this._isTrial || !mayRepeat(this.request.route))) return "runsOnce";
@@ -375,7 +471,7 @@
   }
 
   private _abortAll(): void {
-    for (const abort of this._runningAttempts) abort.abort();
+    for (const abort of this._runningAttempts.keys()) abort.abort();
   }
 
   /**
@@ -384,25 +480,52 @@
   private _reportSuspicion(now: number, target: Target): void {
     if (this._suspectedTargetIds.has(target.id)) return;
     this._suspectedTargetIds.add(target.id);
+    if (isPeer(target)) {
+      this.dependencies.destinations.addPeerFailure(now, target);
+      return;
+    }
     this.dependencies.pool.addFailure(now, target.id);
-    this.dependencies.onSuspicion(target, false);
+    const running = [...this._runningAttempts.values()].find((attempt) => attempt.target === target);
+    if (running !== undefined) this._addLinkFailure(now, running);
+    this._suspect(target, false);
+  }
+
+  /** Reports a suspicion, unless this entry's links are the likelier cause. */
+  private _suspect(target: Target, isUnreachable: boolean): void {
+    const { destinations, onSuspicion } = this.dependencies;
+    if (destinations.getState(target.service) === "sound") onSuspicion(target, isUnreachable);
+  }
+
+  private _addLinkFailure(
+    now: number,
+    { target, startedAt, wasSent, isNewConnection }: RunningAttempt,
+  ): void {
+    const { pool, destinations } = this.dependencies;
+    destinations.addFailure(now, {
+      target,
+      since: Math.max(startedAt, pool.getLastActivityAt(target.id)),
+      sentRequestId: wasSent ? this.request.call.requestId : undefined,
+      isNewConnection,
+    });
   }
 
   private _sendRequest(
     target: Target,
     lastEventId: string | undefined,
     abort: AbortController,
-    beforeSend: () => void,
+    beforeSend: (isNewConnection: boolean) => void,
   ): Promise<IncomingMessage> {
     const { request, dependencies } = this;
     const leftMs = this.getRemainingMs();
-    const headers = dependencies.dialect.createHeaders(request.headers, {
-      leftMs,
-      instanceId: target.instanceId,
-      organisation: request.organisation,
-      lastEventId,
-      canMeetObjective: this._canMeetObjective(lastEventId),
-    });
+    const headers = isPeer(target)
+      ? this._createRelayHeaders(lastEventId)
+      : dependencies.dialect.createHeaders(request.headers, {
+          leftMs,
+          instanceId: target.instanceId,
+          organisation: request.organisation,
+          lastEventId,
+          canMeetObjective: this._canMeetObjective(lastEventId),
+        });
     const hasBody = request.body.length > 0 || !isBodyless(request.method);
     if (hasBody) headers.push("Content-Length", String(request.body.length));
     return dependencies.client.send({
@@ -418,6 +541,37 @@
     });
   }
 
+  /** Creates the headers of a relayed request: those of the caller and the state of this exchange. */
+  private _createRelayHeaders(lastEventId: string | undefined): string[] {
+    const { headers, firstRequestedAt, route } = this.request;
+    const relayed = formatRelay({
+      leftMs: this.getRemainingMs(),
+      ageMs: this.getNow() - firstRequestedAt,
+      attempts: route.maxAttempts - this._sentCount,
+      ...(lastEventId === undefined ? {} : { lastEventId }),
+      isCounted: this._isCounted,
+    });
+    const { secret } = this.dependencies;
+    const secretHeaders = secret === undefined ? [] : [RELAY_SECRET_HEADER, secret];
+    return [...headers, RELAY_REQUEST_HEADER, relayed, ...secretHeaders];
+  }
+
+  /**
+   * Reads how a peer answered, and adds the attempts that it made.
+   * @throws InvalidRelay
+   */
+  private _readRelayedAnswer({ id }: Target, incoming: IncomingMessage): RelayedAnswer {
+    try {
+      const relayed = readRelayedAnswer(incoming.headers);
+      this._answeredPeerIds.add(id);
+      this._sentCount += relayed.sent;
+      return relayed;
+    } catch (cause) {
+      incoming.destroy();
+      throw cause;
+    }
+  }
+
   /**
    * Checks whether the request can still meet its objective. Always true for a resumed stream: the objective
    * for the first event no longer applies, only the one for the time between events.
@@ -437,7 +591,8 @@
     };
   }
 
-  private _addFailure(target: Target, failure: AttemptFailure, startedAt: number): void {
+  private _addFailure(running: RunningAttempt, failure: AttemptFailure): void {
+    const { target, startedAt } = running;
     const now = this.getNow();
     if (!failure.wasNotRun) this._mayHaveRun = true;
     this.failures.push({
@@ -452,12 +607,26 @@
     });
     // An attempt that this entry aborts is no evidence against the endpoint.
     if (this.isCancelled || this._isWithdrawn || failure.wasAbandoned === true) return;
+    if (isPeer(target)) {
+      this._addPeerFailure(now, target, failure);
+      return;
+    }
     this.dependencies.pool.addFailure(now, target.id);
-    this.dependencies.onSuspicion(target, !failure.wasSent);
+    // An endpoint that refuses or fails a request is reached.
+    if (failure.wasAnswered !== true) this._addLinkFailure(now, running);
+    this._suspect(target, !failure.wasSent);
     if (failure.wasEndedByEndpoint === true && failure.wasSent)
       this._addBrokenAttempt(target, startedAt, now, failure.answeredAt);
   }
 
+  /** A peer that sent no head may have sent the request to an endpoint. */
+  private _addPeerFailure(now: number, target: Target, failure: AttemptFailure): void {
+    const hasHead = this._answeredPeerIds.has(target.id);
+    if (failure.wasSent && !hasHead) this._sentCount += 1;
+    const hasRefusedOnce = failure.wasNotRun && this._peerRefusal === undefined;
+    if (!hasHead || hasRefusedOnce) this.dependencies.destinations.addPeerFailure(now, target);
+  }
+
   private _addBrokenAttempt(
     target: Target,
     startedAt: number,
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -7,12 +7,13 @@
  */
 import { randomBytes } from "node:crypto";
 import { createServer } from "node:http";
+import { create } from "@bufbuild/protobuf";
 import { Effect, type Scope } from "effect";
-import { EventLoopLag, getProcessorMs, getSuspensionClock, pause, SystemClock } from "../clock";
+import { type Clock, EventLoopLag, getProcessorMs, getSuspensionClock, pause, SystemClock } from "../clock";
 import { SeededRandom } from "../consensus";
 import { CrashLedger } from "../containment";
 import { type DeclarationFormat, RouteTable, unpackDocument } from "../declaration";
-import type { ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
+import { EntryEndpointSchema, type ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
 import { HttpClient, listen, splitAddress } from "../http";
 import type { Logger, Metrics } from "../metrics";
 import { SuspensionMonitor } from "../process";
@@ -29,7 +30,9 @@
 import { AnswerBuffers } from "./AnswerBuffers";
 import { CrashMonitor } from "./CrashMonitor";
 import type { Dialect } from "./Dialect";
+import { EntryLinks } from "./EntryLinks";
 import { GatewayServer } from "./GatewayServer";
+import { RelayServer } from "./RelayServer";
 import { StreamGate } from "./StreamGate";
 import { TargetPool } from "./TargetPool";
 
@@ -81,8 +84,9 @@
     const parts = createParts(options);
     yield* Effect.addFinalizer(() => Effect.sync(() => parts.client.close()));
     yield* Effect.addFinalizer(() => Effect.sync(() => parts.lag.stop()));
+    yield* Effect.addFinalizer(() => Effect.sync(() => parts.links.stop()));
     yield* Effect.acquireRelease(
-      Effect.tryPromise({ try: () => parts.server.start(), catch: (cause) => cause }),
+      Effect.tryPromise({ try: () => startServers(parts), catch: (cause) => cause }),
       () => Effect.promise(() => stopGracefully(options, parts)),
     );
     yield* serveReadiness(options, parts);
@@ -108,9 +112,23 @@
   const { gateway, process } = live.current;
   const clock = new SystemClock();
   const random = new SeededRandom(randomBytes(4).readInt32LE());
-  const client = new HttpClient(ENDPOINT_IDLE_TIMEOUT_MS);
+  const client = new HttpClient({
+    keepAliveMs: ENDPOINT_IDLE_TIMEOUT_MS,
+    sourceAddress: gateway.sourceAddress,
+  });
   const view = new FollowedView();
   const pool = new TargetPool(random);
+  const lag = new EventLoopLag(clock);
+  const links = new EntryLinks({
+    clock,
+    random,
+    pool,
+    client,
+    logger,
+    metrics,
+    getLagMs: () => lag.getWorstMs(),
+    reportLoss: () => watcher.reportEntry(),
+  });
   const budget = new SharedRetryBudget(() => getRetryBound(live.current));
   const getEntryCount = () => Math.max(1, view.entryCount);
   let routes: RouteTable | undefined;
@@ -119,6 +137,7 @@
     ledger,
     logger,
     metrics,
+    probe: (address) => client.probe(address),
     onChange: () => {
       reporter.sendSoon();
       server.withdrawConfirmedCauses();
@@ -131,6 +150,7 @@
     }
     const targets = view.getTargets();
     pool.setTargets(targets);
+    links.setPeers(view.getPeers());
     updateRoutes();
   };
   const updateRoutes = () => {
@@ -151,6 +171,8 @@
       client,
       dialect,
       pool,
+      destinations: links.destinations,
+      secret,
       crashMonitor,
       buffers: new AnswerBuffers(MAX_BUFFERED_ANSWER_BYTES),
       gate: new StreamGate(clock, (service, model) =>
@@ -175,11 +197,13 @@
   const watcherId = `${process.name}.${randomBytes(6).toString("hex")}`;
   const watcher = new ViewWatcher({
     watcherId,
-    entry: {
-      $typeName: "ploverstage.v1.EntryEndpoint",
-      address: gateway.listen,
-      failureDomain: process.failureDomain,
-    },
+    getEntry: () =>
+      create(EntryEndpointSchema, {
+        address: gateway.listen,
+        failureDomain: process.failureDomain,
+        peerAddress: gateway.peerListen ?? "",
+        lostServices: [...links.lostServices],
+      }),
     getSeeds: () => getControlAddresses(live.current),
     // Spreads the entries over the control processes.
     orderCandidates: (addresses) => orderByAffinity(watcherId, addresses),
@@ -208,9 +232,11 @@
   });
   return {
     clock,
-    lag: new EventLoopLag(clock),
+    lag,
+    links,
     client,
     server,
+    relayServer: createRelayServer(gateway.peerListen, { clock, logger, secret, server }),
     watcher,
     reporter,
     suspensions,
@@ -218,6 +244,28 @@
   };
 }
 
+interface RelayParts {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly secret: string | undefined;
+  readonly server: GatewayServer;
+}
+
+/** Creates the server for requests that other entries relay; `undefined` without an address for it. */
+function createRelayServer(
+  address: string | undefined,
+  { clock, logger, secret, server }: RelayParts,
+): RelayServer | undefined {
+  if (address === undefined) return undefined;
+  return new RelayServer({
+    listen: address,
+    clock,
+    logger,
+    secret,
+    handle: (incoming, response, relayed) => server.handleRelayed(incoming, response, relayed),
+  });
+}
+
 /**
  * Gets the initial window of an entry: a fraction of its share of the requests that the endpoints run
  * concurrently.
@@ -226,6 +274,11 @@
   return (pool.getSlots(service, model) / entries) * INITIAL_WINDOW_SHARE;
 }
 
+async function startServers({ server, relayServer }: Parts): Promise<void> {
+  await relayServer?.start();
+  await server.start();
+}
+
 type Parts = ReturnType<typeof createParts>;
 
 function getControlAddresses({ gateway }: GatewaySettings): string[] {
@@ -256,6 +309,7 @@
     late_ms: Math.round(lateMs),
   });
   parts.server.announceStop();
+  parts.relayServer?.announceStop();
   await parts.watcher.announceStop();
   await pause(getRemainingMs(ACCEPTING_SHARE));
   parts.server.refuseAll();
@@ -264,6 +318,7 @@
   await Promise.race([ended, pause(getRemainingMs(ENDING_SHARE))]);
   const { requestCount: requests, connectionCount: connections } = parts.server;
   parts.server.stop();
+  parts.relayServer?.stop();
   // Connections that are still open now are closed.
   logger.info({ event: "gateway_stopped", requests, connections });
 }
--- a/src/gateway/GatewayRefusal.ts
+++ b/src/gateway/GatewayRefusal.ts
@@ -1,6 +1,7 @@
 /** Refusals with which the gateway itself ends a request. */
 import { Data } from "effect";
 import { BLOCK_MS, TRIAL_DELAY_MS } from "../containment";
+import type { RelayedAnswer } from "./relay";
 
 /** Refusal codes, as written to logs and answers. */
 export type GatewayRefusalCode =
@@ -20,6 +21,10 @@
   | "time_over"
   | "caller_gone";
 
+/** Refusals that another entry would repeat. */
+const FINAL_CODES: readonly GatewayRefusalCode[] = ["kept_away", "overloaded"];
+const MIN_SERVER_ERROR_STATUS = 500;
+
 /** A refusal that the gateway sends to a caller. */
 export class GatewayRefusal extends Data.TaggedError("GatewayRefusal")<{
   readonly status: number;
@@ -42,6 +47,26 @@
   return new GatewayRefusal({ status: 503, code, reason, retryAfterMs });
 }
 
+/** Creates the refusal with which another entry finally refused a relayed request. */
+export function createPeerRefusal(
+  status: number,
+  { code, reason, retryAfterMs }: RelayedAnswer,
+): GatewayRefusal {
+  return new GatewayRefusal({
+    status,
+    code: FINAL_CODES.find((known) => known === code) ?? "endpoint_refused",
+    reason: reason ?? "",
+    retryAfterMs,
+  });
+}
+
+/** Gets how a refusal is described to the entry that relayed the request. */
+export function getRelayOutcome({ code, retryAfterMs, status }: GatewayRefusal): RelayedAnswer["outcome"] {
+  if (FINAL_CODES.includes(code)) return "refused";
+  const mayHaveRun = retryAfterMs === undefined && status >= MIN_SERVER_ERROR_STATUS;
+  return mayHaveRun ? "unknown" : "notRun";
+}
+
 /** Creates the refusal of a blocked request, which did not run; it may be retried once the block ends. */
 export function createBlockedRefusal(isConfirmedCause: boolean): GatewayRefusal {
   const reason =
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -11,10 +11,17 @@
 import type { CallMetadata } from "./Dialect";
 import { delimitByClose } from "./delimitByClose";
 import { Exchange, type ExchangeDependencies, type ExchangeRequest } from "./Exchange";
-import { createNotRunRefusal, GatewayRefusal } from "./GatewayRefusal";
+import { createNotRunRefusal, GatewayRefusal, getRelayOutcome } from "./GatewayRefusal";
 import { dropHeaders, getEndToEndHeaders } from "./headers";
 import { PlainExchange } from "./PlainExchange";
 import type { CompleteAnswer } from "./PlainSource";
+import {
+  createRelayAnswerHeaders,
+  formatRelay,
+  RELAY_ANSWER_HEADER,
+  type RelayedRequest,
+  toHeaderText,
+} from "./relay";
 import { getFirstViewRetryAfterMs } from "./retryAfter";
 import { StreamExchange } from "./StreamExchange";
 
@@ -57,6 +64,8 @@
 /** State of a partially processed request. */
 interface RequestProgress {
   readonly receivedAt: number;
+  /** `undefined` for a request that came from its caller. */
+  readonly relayed: RelayedRequest | undefined;
   call: CallMetadata | undefined;
   route: Route | undefined;
   exchange: Exchange | undefined;
@@ -193,10 +202,24 @@
     if (this._requestCount === 0) this._onIdle();
   }
 
-  private async _handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+  /** Runs a request that another entry relayed. */
+  async handleRelayed(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    relayed: RelayedRequest,
+  ): Promise<void> {
+    await this._handle(incoming, response, relayed);
+  }
+
+  private async _handle(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    relayed?: RelayedRequest,
+  ): Promise<void> {
     this._requestCount += 1;
     const progress: RequestProgress = {
       receivedAt: this._options.clock.getMonotonicMs(),
+      relayed,
       call: undefined,
       route: undefined,
       exchange: undefined,
@@ -221,7 +244,7 @@
     if (response.destroyed) return;
     const exchange = new Exchange(request, this._options.dependencies);
     progress.exchange = exchange;
-    this._options.onRequest();
+    this._countRequest(exchange, progress);
     // Checked before the request waits for capacity: a blocked request must not run at any endpoint.
     if (!exchange.admit()) throw exchange.createRefusal();
     response.once("close", () => {
@@ -239,8 +262,16 @@
     }
   }
 
+  /** Counts a request once for the retry budget: at the entry that first sends it to an endpoint. */
+  private _countRequest(exchange: Exchange, { relayed }: RequestProgress): void {
+    if (relayed?.isCounted !== true && exchange.willRelay) return;
+    if (relayed?.isCounted !== true) this._options.onRequest();
+    exchange.setCounted();
+  }
+
   private async _accept(incoming: IncomingMessage, progress: RequestProgress): Promise<ExchangeRequest> {
-    const call = this._options.dependencies.dialect.readCall(incoming.headers);
+    const { relayed, receivedAt } = progress;
+    const call = this._readCall(incoming, relayed);
     progress.call = call;
     const routes = this._options.getRoutes();
     if (routes === undefined) {
@@ -251,7 +282,7 @@
         call,
       );
     }
-    if (this._refusesRequests)
+    if (this._refusesRequests || (relayed !== undefined && this._isStopping))
       throw createNotRunRefusal("stopping", "this entry is stopping", STOPPING_RETRY_MS);
     const route = routes.getRoute(incoming.headers.host ?? "", incoming.url ?? "");
     if (route === undefined) {
@@ -275,11 +306,12 @@
       );
     }
     const body = await this._readBody(incoming, routes.declaration.limits.bodyBytes);
-    const { receivedAt } = progress;
     const timeoutMs = call.waitMs ?? route.timeoutMs;
+    const ageMs = relayed?.ageMs ?? this._callerTimeouts.addTimeout(receivedAt, route.name, timeoutMs);
     return {
       call,
-      route,
+      // The relaying entry may have sent the request to endpoints before.
+      route: relayed === undefined ? route : { ...route, maxAttempts: relayed.attempts },
       service: this._chooseService(route),
       organisation: organisation?.name,
       method: incoming.method ?? "GET",
@@ -287,11 +319,19 @@
       headers: dropHeaders(getEndToEndHeaders(incoming.rawHeaders), FRAMING_HEADERS),
       body,
       receivedAt,
-      firstRequestedAt: receivedAt - this._callerTimeouts.addTimeout(receivedAt, route.name, timeoutMs),
+      firstRequestedAt: receivedAt - ageMs,
       deadlineAt: receivedAt + Math.min(route.timeoutMs, timeoutMs),
+      isRelayed: relayed !== undefined,
     };
   }
 
+  /** Reads what the caller sent; the time left and the last event of a relayed request are those now. */
+  private _readCall(incoming: IncomingMessage, relayed: RelayedRequest | undefined): CallMetadata {
+    const call = this._options.dependencies.dialect.readCall(incoming.headers);
+    if (relayed === undefined) return call;
+    return { ...call, waitMs: relayed.leftMs, lastEventId: relayed.lastEventId };
+  }
+
   /**
    * Creates the refusal of a request that the declaration does not allow. The refusal is only final when the
    * declaration is confirmed. A declaration that was recovered after a start, or that no control process
@@ -383,8 +423,11 @@
   private _sendAnswer(response: ServerResponse, progress: RequestProgress, answer: CompleteAnswer): void {
     if (response.headersSent || response.destroyed) return;
     const headers = dropHeaders(getEndToEndHeaders(answer.headers), FRAMING_HEADERS);
-    if (answer.isFramed) headers.push("Content-Length", String(answer.body.length));
+    const { exchange, relayed } = progress;
+    if (answer.isFramed || relayed !== undefined) headers.push("Content-Length", String(answer.body.length));
     else delimitByClose(response);
+    if (relayed !== undefined)
+      headers.push(...createRelayAnswerHeaders(exchange?.sentCount ?? 0, answer.isFramed));
     response.writeHead(answer.status, headers);
     response.end(answer.body);
     this._log(progress, "done", { status: answer.status });
@@ -411,7 +454,11 @@
     if (response.writableEnded) return;
     const isDisconnected = response.destroyed;
     if (response.headersSent) response.destroy();
-    else if (!isDisconnected) writeRefusal(response, refusal);
+    else if (!isDisconnected) {
+      if (progress.relayed !== undefined)
+        addRelayOutcome(response, refusal, progress.exchange?.sentCount ?? 0);
+      writeRefusal(response, refusal);
+    }
     const code = isDisconnected ? "caller_gone" : refusal.code;
     this._log(progress, "refused", { status: refusal.status, reason: refusal.reason }, code);
   }
@@ -431,6 +478,7 @@
     const publishedView = this._options.getPublishedView();
     metrics.increment("gateway_requests", 1, { kind, outcome, code });
     metrics.timing("gateway_answer_ms", tookMs, { kind });
+    if (exchange?.relayedTo !== undefined) metrics.increment("gateway_relayed", 1, { kind, outcome });
     if (exchange !== undefined) this._countAttempts(exchange, kind);
     this._options.logger.info({
       event: "request_ended",
@@ -451,6 +499,8 @@
       code,
       took_ms: tookMs,
       sent: exchange?.sentCount ?? 0,
+      relayed: progress.relayed === undefined ? undefined : true,
+      relayed_to: exchange?.relayedTo,
       failures: exchange?.failures,
       not_repeated: exchange?.denial,
       // Shows whether two failed calls were the same request.
@@ -498,6 +548,17 @@
   return createFinalRefusal(502, "answer_lost", String(cause));
 }
 
+/** Tells the entry that relayed a request how it was refused. */
+function addRelayOutcome(response: ServerResponse, refusal: GatewayRefusal, sent: number): void {
+  const { code, reason, retryAfterMs } = refusal;
+  const outcome = getRelayOutcome(refusal);
+  const answer = { outcome, sent, isFramed: true, code, reason: toHeaderText(reason) };
+  response.setHeader(
+    RELAY_ANSWER_HEADER,
+    formatRelay(retryAfterMs === undefined ? answer : { ...answer, retryAfterMs }),
+  );
+}
+
 function writeRefusal(response: ServerResponse, refusal: GatewayRefusal): void {
   const body = JSON.stringify({ error: { code: refusal.code, message: refusal.reason } });
   response.setHeader("Content-Type", "application/json");
--- a/src/gateway/PlainSource.ts
+++ b/src/gateway/PlainSource.ts
@@ -13,7 +13,6 @@
 import type { AnswerSource } from "./AttemptRace";
 import { checkAnswer } from "./checkAnswer";
 import type { Exchange } from "./Exchange";
-import { isFramed } from "./headers";
 import { mayRepeat } from "./timeouts";
 
 /** A complete answer. */
@@ -55,7 +54,7 @@
     const { call } = exchange.request;
     const attempt = await exchange.send(this.target, call.lastEventId, this._abort);
     if (!isAnswering(attempt)) return undefined;
-    const failure = checkAnswer(exchange, attempt.incoming);
+    const failure = checkAnswer(exchange, attempt);
     if (failure !== undefined) {
       exchange.addFailedAttempt(attempt, failure);
       return undefined;
@@ -80,7 +79,7 @@
         status: incoming.statusCode ?? 0,
         headers: incoming.rawHeaders,
         body,
-        isFramed: isFramed(incoming),
+        isFramed: attempt.isFramed,
       };
     } catch (cause) {
       this._exchange.addFailedAttempt(attempt, {
--- a/src/gateway/StreamExchange.ts
+++ b/src/gateway/StreamExchange.ts
@@ -5,12 +5,14 @@
  * or stalls is resumed at another endpoint after the last event that was passed on, within the same answer.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AnsweringAttempt } from "./Attempt";
 import type { AttemptRace } from "./AttemptRace";
 import { createRace } from "./createRace";
 import { delimitByClose } from "./delimitByClose";
 import type { StreamEvent } from "./EventSplitter";
 import type { Exchange } from "./Exchange";
-import { getEndToEndHeaders, isFramed } from "./headers";
+import { getEndToEndHeaders } from "./headers";
+import { createRelayAnswerHeaders } from "./relay";
 import type { StreamAdmission } from "./StreamGate";
 import { type StreamPart, type StreamProgress, StreamSource } from "./StreamSource";
 import { getAnswerTimeoutMs, getGapTimeoutMs } from "./timeouts";
@@ -78,8 +80,8 @@
     });
     try {
       for (let part = await race.next(); part !== undefined; part = await race.next()) {
-        for (const event of part.events) await this._passOn(part.incoming, event);
-        if (part.isEnd) return await this._complete(part.incoming);
+        for (const event of part.events) await this._passOn(part.attempt, event);
+        if (part.isEnd) return await this._complete(part.attempt);
       }
     } finally {
       race.close();
@@ -104,14 +106,14 @@
     return this._eventCount === 0 ? getAnswerTimeoutMs(route) : getGapTimeoutMs(route);
   }
 
-  private async _complete(incoming: IncomingMessage): Promise<StreamResult> {
-    this._writeHead(incoming);
+  private async _complete(attempt: AnsweringAttempt): Promise<StreamResult> {
+    this._writeHead(attempt);
     await new Promise<void>((resolve) => this._response.end(resolve));
     return this.getResult(true);
   }
 
-  private async _passOn(incoming: IncomingMessage, { bytes, id }: StreamEvent): Promise<void> {
-    this._writeHead(incoming);
+  private async _passOn(attempt: AnsweringAttempt, { bytes, id }: StreamEvent): Promise<void> {
+    this._writeHead(attempt);
     this._addEvent();
     if (id !== undefined) this._lastEventId = id;
     const response = this._response;
@@ -122,13 +124,13 @@
     });
   }
 
-  private _writeHead(incoming: IncomingMessage): void {
+  private _writeHead({ incoming, isFramed }: AnsweringAttempt): void {
     if (this._response.headersSent) return;
-    if (!isFramed(incoming)) {
-      delimitByClose(this._response);
-      this._isCloseDelimited = true;
-    }
-    this._response.writeHead(incoming.statusCode ?? 0, getStreamHeaders(incoming));
+    this._isCloseDelimited = !isFramed;
+    const { request, sentCount } = this._exchange;
+    const relayHeaders = request.isRelayed ? createRelayAnswerHeaders(sentCount, isFramed) : [];
+    if (!isFramed && !request.isRelayed) delimitByClose(this._response);
+    this._response.writeHead(incoming.statusCode ?? 0, [...getStreamHeaders(incoming), ...relayHeaders]);
   }
 
   private _addEvent(): void {
--- a/src/gateway/StreamSource.ts
+++ b/src/gateway/StreamSource.ts
@@ -2,7 +2,6 @@
  * One attempt whose answer is a stream. Its parts are the events completed by each chunk that arrives, then
  * the end of the stream.
  */
-import type { IncomingMessage } from "node:http";
 import { LostAnswer } from "../errors";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
 import {
@@ -20,12 +19,11 @@
 import { checkAnswer } from "./checkAnswer";
 import { EventSplitter, type StreamEvent } from "./EventSplitter";
 import type { Exchange } from "./Exchange";
-import { isFramed } from "./headers";
 import { mayRepeat } from "./timeouts";
 
 /** A part of a stream. */
 export interface StreamPart {
-  readonly incoming: IncomingMessage;
+  readonly attempt: AnsweringAttempt;
   readonly events: readonly StreamEvent[];
   readonly isEnd: boolean;
 }
@@ -109,14 +107,14 @@
    * Gets why an answer can't be used. An error status is passed on only when no stream has been sent to the
    * caller and no other attempt may succeed.
    */
-  private _check({ incoming }: AnsweringAttempt): AttemptFailure | undefined {
-    const failure = checkAnswer(this._exchange, incoming);
-    const status = incoming.statusCode ?? 0;
+  private _check(attempt: AnsweringAttempt): AttemptFailure | undefined {
+    const failure = checkAnswer(this._exchange, attempt);
+    const status = attempt.incoming.statusCode ?? 0;
     if (failure !== undefined || status < MIN_FAILURE_STATUS) return failure;
     const { hasSentHead, hasHedge } = this._getProgress();
     const canRepeat = mayRepeat(this._exchange.request.route) && this._exchange.hasAttemptsLeft();
     if (!hasSentHead && !hasHedge && !canRepeat) return undefined;
-    return { reason: `endpoint answered ${status}`, wasNotRun: false, wasSent: true };
+    return { reason: `endpoint answered ${status}`, wasNotRun: false, wasSent: true, wasAnswered: true };
   }
 
   private async _read(attempt: AnsweringAttempt): Promise<StreamPart> {
@@ -126,14 +124,15 @@
       const { done, value } = await this._chunks!.next();
       if (done === true) return this._complete(attempt);
       const events = this._addChunk(value);
-      if (events.length > 0) return { incoming: attempt.incoming, events, isEnd: false };
+      if (events.length > 0) return { attempt, events, isEnd: false };
     }
   }
 
   private _addChunk(chunk: Buffer): StreamEvent[] {
     const now = this._exchange.getNow();
     this._answeredAt ??= now;
-    this._exchange.dependencies.pool.addActivity(now, this.target.id);
+    // The head has recorded that its connection carries answers.
+    this._exchange.addActivity(this.target, false);
     const events = this._splitter.addBytes(chunk);
     this._enforceLimits(this._splitter.remainderLength);
     if (events.length > 0) this._addActivity(now);
@@ -160,12 +159,12 @@
   }
 
   private _complete(attempt: AnsweringAttempt): StreamPart {
-    const { incoming } = attempt;
+    const { isFramed } = attempt;
     const remainder = this._splitter.takeRemainder();
     const { hasSentHead, isCloseDelimited } = this._getProgress();
-    const canEnd = isFramed(incoming) || isCloseDelimited || !hasSentHead;
+    const canEnd = isFramed || isCloseDelimited || !hasSentHead;
     // A close-delimited answer may have been cut, which looks the same as its end.
-    if (!canEnd || (remainder.length > 0 && !isFramed(incoming))) {
+    if (!canEnd || (remainder.length > 0 && !isFramed)) {
       throw new LostAnswer({
         address: this.target.address,
         reason: "connection closed without marking the end of the answer",
@@ -174,7 +173,7 @@
     this._close();
     this._exchange.addSuccessfulAttempt(attempt);
     return {
-      incoming,
+      attempt,
       events: remainder.length > 0 ? [{ bytes: remainder, id: undefined }] : [],
       isEnd: true,
     };
--- a/src/gateway/TargetPool.ts
+++ b/src/gateway/TargetPool.ts
@@ -14,6 +14,8 @@
   readonly model: string;
   /** Ids of the targets that the request has already been sent to. */
   readonly excluded: ReadonlySet<string>;
+  /** Checks whether a target may be used; every target may be by default. */
+  readonly isUsable?: (target: Target) => boolean;
 }
 
 interface TargetState {
@@ -69,10 +71,20 @@
     return this._targets.get(id)?.inFlight ?? 0;
   }
 
+  /** Gets all targets. */
+  getTargets(): Target[] {
+    return [...this._targets.values()].map(({ target }) => target);
+  }
+
+  /** Gets the number of failure domains that have targets of a service. */
+  countDomains(service: string): number {
+    const targets = this.getTargets().filter((target) => target.service === service);
+    return new Set(targets.map(({ failureDomain }) => failureDomain)).size;
+  }
+
   /** Gets how many requests the targets of a service and model can run concurrently. */
   getSlots(service: string, model: string): number {
-    const targets = [...this._targets.values()].map((state) => state.target);
-    return targets
+    return this.getTargets()
       .filter((target) => target.service === service && target.model === model)
       .reduce((sum, target) => sum + target.slots, 0);
   }
@@ -177,6 +189,7 @@
   };
 }
 
-function isMatch(target: Target, { service, model, excluded }: TargetRequest): boolean {
-  return target.service === service && target.model === model && !excluded.has(target.id);
+function isMatch(target: Target, { service, model, excluded, isUsable }: TargetRequest): boolean {
+  if (target.service !== service || target.model !== model || excluded.has(target.id)) return false;
+  return isUsable === undefined || isUsable(target);
 }
--- a/src/gateway/checkAnswer.ts
+++ b/src/gateway/checkAnswer.ts
@@ -1,23 +1,38 @@
 /** Decides from the head of an answer whether it may be passed on. */
-import type { IncomingMessage } from "node:http";
-import type { AttemptFailure } from "./Attempt";
+import type { AnsweringAttempt, AttemptFailure } from "./Attempt";
 import type { Exchange } from "./Exchange";
+import { createPeerRefusal } from "./GatewayRefusal";
+import type { RelayedAnswer } from "./relay";
 
 /** Gets why an answer may not be passed on; `undefined` when it may. */
 export function checkAnswer(
-  { dependencies, request }: Exchange,
-  incoming: IncomingMessage,
+  exchange: Exchange,
+  { incoming, relayed }: AnsweringAttempt,
 ): AttemptFailure | undefined {
+  const { dependencies, request } = exchange;
   const status = incoming.statusCode ?? 0;
+  if (relayed !== undefined) return checkRelayedAnswer(exchange, status, relayed);
   const answer = dependencies.dialect.readAnswer(request.call, { status, headers: incoming.headers });
-  if (!answer.matchesRequest)
-    return { reason: "answer belongs to another request", wasNotRun: false, wasSent: true };
-  if (answer.wasNotRun)
-    return { reason: `endpoint refused the request with ${status}`, wasNotRun: true, wasSent: true };
+  if (!answer.matchesRequest) return createFailure("answer belongs to another request", false);
+  if (answer.wasNotRun) return createFailure(`endpoint refused the request with ${status}`, true);
   if (answer.isGenuine) return undefined;
-  return {
-    reason: `answer with status ${status} lacks the headers of an endpoint`,
-    wasNotRun: false,
-    wasSent: true,
-  };
+  return createFailure(`answer with status ${status} lacks the headers of an endpoint`, false);
+}
+
+/** The peer has checked an endpoint's answer already. */
+function checkRelayedAnswer(
+  exchange: Exchange,
+  status: number,
+  relayed: RelayedAnswer,
+): AttemptFailure | undefined {
+  if (relayed.outcome === "answered") return undefined;
+  if (relayed.outcome === "refused") exchange.setPeerRefusal(createPeerRefusal(status, relayed));
+  return createFailure(
+    `another entry answered ${status}: ${relayed.reason ?? relayed.outcome}`,
+    relayed.outcome !== "unknown",
+  );
+}
+
+function createFailure(reason: string, wasNotRun: boolean): AttemptFailure {
+  return { reason, wasNotRun, wasSent: true, wasAnswered: true };
 }
--- a/src/gateway/headers.ts
+++ b/src/gateway/headers.ts
@@ -1,9 +1,10 @@
 /** Selects the headers that are passed on between callers and endpoints. */
 import type { IncomingMessage } from "node:http";
+import { RELAY_ANSWER_HEADER, RELAY_REQUEST_HEADER, RELAY_SECRET_HEADER } from "./relay";
 
 /**
- * Headers that apply to one connection only (RFC 9110, section 7.6.1), and framing headers, which the gateway
- * creates itself.
+ * Headers that apply to one connection only (RFC 9110, section 7.6.1), framing headers, which the gateway
+ * creates itself, and headers between entries.
  */
 const HOP_BY_HOP_HEADERS = new Set([
   "connection",
@@ -16,6 +17,9 @@
   "transfer-encoding",
   "upgrade",
   "expect",
+  RELAY_REQUEST_HEADER,
+  RELAY_ANSWER_HEADER,
+  RELAY_SECRET_HEADER,
 ]);
 
 /**
--- a/src/http/HttpClient.ts
+++ b/src/http/HttpClient.ts
@@ -6,6 +6,7 @@
   type IncomingMessage,
   request,
 } from "node:http";
+import { connect } from "node:net";
 import { LostAnswer, MalformedAnswer, UnreachableEndpoint } from "../errors";
 
 /** An HTTP request and its limits. */
@@ -32,12 +33,24 @@
    */
   readonly isFresh?: boolean;
   /**
-   * Called once connected, right before the first byte is sent. An exception ends the call without sending
-   * anything.
+   * Called once connected, right before the first byte is sent, with whether the connection is new. An
+   * exception ends the call without sending anything.
    */
-  readonly beforeSend?: () => void;
+  readonly beforeSend?: (isNewConnection: boolean) => void;
 }
 
+/** How an address responds to a connection. */
+export type ProbeOutcome = "accepted" | "refused" | "silent";
+
+export interface HttpClientOptions {
+  /** Time after which an idle connection is closed, in milliseconds. */
+  readonly keepAliveMs?: number;
+  /** Local IP address of the connections; chosen by the operating system by default. */
+  readonly sourceAddress?: string | undefined;
+}
+
+/** A connection within a region is established or refused within a few milliseconds. */
+const PROBE_TIMEOUT_MS = 300;
 /** Time after which an idle connection is closed, unless the server announces a shorter one. */
 const KEEP_ALIVE_MS = 4_000;
 const MAX_JSON_BYTES = 16_000_000;
@@ -50,9 +63,11 @@
 /** An HTTP client with its own connection pool. */
 export class HttpClient {
   private readonly _agent: Agent;
+  private readonly _sourceAddress: string | undefined;
 
-  /** @param keepAliveMs - Time after which an idle connection is closed, in milliseconds. */
-  constructor(keepAliveMs = KEEP_ALIVE_MS) {
+  /** @param options - Limits and the local address of the connections. */
+  constructor({ keepAliveMs = KEEP_ALIVE_MS, sourceAddress }: HttpClientOptions = {}) {
+    this._sourceAddress = sourceAddress;
     this._agent = new Agent({ keepAlive: true, timeout: keepAliveMs, scheduling: "lifo" });
   }
 
@@ -61,6 +76,30 @@
     this._agent.destroy();
   }
 
+  /** Checks whether an idle connection to an address is open. */
+  hasIdleConnection(address: string): boolean {
+    const { host, port } = splitAddress(address);
+    const name = this._agent.getName({ host, port, localAddress: this._sourceAddress });
+    return (this._agent.freeSockets[name] ?? []).length > 0;
+  }
+
+  /** Opens a connection to an address and closes it at once. */
+  probe(address: string): Promise<ProbeOutcome> {
+    const { host, port } = splitAddress(address);
+    return new Promise((resolve) => {
+      const socket = connect({ host, port, localAddress: this._sourceAddress, timeout: PROBE_TIMEOUT_MS });
+      const end = (outcome: ProbeOutcome) => {
+        socket.destroy();
+        resolve(outcome);
+      };
+      socket.once("connect", () => end("accepted"));
+      socket.once("timeout", () => end("silent"));
+      socket.once("error", (cause: NodeJS.ErrnoException) =>
+        end(cause.code === "ECONNREFUSED" ? "refused" : "silent"),
+      );
+    });
+  }
+
   /** Closes idle connections. After a suspension of this process, servers may already have closed them. */
   closeIdle(): void {
     for (const sockets of Object.values(this._agent.freeSockets)) {
@@ -109,6 +148,7 @@
     return request({
       host,
       port,
+      localAddress: this._sourceAddress,
       method: call.method,
       path: call.path,
       headers: call.headers as IncomingHttpHeaders | string[] | undefined,
@@ -162,7 +202,7 @@
     clearTimeout(this._timer);
     if (this._outgoing.destroyed) return;
     try {
-      this._call.beforeSend?.();
+      this._call.beforeSend?.(!this._outgoing.reusedSocket);
     } catch (cause) {
       this._beforeSendError = cause;
       this._outgoing.destroy();
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,6 +1,6 @@
 /** HTTP/1.1 client for endpoints and the platform, and a JSON server. */
 export { Connections } from "./Connections";
-export { type HttpCall, HttpClient, splitAddress } from "./HttpClient";
+export { type HttpCall, HttpClient, type ProbeOutcome, splitAddress } from "./HttpClient";
 export {
   createJson,
   type JsonAnswer,
--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -27,6 +27,8 @@
   | "gateway_left_attempts"
   | "gateway_crashes"
   | "gateway_kept_away"
+  | "gateway_links_lost"
+  | "gateway_relayed"
   | "instance_orders"
   | "replica_moves"
   | "leaderships"
--- a/src/registration/EntryRoster.ts
+++ b/src/registration/EntryRoster.ts
@@ -12,6 +12,9 @@
 const DISCONNECT_GRACE_MS = 300;
 
 interface WatchingEntry {
+  /** The endpoint with which its call began, which identifies the call. */
+  readonly call: EntryEndpoint;
+  /** The newest endpoint that it reported. */
   readonly endpoint: EntryEndpoint;
   /** When its call ended; `undefined` while the call is open. */
   readonly disconnectedAt: number | undefined;
@@ -29,14 +32,23 @@
 
   /** Adds an entry whose watch call has begun. */
   addEntry(id: string, endpoint: EntryEndpoint): void {
-    this._entries.set(id, { endpoint, disconnectedAt: undefined });
+    this._entries.set(id, { call: endpoint, endpoint, disconnectedAt: undefined });
+    this._revision += 1;
+  }
+
+  /** Replaces the endpoint of a watching entry. */
+  updateEntry(id: string, endpoint: EntryEndpoint): void {
+    const entry = this._entries.get(id);
+    if (entry === undefined) return;
+    this._entries.set(id, { ...entry, endpoint });
     this._revision += 1;
   }
 
   /** Records that an entry's call has ended, unless the entry has begun another one since. */
-  disconnectEntry(now: number, id: string, endpoint: EntryEndpoint): void {
-    if (this._entries.get(id)?.endpoint !== endpoint) return;
-    this._entries.set(id, { endpoint, disconnectedAt: now });
+  disconnectEntry(now: number, id: string, call: EntryEndpoint): void {
+    const entry = this._entries.get(id);
+    if (entry?.call !== call) return;
+    this._entries.set(id, { ...entry, disconnectedAt: now });
   }
 
   /** Removes an entry that stops, without waiting for the grace period. */
--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -125,7 +125,7 @@
     });
     this._watcher = new ViewWatcher({
       watcherId: driver.node.id,
-      entry: undefined,
+      getEntry: () => undefined,
       getSeeds,
       orderCandidates: () => this._getLeaderAddresses(),
       transports,
--- a/src/registration/FollowedView.ts
+++ b/src/registration/FollowedView.ts
@@ -19,6 +19,7 @@
   private readonly _targets = new Map<string, Target>();
   private _entries: readonly EntryEndpoint[] = [];
   private _entryCount = 0;
+  private _peers: readonly EntryEndpoint[] = [];
   private _controlAddresses: readonly string[] = [];
   private _declaration: Declaration | undefined;
   private readonly _crashes = new CrashTable(MAX_CRASH_RECORDS);
@@ -49,6 +50,11 @@
     return this._entries;
   }
 
+  /** Gets the entries to which an entry may relay requests; empty at a control process. */
+  getPeers(): readonly EntryEndpoint[] {
+    return this._peers;
+  }
+
   /** Gets the number of entries; an entry receives no more than this number. */
   get entryCount(): number {
     return this._entryCount;
@@ -89,6 +95,7 @@
     if (update.entries !== undefined || update.entryCount > 0) {
       this._entryCount = update.entries?.entries.length ?? update.entryCount;
     }
+    if (update.peers !== undefined) this._peers = update.peers.entries;
     if (update.controlAddresses.length > 0) this._controlAddresses = update.controlAddresses;
     return true;
   }
--- a/src/registration/Registrar.ts
+++ b/src/registration/Registrar.ts
@@ -206,11 +206,14 @@
   }
 
   /**
-   * Gets the entries that callers may use; without a current list, the last known entries.
+   * Gets the entries that callers may use; without a current list, the last known entries. Entries that do
+   * not reach the endpoints of some service are only returned when no other entry is left.
    * @param failureDomain - Failure domain of the caller; entries in it come first.
    */
   getEntries(failureDomain: string): readonly EntryEndpoint[] {
-    const entries = this._options.getEntries();
+    const all = this._options.getEntries();
+    const connected = all.filter(({ lostServices }) => lostServices.length === 0);
+    const entries = connected.length > 0 ? connected : all;
     const isInOtherDomain = (entry: EntryEndpoint) => Number(entry.failureDomain !== failureDomain);
     return [...entries].sort((a, b) => isInOtherDomain(a) - isInOtherDomain(b));
   }
--- a/src/registration/ViewHub.ts
+++ b/src/registration/ViewHub.ts
@@ -80,6 +80,12 @@
     };
   }
 
+  /** Replaces the endpoint of an entry that watches this process. */
+  updateEntry(id: string, entry: EntryEndpoint): void {
+    this.entries.updateEntry(id, entry);
+    this._options.onEntriesChanged();
+  }
+
   /** Removes an entry that is stopping from the roster. */
   removeEntry(id: string): void {
     this.entries.removeEntry(id);
--- a/src/registration/ViewWatcher.ts
+++ b/src/registration/ViewWatcher.ts
@@ -18,8 +18,8 @@
 
 export interface ViewWatcherOptions {
   readonly watcherId: string;
-  /** This entry's address for callers; `undefined` for a control process. */
-  readonly entry: EntryEndpoint | undefined;
+  /** Gets this entry's addresses and the state of its links; `undefined` for a control process. */
+  readonly getEntry: () => EntryEndpoint | undefined;
   /** Gets the host:port addresses of control processes to ask while no others are known. */
   readonly getSeeds: () => readonly string[];
   /**
@@ -173,13 +173,25 @@
     await this._getClientOrThrow().reportCrashes(crashes, { timeoutMs: REPORT_TIMEOUT_MS });
   }
 
+  /**
+   * Reports the changed endpoint of this entry.
+   * @throws ConnectError - When the report may be lost.
+   */
+  async reportEntry(): Promise<void> {
+    const { watcherId, getEntry } = this._options;
+    await this._getClientOrThrow().updateEntry(
+      { watcherId, entry: getEntry() },
+      { timeoutMs: REPORT_TIMEOUT_MS },
+    );
+  }
+
   /** Announces that this entry stops, so that callers are sent to other entries, and stops following. */
   async announceStop(): Promise<void> {
     // No control process lists an entry that has not found one yet.
     if (this._currentAddress === "") return this.stop();
-    const { watcherId, entry } = this._options;
+    const { watcherId, getEntry } = this._options;
     const call = this._getClient(this._currentAddress).watch(
-      { watcherId, entry, stopping: true },
+      { watcherId, entry: getEntry(), stopping: true },
       { timeoutMs: STOP_TIMEOUT_MS },
     );
     try {
@@ -209,13 +221,13 @@
    * @returns Why the call ended; `undefined` when the watcher switches to the preferred process.
    */
   private async _follow(): Promise<ConnectError | undefined> {
-    const { watcherId, entry, view, clock } = this._options;
+    const { watcherId, getEntry, view, clock } = this._options;
     this._callController = new AbortController();
     const { signal } = this._callController;
     let timer = this._startFirstResponseTimer();
     try {
       const knownVersion = view.declaration?.version ?? 0;
-      const request = { watcherId, entry, knownVersion, knownTerm: view.term };
+      const request = { watcherId, entry: getEntry(), knownVersion, knownTerm: view.term };
       const call = this._getClient(this._currentAddress).watch(request, { signal });
       for await (const update of call) {
         clearTimeout(timer);
@@ -324,8 +336,8 @@
     const hint = failure.metadata.get(LEADER_HEADER) ?? "";
     // The leader publishes its view to the other control processes, which publish it to entries; an entry
     // without a declaration accepts any source.
-    const { entry, view } = this._options;
-    const followsHint = entry === undefined || view.declaration === undefined;
+    const { getEntry, view } = this._options;
+    const followsHint = getEntry() === undefined || view.declaration === undefined;
     if (followsHint && hint !== "" && hint !== this._currentAddress) return hint;
     const candidates = this._getCandidates();
     this._candidateIndex += 1;
--- a/src/registration/fleetRoutes.ts
+++ b/src/registration/fleetRoutes.ts
@@ -65,6 +65,10 @@
         signal: context.signal,
       });
     },
+    updateEntry({ watcherId, entry }) {
+      if (entry !== undefined) hub.updateEntry(watcherId, entry);
+      return {};
+    },
     report: (request) => addReport(request),
     async *relay(requests) {
       for await (const request of requests) yield await addReport(request);
--- a/src/registration/watchView.ts
+++ b/src/registration/watchView.ts
@@ -2,8 +2,15 @@
 
 import { create } from "@bufbuild/protobuf";
 import type { Clock } from "../clock";
-import { type ViewUpdate, ViewUpdateSchema, type WatchRequest } from "../gen/ploverstage/v1/fleet_pb";
+import {
+  type EntryEndpoint,
+  EntryListSchema,
+  type ViewUpdate,
+  ViewUpdateSchema,
+  type WatchRequest,
+} from "../gen/ploverstage/v1/fleet_pb";
 import type { WorkMeter } from "../metrics";
+import { choosePeers } from "./choosePeers";
 import type { ViewSource, WatchPosition } from "./FleetView";
 import type { ViewHub } from "./ViewHub";
 
@@ -24,12 +31,20 @@
   private _knownVersion: number;
   private _knownTerm: number;
 
-  private readonly _isEntry: boolean;
+  private readonly _entry: EntryEndpoint | undefined;
+  /** The entries from which the last peers were chosen. */
+  private _knownEntries: readonly EntryEndpoint[] = [];
+  /** The peers that were sent, as text. */
+  private _sentPeers = "[]";
 
   constructor({ knownVersion, knownTerm, entry }: WatchRequest) {
     this._knownVersion = knownVersion;
     this._knownTerm = knownTerm;
-    this._isEntry = entry !== undefined;
+    this._entry = entry;
+  }
+
+  private get _isEntry(): boolean {
+    return this._entry !== undefined;
   }
 
   /** Checks whether there is an update for the watcher. */
@@ -51,13 +66,27 @@
     const update = this._isPending(source)
       ? view.createPendingUpdate(term, position, this._knownVersion)
       : view.createUpdate(term, position, this._knownVersion, this._isEntry);
-    if (!update.pending) this._knownTerm = term;
+    if (!update.pending) {
+      this._knownTerm = term;
+      this._addPeers(update, source);
+    }
     this._source = source;
     this._position = view.getPosition();
     this._knownVersion = Math.max(this._knownVersion, view.declarationVersion);
     return update;
   }
 
+  /** Adds the peers of an entry to an update if they have changed since the last one. */
+  private _addPeers(update: ViewUpdate, { view }: ViewSource): void {
+    if (this._entry === undefined || view.entries === this._knownEntries) return;
+    this._knownEntries = view.entries;
+    const peers = choosePeers(this._entry, view.entries);
+    const text = JSON.stringify(peers);
+    if (text === this._sentPeers) return;
+    this._sentPeers = text;
+    update.peers = create(EntryListSchema, { entries: peers });
+  }
+
   /** Creates a heartbeat: an update without changes. */
   createHeartbeat(source: ViewSource): ViewUpdate {
     return create(ViewUpdateSchema, { term: source.term, pending: this._isPending(source) });
--- a/src/rpc/callClasses.ts
+++ b/src/rpc/callClasses.ts
@@ -9,7 +9,8 @@
 }
 
 const { deliver, join } = ConsensusService.method;
-const { putDeclaration, getDeclaration, reportCrashes, relay, report, watch, suspect } = FleetService.method;
+const { putDeclaration, getDeclaration, reportCrashes, relay, report, watch, suspect, updateEntry } =
+  FleetService.method;
 
 const CLASSES = new Map<string, CallClass>([
   [getPath(ConsensusService, deliver), "agreement"],
@@ -21,6 +22,7 @@
   [getPath(FleetService, relay), "relay"],
   [getPath(FleetService, report), "relay"],
   [getPath(FleetService, watch), "view"],
+  [getPath(FleetService, updateEntry), "view"],
   [getPath(FleetService, suspect), "report"],
 ]);
 
--- a/src/rpc/index.ts
+++ b/src/rpc/index.ts
@@ -6,5 +6,5 @@
 export { createLeaderRefusal, LEADER_HEADER, LeaderClient, type LeaderClientOptions } from "./LeaderClient";
 export { RpcServer, type RpcServerOptions } from "./RpcServer";
 export { SearchBackoff } from "./SearchBackoff";
-export { createSecretGuard, createSecretSender } from "./secrets";
+export { createSecretGuard, createSecretSender, isSecret } from "./secrets";
 export { TransportPool } from "./TransportPool";
--- a/src/rpc/secrets.ts
+++ b/src/rpc/secrets.ts
@@ -15,9 +15,9 @@
 
 /** Creates an interceptor that refuses calls without the secret. */
 export function createSecretGuard(secret: string, interfaceName: string): Interceptor {
-  const expected = hashText(`Bearer ${secret}`);
+  const expected = `Bearer ${secret}`;
   return (next) => (call) => {
-    if (!timingSafeEqual(expected, hashText(call.header.get(SECRET_HEADER) ?? ""))) {
+    if (!isSecret(expected, call.header.get(SECRET_HEADER) ?? "")) {
       const refusal = new MissingSecret({ interface: interfaceName });
       throw new ConnectError(refusal.message, Code.Unauthenticated);
     }
@@ -25,6 +25,11 @@
   };
 }
 
+/** Compares a received secret with the expected one, in a time that does not depend on either. */
+export function isSecret(expected: string, received: string): boolean {
+  return timingSafeEqual(hashText(expected), hashText(received));
+}
+
 /** Hashes a text. Digests have equal lengths, so comparing them reveals nothing about the secret's length. */
 function hashText(text: string): Buffer {
   return createHash("sha256").update(text).digest();
--- a/src/settings/Settings.ts
+++ b/src/settings/Settings.ts
@@ -10,6 +10,7 @@
 import { TomlDocument } from "../toml";
 
 const Address = Schema.String.check(Schema.isPattern(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/));
+const IpAddress = Schema.String.check(Schema.isPattern(/^(\d{1,3}(\.\d{1,3}){3}|[0-9a-fA-F:]+)$/));
 const Name = Schema.String.check(Schema.isPattern(/^[a-z0-9][a-z0-9-]{0,62}$/));
 const Port = Schema.Int.check(Schema.isBetween({ minimum: 1, maximum: 65_535 }));
 const LogLevel = Schema.Literals(["debug", "info", "warn", "error", "silent"]);
@@ -121,6 +122,10 @@
   listen: Address,
   /** Address of the readiness check. */
   readyListen: Schema.optionalKey(Address),
+  /** Local IP address of connections to endpoints and other entries; chosen by the system by default. */
+  sourceAddress: Schema.optionalKey(IpAddress),
+  /** Address at which other entries relay requests while they reach no endpoint; none by default. */
+  peerListen: Schema.optionalKey(Address),
   /** Addresses (host:port) at which the processes of this system reach control processes. */
   seeds: Schema.Array(Address).check(Schema.isMinLength(1)),
   /** Port of the control processes if it differs from the port in the seeds. */
--- a/test/gateway/Exchange.test.ts
+++ b/test/gateway/Exchange.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from "vitest";
 import { SeededRandom } from "../../src/consensus";
 import type { CrashMonitor } from "../../src/gateway/CrashMonitor";
+import { EntryLinks, type EntryLinksOptions } from "../../src/gateway/EntryLinks";
 import { Exchange, type ExchangeDependencies, type ExchangeRequest } from "../../src/gateway/Exchange";
 import { TargetPool } from "../../src/gateway/TargetPool";
 import { type Target, TargetSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
@@ -23,6 +24,8 @@
   const dependencies = {
     clock: { getMonotonicMs: () => 0, getWallMs: () => 0 },
     pool,
+    destinations: new EntryLinks({ pool, random: new SeededRandom(1) } as unknown as EntryLinksOptions)
+      .destinations,
     crashMonitor,
     takeRetry: () => true,
     onSuspicion: () => {},
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -11,12 +11,19 @@
 import { dropHeaders } from "../../src/gateway";
 import { AnswerBuffers } from "../../src/gateway/AnswerBuffers";
 import { CrashMonitor } from "../../src/gateway/CrashMonitor";
+import { EntryLinks } from "../../src/gateway/EntryLinks";
 import { GatewayServer } from "../../src/gateway/GatewayServer";
+import { RelayServer } from "../../src/gateway/RelayServer";
 import { StreamGate } from "../../src/gateway/StreamGate";
 import { TargetPool } from "../../src/gateway/TargetPool";
-import { type Target, TargetSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
+import {
+  type EntryEndpoint,
+  EntryEndpointSchema,
+  type Target,
+  TargetSchema,
+} from "../../src/gen/ploverstage/v1/fleet_pb";
 import { CrashRecordSchema } from "../../src/gen/ploverstage/v1/state_pb";
-import { HttpClient } from "../../src/http";
+import { HttpClient, splitAddress } from "../../src/http";
 import { PrometheusMetrics } from "../../src/metrics";
 import type { ReceivedView } from "../../src/registration";
 
@@ -117,7 +124,13 @@
   publishedView: ReceivedView = { control: "10.0.0.1:1", term: 2, heartbeatAgeMs: 80 };
   private readonly _servers: Server[] = [];
   private readonly _client = new HttpClient();
+  /** Links of the gateway to its endpoints and to other gateways. */
+  links!: EntryLinks;
   private _gateway!: GatewayServer;
+  private _relayServer: RelayServer | undefined;
+  private _relayPort = 0;
+  /** Targets of the gateway. */
+  targets: readonly Target[] = [];
   private _port = 0;
   private _suspendedMs = 0;
 
@@ -127,6 +140,7 @@
       ledger: this.ledger,
       logger,
       metrics: this.metrics,
+      probe: (address) => this._client.probe(address),
       onChange: () => {},
     });
   }
@@ -139,6 +153,37 @@
     return harness;
   }
 
+  /** Gets the port at which the gateway accepts relayed requests. */
+  get relayPort(): number {
+    return this._relayPort;
+  }
+
+  /** Starts an endpoint at the address of one that has ended. */
+  async restartEndpoint(address: string, script: Script): Promise<void> {
+    const { port } = splitAddress(address);
+    await this._listen(script, this._servers.length, port);
+  }
+
+  /** Lets the gateway relay requests to the gateways of other harnesses. */
+  async addPeers(peers: readonly GatewayHarness[], secret?: string): Promise<void> {
+    const endpoints = await Promise.all(peers.map((peer) => peer._acceptRelays(secret)));
+    this.links.setPeers(endpoints);
+  }
+
+  private async _acceptRelays(secret: string | undefined): Promise<EntryEndpoint> {
+    this._relayPort = await getFreePort();
+    const peerAddress = `127.0.0.1:${this._relayPort}`;
+    this._relayServer = new RelayServer({
+      listen: peerAddress,
+      clock: new SystemClock(),
+      logger: pino(LOG_OPTIONS, { write: (line: string) => this.logLines.push(line) }),
+      secret,
+      handle: (incoming, response, relayed) => this._gateway.handleRelayed(incoming, response, relayed),
+    });
+    await this._relayServer.start();
+    return create(EntryEndpointSchema, { address: `127.0.0.1:${this.port}`, peerAddress });
+  }
+
   /** Gets the port of the gateway. */
   get port(): number {
     return this._port;
@@ -147,9 +192,11 @@
   /** Stops the gateway and its endpoints. */
   async stop(): Promise<void> {
     this._client.close();
+    this.links.stop();
     for (const server of this._servers) server.closeAllConnections();
     await Promise.all(this._servers.map((server) => new Promise((resolve) => server.close(resolve))));
     this._gateway.stop();
+    this._relayServer?.stop();
   }
 
   /**
@@ -203,7 +250,7 @@
     });
   }
 
-  private async _startEndpoint(script: Script, index: number): Promise<Target> {
+  private async _listen(script: Script, index: number, port: number): Promise<number> {
     const server = createServer(async (incoming, response) => {
       let body = "";
       for await (const chunk of incoming as AsyncIterable<Buffer>) body += chunk.toString();
@@ -212,9 +259,13 @@
       this.requests.push(seen);
       script(seen, response);
     });
-    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    await new Promise<void>((resolve) => server.listen(port, "127.0.0.1", resolve));
     this._servers.push(server);
-    const { port } = server.address() as AddressInfo;
+    return (server.address() as AddressInfo).port;
+  }
+
+  private async _startEndpoint(script: Script, index: number): Promise<Target> {
+    const port = await this._listen(script, index, 0);
     const id = `t${index}`;
     return create(TargetSchema, {
       id,
@@ -235,8 +286,19 @@
     const random = new SeededRandom(1);
     const pool = new TargetPool(random);
     pool.setTargets(targets);
+    this.targets = targets;
     // The other targets count as suspected, so the first one is chosen until it has failed.
     for (const target of targets.slice(1)) pool.addFailure(clock.getMonotonicMs(), target.id);
+    this.links = new EntryLinks({
+      clock,
+      random,
+      pool,
+      client: this._client,
+      logger: pino(LOG_OPTIONS, { write: (line: string) => this.logLines.push(line) }),
+      metrics: this.metrics,
+      getLagMs: () => 0,
+      reportLoss: async () => {},
+    });
     const declaration: Declaration = {
       version: 1,
       routes: [route],
@@ -245,10 +307,7 @@
       limits: { headerBytes: 16_384, bodyBytes: 100_000, headerMs: 300, idleMs: 15_000 },
     };
     const routes = new RouteTable(declaration);
-    const probe = createServer();
-    await new Promise<void>((resolve) => probe.listen(0, "127.0.0.1", resolve));
-    this._port = (probe.address() as AddressInfo).port;
-    await new Promise((resolve) => probe.close(resolve));
+    this._port = await getFreePort();
     this._gateway = new GatewayServer({
       listen: `127.0.0.1:${this._port}`,
       clock,
@@ -260,6 +319,8 @@
         client: this._client,
         dialect: new TestDialect(),
         pool,
+        destinations: this.links.destinations,
+        secret: undefined,
         crashMonitor: this.crashMonitor,
         buffers: new AnswerBuffers(MAX_BUFFERED_ANSWER_BYTES),
         gate: new StreamGate(clock, () => 32),
@@ -276,6 +337,14 @@
   }
 }
 
+async function getFreePort(): Promise<number> {
+  const probe = createServer();
+  await new Promise<void>((resolve) => probe.listen(0, "127.0.0.1", resolve));
+  const { port } = probe.address() as AddressInfo;
+  await new Promise((resolve) => probe.close(resolve));
+  return port;
+}
+
 /** Creates a script that answers with a seal and the id of the request. */
 export function answer(status: number, body: string, headers: Record<string, string> = {}): Script {
   return (seen, response) => {
--- a/test/platform/PlatformCluster.ts
+++ b/test/platform/PlatformCluster.ts
@@ -304,7 +304,10 @@
     };
     const file = join(this._folder, `${name}.toml`);
     // The deployment uses a fixed port for metrics, which may be in use on this machine.
-    const text = renderTemplate(TEMPLATE, fields).replace(":9464", `:${this._ports[5]}`);
+    const text = renderTemplate(TEMPLATE, fields)
+      .replace(":9464", `:${this._ports[5]}`)
+      // On one machine the system would connect every entry from the same address.
+      .replace("[gateway]", `[gateway]\nsource_address = "${ip}"`);
     writeFileSync(file, text);
     return new ProcessHandle(name, [...PROGRAM, role, file], join(this._folder, `${name}.log`));
   }
--- a/test/platform/WatcherGroup.ts
+++ b/test/platform/WatcherGroup.ts
@@ -1,5 +1,7 @@
 /** View watchers that connect to control as separate entries, and that lose power and restart together. */
+import { create } from "@bufbuild/protobuf";
 import { SystemClock } from "../../src/clock";
+import { EntryEndpointSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { FollowedView, orderByAffinity, ViewWatcher } from "../../src/registration";
 import { TransportPool } from "../../src/rpc";
 
@@ -53,11 +55,8 @@
     const view = new FollowedView();
     const watcher = new ViewWatcher({
       watcherId: `bench-${index}`,
-      entry: {
-        $typeName: "ploverstage.v1.EntryEndpoint",
-        address: `127.0.0.1:${index + 1}`,
-        failureDomain: "zone-a",
-      },
+      getEntry: () =>
+        create(EntryEndpointSchema, { address: `127.0.0.1:${index + 1}`, failureDomain: "zone-a" }),
       getSeeds: () => this._seeds,
       orderCandidates: (addresses) => orderByAffinity(`bench-${index}`, addresses),
       transports: new TransportPool(undefined),
--- a/test/registration/ViewWatcher.test.ts
+++ b/test/registration/ViewWatcher.test.ts
@@ -24,7 +24,7 @@
   function createWatcher(address: string, view: FollowedView): ViewWatcher {
     return new ViewWatcher({
       watcherId: "w",
-      entry: undefined,
+      getEntry: () => undefined,
       getSeeds: () => [address],
       orderCandidates: () => [address],
       transports: new TransportPool(undefined),
--- a/test/registration/outdated/SimulatedFleet.ts
+++ b/test/registration/outdated/SimulatedFleet.ts
@@ -228,7 +228,7 @@
     };
     this._watcher = new ViewWatcher({
       watcherId: this._id,
-      entry: create(EntryEndpointSchema, { address: `${this._id}:1`, failureDomain: "a" }),
+      getEntry: () => create(EntryEndpointSchema, { address: `${this._id}:1`, failureDomain: "a" }),
       getSeeds: () => this._fleet.addresses,
       orderCandidates: (addresses) => orderByAffinity(this._id, addresses),
       transports: new TransportPool(undefined),
--- a/test/registration/pendingUpdates.test.ts
+++ b/test/registration/pendingUpdates.test.ts
@@ -115,7 +115,7 @@
     view.apply(createUpdate(3, 7, ["kept", "left"]));
     watcher = new ViewWatcher({
       watcherId: "entry",
-      entry: create(EntryEndpointSchema, { address: "127.0.0.1:1", failureDomain: "a" }),
+      getEntry: () => create(EntryEndpointSchema, { address: "127.0.0.1:1", failureDomain: "a" }),
       getSeeds: () => addresses,
       orderCandidates: (known) => [...known],
       transports: new TransportPool(undefined),
--- a/test/registration/searches.test.ts
+++ b/test/registration/searches.test.ts
@@ -93,7 +93,7 @@
   function search(seeds: readonly string[], view = new FollowedView()): void {
     watcher = new ViewWatcher({
       watcherId: "entry",
-      entry: create(EntryEndpointSchema, { address: "127.0.0.1:1", failureDomain: "a" }),
+      getEntry: () => create(EntryEndpointSchema, { address: "127.0.0.1:1", failureDomain: "a" }),
       getSeeds: () => seeds,
       orderCandidates: (known) => [...known],
       transports: new TransportPool(undefined),
@@ -178,7 +178,7 @@
     let isLeaderKnown = true;
     watcher = new ViewWatcher({
       watcherId: "control",
-      entry: undefined,
+      getEntry: () => undefined,
       getSeeds: () => addresses,
       orderCandidates: () => (isLeaderKnown ? addresses : []),
       transports: new TransportPool(undefined),
--- a/test/support/TcpProxy.test.ts
+++ b/test/support/TcpProxy.test.ts
@@ -51,11 +51,11 @@
     await waitUntil("all bytes arrive", () => receivedByServer === "abc");
   });
 
-  it.each(["silent", "reset"] as const)("blocks connections of one process only: %s", async (fault) => {
-    proxy.block([process.ppid], fault);
+  it.each(["silent", "reset"] as const)("blocks connections from one address only: %s", async (fault) => {
+    proxy.block(["127.0.0.2"], fault);
     client.write("a");
-    await waitUntil("the other process's bytes arrive", () => receivedByServer === "a");
-    proxy.block([process.pid], fault);
+    await waitUntil("the bytes of another address arrive", () => receivedByServer === "a");
+    proxy.block(["127.0.0.1"], fault);
     client.write("b");
     accepted!.write("c");
     if (fault === "reset") await waitUntil("the connection is reset", () => isReset);
--- a/test/support/TcpProxy.ts
+++ b/test/support/TcpProxy.ts
@@ -6,18 +6,17 @@
 import type { AddressInfo } from "node:net";
 import { connect, createServer, type Server, type Socket } from "node:net";
 import { splitAddress } from "../../src/http";
-import { isOwnedBy } from "./socketOwner";
 
 /** The direction in which traffic is dropped: towards the target, from it, or both. */
 export type CutDirection = "both" | "toTarget" | "fromTarget";
 
 /**
- * How connections of some processes fail: all of them are silent, all are reset, or only new ones are reset.
+ * How connections of some clients fail: all of them are silent, all are reset, or only new ones are reset.
  */
 export type ConnectionFault = "silent" | "reset" | "newReset";
 
-interface BlockedProcesses {
-  readonly pids: readonly number[];
+interface BlockedClients {
+  readonly ips: readonly string[];
   readonly fault: ConnectionFault;
 }
 
@@ -32,8 +31,8 @@
   private _cut: CutDirection | undefined;
   private _delayMs = 0;
   private _bytes = 0;
-  private _blocked: BlockedProcesses | undefined;
-  /** Sockets of blocked processes; nothing is forwarded to or from them. */
+  private _blocked: BlockedClients | undefined;
+  /** Sockets of blocked clients; nothing is forwarded to or from them. */
   private readonly _silentSockets = new Set<Socket>();
 
   private constructor(target: string) {
@@ -75,16 +74,22 @@
     this._delayMs = milliseconds;
   }
 
-  /** Makes the connections of the given processes fail; all other connections are forwarded. */
-  block(pids: readonly number[], fault: ConnectionFault): void {
-    this._blocked = { pids, fault };
+  /** Makes the connections from the given IP addresses fail; all other connections are forwarded. */
+  block(ips: readonly string[], fault: ConnectionFault): void {
+    this._blocked = { ips, fault };
     if (fault === "newReset") return;
     for (const socket of [...this._sockets]) {
-      if (this._clientSockets.has(socket) && isOwnedBy(socket.remotePort!, pids)) this._fail(socket, fault);
+      if (this._clientSockets.has(socket) && ips.includes(socket.remoteAddress ?? ""))
+        this._fail(socket, fault);
     }
   }
 
-  /** Forwards the connections of all processes again; connections that were silent are closed. */
+  /** Gets whether the connections of some clients fail. */
+  get isBlocking(): boolean {
+    return this._blocked !== undefined;
+  }
+
+  /** Forwards the connections of all clients again; connections that were silent are closed. */
   unblock(): void {
     this._blocked = undefined;
     for (const socket of [...this._silentSockets]) socket.destroy();
@@ -103,7 +108,7 @@
 
   private _proxyConnection(socket: Socket): void {
     const blocked = this._blocked;
-    if (blocked !== undefined && isOwnedBy(socket.remotePort!, blocked.pids)) {
+    if (blocked?.ips.includes(socket.remoteAddress ?? "")) {
       this._sockets.add(socket);
       socket.on("error", () => socket.destroy());
       socket.on("close", () => this._sockets.delete(socket));
--- a/test/system/cutEntries.test.ts
+++ b/test/system/cutEntries.test.ts
@@ -90,13 +90,30 @@
     }
   }
 
+  /** Sends requests to all entries until a condition holds, and for a second more. */
+  async function sendUntil(isDone: () => boolean): Promise<void> {
+    for (let rest = 1_000 / REQUEST_INTERVAL_MS; rest > 0; rest -= isDone() ? 1 : 0) {
+      for (let entry = 0; entry < ENTRIES; entry++) {
+        void send(entry, 0, true);
+        void send(entry, 0, false);
+      }
+      await pause(REQUEST_INTERVAL_MS);
+    }
+  }
+
+  async function getListedEntries(): Promise<string[]> {
+    const response = await fetch(`http://${cluster.getDirectory(0)}/-/resolve?name=x&region=r&zone=zone-a`);
+    const { addresses } = (await response.json()) as { addresses: string[] };
+    return addresses.sort();
+  }
+
   /** Cuts entries off from all endpoints for some seconds; returns the requests that were sent since then. */
   async function run(fault: ConnectionFault): Promise<{ cut: FirstRequest[]; others: FirstRequest[] }> {
     await start();
-    const pids = CUT_ENTRIES.map((entry) => cluster.entries[entry]!.pid);
+    const ips = CUT_ENTRIES.map(getEntryIp);
     const relays = cluster.workers.map((worker) => worker.relay!);
     const cutAt = performance.now();
-    for (const relay of relays) relay.block(pids, fault);
+    for (const relay of relays) relay.block(ips, fault);
     const healing = pause(CUT_MS).then(() => {
       for (const relay of relays) relay.unblock();
     });
@@ -115,6 +132,24 @@
     };
   }
 
+  it("are not named to callers while other entries reach endpoints", async () => {
+    await start();
+    const all = Array.from({ length: ENTRIES }, (_, i) => cluster.getEntryAddress(i)).sort();
+    const sound = all.filter(
+      (address) => !CUT_ENTRIES.map((i) => cluster.getEntryAddress(i)).includes(address),
+    );
+    const relays = cluster.workers.map((worker) => worker.relay!);
+    for (const relay of relays) relay.block(CUT_ENTRIES.map(getEntryIp), "reset");
+    const sending = sendUntil(() => relays.every((relay) => !relay.isBlocking));
+    await waitUntil(
+      "only the sound entry is named",
+      async () => `${await getListedEntries()}` === `${sound}`,
+    );
+    for (const relay of relays) relay.unblock();
+    await waitUntil("all entries are named", async () => `${await getListedEntries()}` === `${all}`);
+    await sending;
+  });
+
   it.each(["silent", "reset", "newReset"] as const)(
     "serve first requests as often as the other entries do: %s",
     async (fault) => {
