--- a/src/gateway/FailureTrack.ts
+++ b/src/gateway/FailureTrack.ts
@@ -28,17 +28,21 @@
 const WINDOW_MS = 1_500;
 /** A success may arrive this much later than it happened, after a failure that began meanwhile. */
 export const ARRIVAL_TOLERANCE_MS = 50;
-/** One endpoint may fail by itself. */
-const MIN_ENDPOINTS = 2;
 /** A failure domain may be lost as a whole. */
 const MIN_DOMAINS = 2;
 
 /** Failures of one kind at the endpoints of one service since the last success. */
 export class FailureTrack {
   private readonly _failures = new Map<string, RecordedFailure>();
+  private readonly _minEndpoints: number;
   private _lastSuccessAt = Number.NEGATIVE_INFINITY;
   private _failingSince: number | undefined;
 
+  /** @param minEndpoints - Number of endpoints that must fail; fewer may fail by themselves. */
+  constructor(minEndpoints: number) {
+    this._minEndpoints = minEndpoints;
+  }
+
   /** Gets since when all endpoints have been failing; `undefined` while they are not. */
   get failingSince(): number | undefined {
     return this._failingSince;
@@ -84,7 +88,7 @@
 
   private _isShared(domainCount: number): boolean {
     const domains = new Set(this.failures.map(({ target }) => target.failureDomain));
-    return this._failures.size >= MIN_ENDPOINTS && domains.size >= Math.min(MIN_DOMAINS, domainCount);
+    return this._failures.size >= this._minEndpoints && domains.size >= Math.min(MIN_DOMAINS, domainCount);
   }
 
   private _removeOld(now: number): void {
--- a/src/gateway/LinkMonitor.ts
+++ b/src/gateway/LinkMonitor.ts
@@ -29,6 +29,13 @@
   connectableSince: number | undefined;
 }
 
+/** Endpoints that must fail while no other one answers. */
+const MIN_SILENT_ENDPOINTS = 2;
+/**
+ * Endpoints to which new connections must fail. New connections are rare where open ones are reused, so that
+ * more endpoints may crash between two that succeed.
+ */
+const MIN_UNCONNECTED_ENDPOINTS = 3;
 /**
  * Time for which new connections must have been accepted before requests that may not be repeated also find
  * out whether answers arrive again. Until then only repeatable requests do.
@@ -124,8 +131,8 @@
     const existing = this._services.get(service);
     if (existing !== undefined) return existing;
     const links = {
-      answers: new FailureTrack(),
-      connections: new FailureTrack(),
+      answers: new FailureTrack(MIN_SILENT_ENDPOINTS),
+      connections: new FailureTrack(MIN_UNCONNECTED_ENDPOINTS),
       connectableSince: undefined,
     };
     this._services.set(service, links);
