--- a/bench/containment.ts
+++ b/bench/containment.ts
@@ -60,6 +60,7 @@
     logger,
     metrics: new NoopMetrics(),
     probe: async () => "accepted",
+    hasLostLinks: () => false,
     onChange: () => {},
   });
   const body = Buffer.alloc(BODY_BYTES, "x");
--- a/src/gateway/CrashMonitor.ts
+++ b/src/gateway/CrashMonitor.ts
@@ -32,6 +32,8 @@
   readonly metrics: Metrics;
   /** Opens a connection to an address and closes it at once. */
   readonly probe: (address: string) => Promise<ProbeOutcome>;
+  /** Checks whether this entry's links to a service's endpoints are lost, so that refused connections prove nothing. */
+  readonly hasLostLinks: (service: string) => boolean;
   /** Called when the ledger has changes to report to control. */
   readonly onChange: () => void;
 }
@@ -131,7 +133,16 @@
 
   private _addCrash(digest: RequestDigest, attempt: BrokenAttempt): void {
     const { target, startedAt, brokeAt, answeredAt, requestId } = attempt;
-    const { ledger, logger, metrics, onChange } = this._options;
+    const { ledger, logger, metrics, onChange, hasLostLinks } = this._options;
+    if (hasLostLinks(target.service)) {
+      logger.info({
+        event: "crash_not_counted",
+        request: requestId,
+        target: target.id,
+        reason: "links lost",
+      });
+      return;
+    }
     const wasAnswered = answeredAt !== undefined;
     const depth = ledger.addCrash({ digest, life: target.id, startedAt, brokeAt, wasAnswered });
     metrics.increment("gateway_crashes", 1, { answered: String(wasAnswered) });
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -141,6 +141,7 @@
       logger,
       metrics: this.metrics,
       probe: (address) => this._client.probe(address),
+      hasLostLinks: (service) => this.links.destinations.getState(service) === "lost",
       onChange: () => {},
     });
   }
--- a/test/gateway/relaying.test.ts
+++ b/test/gateway/relaying.test.ts
@@ -2,8 +2,12 @@
 import { request } from "node:http";
 import { afterEach, describe, expect, it } from "vitest";
 import { RELAY_ANSWER_HEADER, RELAY_REQUEST_HEADER } from "../../src/gateway/relay";
+import { waitUntil } from "../support/waitUntil";
 import { answer, GatewayHarness, type Script, streamEvents } from "./GatewayHarness";
 
+/** Time in which a broken-off endpoint is probed, milliseconds. */
+const PROBE_MS = 200;
+const AVOIDED_MS = 600;
 const REFUSED: Script = (_seen, response) => void response.destroy();
 const STREAM_ROUTE = { kind: "stream", isResumable: true } as const;
 
@@ -151,6 +155,23 @@
     expect(peers.flatMap(({ requests }) => requests).length).toBeLessThanOrEqual(2);
   });
 
+  it("records no crash of endpoints that it lost together", async () => {
+    const hold: Script = () => {};
+    const cut = await start([hold, hold], { maxAttempts: 1 });
+    // The second endpoint of a harness is avoided at first.
+    await new Promise((resolve) => setTimeout(resolve, AVOIDED_MS));
+    const answers = [cut.call({ body: "a" }), cut.call({ body: "b", headers: { "x-id": "call-2" } })];
+    await waitUntil(
+      "both endpoints run a request",
+      () => new Set(cut.requests.map(({ index }) => index)).size === 2,
+    );
+    cut.endEndpoint(0);
+    cut.endEndpoint(1);
+    await Promise.all(answers);
+    await new Promise((resolve) => setTimeout(resolve, PROBE_MS));
+    expect(cut.ledger.isEmpty).toBe(true);
+  });
+
   it("drops headers between entries that a caller or an endpoint sends", async () => {
     const forged = JSON.stringify({ outcome: "unknown", sent: 9, isFramed: false });
     const harness = await start([answer(200, "ok", { [RELAY_ANSWER_HEADER]: forged })]);
