--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -505,6 +505,8 @@
       not_repeated: exchange?.denial,
       // Shows whether two failed calls were the same request.
       digest: shouldLogDigest(exchange, code) ? exchange?.digest : undefined,
+      // Shows what failed calls with different digests have in common.
+      parts: shouldLogDigest(exchange, code) ? call?.sharedParts : undefined,
       ...details,
     });
   }
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -61,6 +61,9 @@
       model: "",
       promptTokens: 0,
       answerTokens: 0,
+      sharedParts: String(headers["x-parts"] ?? "")
+        .split(",")
+        .filter((part) => part !== ""),
       lastEventId: headers["last-event-id"] as string | undefined,
     };
   }
