--- a/test/platform/WorkerStandin.ts
+++ b/test/platform/WorkerStandin.ts
@@ -52,6 +52,8 @@
 
 /** Body of a request that crashes each worker that runs it. */
 export const CRASHING_BODY = "a body that crashes workers";
+/** Id of a part of a prompt that crashes each worker that runs a request with it, unless it is the last part. */
+export const CRASHING_PART = "bad0bad0";
 /**
  * Delay of the crash after the start of the request, milliseconds. At most the response head has been sent by
  * then.
@@ -284,8 +286,9 @@
       this._executeOrder(JSON.parse(Buffer.concat(chunks).toString()), response);
     else {
       const body = Buffer.concat(chunks).toString();
-      if (body === CRASHING_BODY) this._options.onCrashingRequest?.();
-      this._serve(request, body, response);
+      const isCrashing = body === CRASHING_BODY || hasCrashingPart(request);
+      if (isCrashing) this._options.onCrashingRequest?.();
+      this._serve(request, body, response, isCrashing);
     }
   }
 
@@ -370,13 +373,18 @@
     return heads.some((head) => head.isServingHeadOf(name, epoch));
   }
 
-  private _serve(request: IncomingMessage, body: string, response: ServerResponse): void {
+  private _serve(
+    request: IncomingMessage,
+    body: string,
+    response: ServerResponse,
+    isCrashing: boolean,
+  ): void {
     const isOpen = this._options.domain === "" || this._place?.state === "open";
     if (!isOpen) return void response.writeHead(421, { "x-ploverstage-instance-id": this.id }).end();
     const id = String(request.headers["x-ploverstage-request-id"]);
     this.ran.push(id);
     this._recordPartialRun(id);
-    if (body === CRASHING_BODY) setTimeout(() => this._crashByRequest(), CRASH_MS);
+    if (isCrashing) setTimeout(() => this._crashByRequest(), CRASH_MS);
     const headers = { "x-ploverstage-request-id": id, "x-ploverstage-response-seal": `seal-${id}` };
     if (this.endless !== undefined) {
       this._endlessCount += 1;
@@ -384,13 +392,13 @@
       return;
     }
     if (this._options.domain === "") {
-      if (body === CRASHING_BODY) return;
+      if (isCrashing) return;
       response.writeHead(200, headers);
       response.end(`${request.headers["x-ploverstage-tenant"]} ${request.method} ${request.url} ${body}`);
       return;
     }
     response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
-    if (body === CRASHING_BODY) return void response.flushHeaders();
+    if (isCrashing) return void response.flushHeaders();
     this._streamCount += 1;
     response.once("close", () => {
       this._streamCount -= 1;
@@ -455,3 +463,8 @@
   (isInBody ? response : socket).on("drain", sendMore);
   sendMore();
 }
+
+function hasCrashingPart({ headers }: IncomingMessage): boolean {
+  const parts = String(headers["x-ploverstage-prompt-prefix"] ?? "").split(",");
+  return parts.slice(0, -1).some((part) => part.startsWith(`${CRASHING_PART}:`));
+}
