--- a/src/gateway/StreamSource.ts
+++ b/src/gateway/StreamSource.ts
@@ -162,9 +162,10 @@
     const { isFramed } = attempt;
     const remainder = this._splitter.takeRemainder();
     const { hasSentHead, isCloseDelimited } = this._getProgress();
+    const hasEvents = this._endStream !== undefined || hasSentHead;
     const canEnd = isFramed || isCloseDelimited || !hasSentHead;
     // A close-delimited answer may have been cut, which looks the same as its end.
-    if (!canEnd || (remainder.length > 0 && !isFramed)) {
+    if (!canEnd || (!isFramed && (remainder.length > 0 || !hasEvents))) {
       throw new LostAnswer({
         address: this.target.address,
         reason: "connection closed without marking the end of the answer",
--- a/test/gateway/GatewayServer.test.ts
+++ b/test/gateway/GatewayServer.test.ts
@@ -258,6 +258,21 @@
       expect((await harness.call()).headers).not.toHaveProperty("transfer-encoding");
     });
 
+    it("resumes a stream without a length that ends before its first event, and passes no end on", async () => {
+      const endAtOnce: Script = (seen, response) => {
+        response.shouldKeepAlive = false;
+        response.useChunkedEncodingByDefault = false;
+        response.writeHead(200, { "x-seal": "s", "x-id": String(seen.headers["x-id"]) });
+        response.end();
+      };
+      const whole = streamEvents([1], "whole");
+      harness = await GatewayHarness.start([endAtOnce, whole], { kind: "stream", isResumable: true });
+      expect(await harness.call()).toMatchObject({ body: "id: 1\ndata: 1\n\n", isWhole: true });
+      await harness.stop();
+      harness = await GatewayHarness.start([endAtOnce], { kind: "stream", isResumable: true });
+      expect((await harness.call()).status).toBe(502);
+    });
+
     it("refuses unknown keys, unknown routes and large bodies without contacting an endpoint", async () => {
       harness = await GatewayHarness.start([answer(200, "")]);
       expect((await harness.call({ headers: { "x-key": "none" } })).status).toBe(401);
