--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -62,6 +62,8 @@
   readonly deadlineAt: number;
   /** Whether another entry relayed the request; it is not relayed again. */
   readonly isRelayed: boolean;
+  /** Whether the entry that relayed the request had sent it to an endpoint before. */
+  readonly isRepeat: boolean;
 }
 
 export interface ExchangeDependencies {
@@ -308,7 +310,8 @@
       service,
       model: call.model,
       excluded: this._triedTargetIds,
-      isRepeatable: mayRepeat(route),
+      // A request that was sent before would take a retry to find out about the links.
+      isRepeatable: mayRepeat(route) && this._sentCount === 0,
       mayRelay: !isRelayed,
     });
   }
@@ -372,7 +375,17 @@
     const target = this.chooseTarget();
     if (target === undefined || this.dependencies.pool.isSuspected(now, target.id)) return undefined;
     this._reportSuspicion(now, idle);
-    return this.dependencies.takeRetry() ? target : undefined;
+    return this._mayRepeatAt(target) ? target : undefined;
+  }
+
+  /**
+   * Decides whether to send the request for the first time. For a request that the relaying entry had sent
+   * before, this takes a retry from the budget.
+   */
+  takeFirstAttempt(): boolean {
+    if (!this.request.isRepeat || this.dependencies.takeRetry()) return true;
+    this._denial = "noRepeat";
+    return false;
   }
 
   /** Decides whether to retry after a failed attempt; takes a retry from the budget. */
@@ -488,8 +501,14 @@
   }
 
   private _takeFromBudget(): RetryDenial | undefined {
-    if (this.chooseTarget() === undefined) return "noTarget";
-    return this._sentCount === 0 || this.dependencies.takeRetry() ? undefined : "noRepeat";
+    const target = this.chooseTarget();
+    if (target === undefined) return "noTarget";
+    return this._sentCount === 0 || this._mayRepeatAt(target) ? undefined : "noRepeat";
+  }
+
+  /** Takes a retry from the budget, unless the target is a peer, which takes it when it sends the request. */
+  private _mayRepeatAt(target: Target): boolean {
+    return isPeer(target) || this.dependencies.takeRetry();
   }
 
   private _getRetryAfterMs(): number {
@@ -576,6 +595,7 @@
       attempts: route.maxAttempts - this._sentCount,
       ...(lastEventId === undefined ? {} : { lastEventId }),
       isCounted: this._isCounted,
+      isRepeat: this._sentCount > 0 || this.request.isRepeat,
     });
     const { secret } = this.dependencies;
     const secretHeaders = secret === undefined ? [] : [RELAY_SECRET_HEADER, secret];
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -322,6 +322,7 @@
       firstRequestedAt: receivedAt - ageMs,
       deadlineAt: receivedAt + Math.min(route.timeoutMs, timeoutMs),
       isRelayed: relayed !== undefined,
+      isRepeat: relayed?.isRepeat === true,
     };
   }
 
--- a/src/gateway/LinkMonitor.ts
+++ b/src/gateway/LinkMonitor.ts
@@ -89,7 +89,10 @@
    */
   addFailure(now: number, failure: LinkFailure, domainCount: number): void {
     const links = this._getLinks(failure.target.service);
+    const wasFailing = links.answers.failingSince !== undefined;
     links.answers.addFailure(now, failure, domainCount);
+    // What was accepted before the loss says nothing about now.
+    if (!wasFailing && links.answers.failingSince !== undefined) links.connectableSince = undefined;
     if (!failure.isNewConnection) return;
     links.connections.addFailure(now, failure, domainCount);
     links.connectableSince = undefined;
--- a/src/gateway/createRace.ts
+++ b/src/gateway/createRace.ts
@@ -19,7 +19,7 @@
   return new AttemptRace({
     getNow: () => exchange.getNow(),
     openNext: async () => {
-      if (hasOpened && !(await exchange.takeRetry())) return undefined;
+      if (!(hasOpened ? await exchange.takeRetry() : exchange.takeFirstAttempt())) return undefined;
       hasOpened = true;
       const target = exchange.chooseTarget();
       return target === undefined ? undefined : open(target);
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -28,6 +28,8 @@
   lastEventId: Schema.optionalKey(Schema.String),
   /** Whether the relaying entry has counted the request for the retry budget. */
   isCounted: Schema.Boolean,
+  /** Whether the request was sent to an endpoint before, so that sending it again takes a retry. */
+  isRepeat: Schema.Boolean,
 });
 
 const RelayedAnswerSchema = Schema.Struct({
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -132,6 +132,8 @@
   private _gateway!: GatewayServer;
   private _relayServer: RelayServer | undefined;
   private _relayPort = 0;
+  /** Number of retries in the budget of the gateway. */
+  retries = Number.POSITIVE_INFINITY;
   /** Targets of the gateway. */
   targets: readonly Target[] = [];
   private _port = 0;
@@ -329,7 +331,7 @@
         buffers: new AnswerBuffers(MAX_BUFFERED_ANSWER_BYTES),
         gate: new StreamGate(clock, () => 32),
         random,
-        takeRetry: () => true,
+        takeRetry: () => this.retries-- > 0,
         onSuspicion: () => {},
       },
       getRoutes: () => routes,
--- a/test/gateway/relaying.test.ts
+++ b/test/gateway/relaying.test.ts
@@ -172,6 +172,26 @@
     expect(cut.ledger.isEmpty).toBe(true);
   });
 
+  it("resumes streams that it lost although its own retry budget is empty", async () => {
+    const route = { ...STREAM_ROUTE, maxAttempts: 2 };
+    const begin = streamEvents([1], "silent");
+    const peer = await start([streamEvents([2], "whole")], route);
+    const cut = await start([begin, begin], route);
+    await cut.addPeers([peer]);
+    cut.retries = 0;
+    peer.retries = 2;
+    await new Promise((resolve) => setTimeout(resolve, AVOIDED_MS));
+    const answers = ["a", "b"].map((id) => cut.call({ headers: { "x-id": id } }));
+    await waitUntil("both endpoints run a stream", () => cut.requests.length === 2);
+    // The first events arrive.
+    await new Promise((resolve) => setTimeout(resolve, PROBE_MS));
+    cut.endEndpoint(0);
+    cut.endEndpoint(1);
+    for (const { body } of await Promise.all(answers))
+      expect(body).toBe("id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n");
+    expect(peer.retries).toBe(0);
+  });
+
   it("drops headers between entries that a caller or an endpoint sends", async () => {
     const forged = JSON.stringify({ outcome: "unknown", sent: 9, isFramed: false });
     const harness = await start([answer(200, "ok", { [RELAY_ANSWER_HEADER]: forged })]);
@@ -212,7 +232,7 @@
     });
   }
 
-  const RELAYED = JSON.stringify({ leftMs: 900, ageMs: 0, attempts: 1, isCounted: false });
+  const RELAYED = JSON.stringify({ leftMs: 900, ageMs: 0, attempts: 1, isCounted: false, isRepeat: false });
 
   it.each([
     ["a missing description", {}],
@@ -227,6 +247,15 @@
     expect(await send(port, { [RELAY_REQUEST_HEADER]: RELAYED })).toBe(200);
   });
 
+  it("sends a request that had been sent before only when its own budget has a retry", async () => {
+    const { harness, port } = await start();
+    harness.retries = 1;
+    const repeated = { [RELAY_REQUEST_HEADER]: RELAYED.replace('"isRepeat":false', '"isRepeat":true') };
+    expect(await send(port, repeated)).toBe(200);
+    expect(await send(port, repeated)).toBe(503);
+    expect(harness.requests).toHaveLength(1);
+  });
+
   it("refuses a request without the secret of the entries", async () => {
     const { harness, port } = await start("a secret of the entries");
     expect(await send(port, { [RELAY_REQUEST_HEADER]: RELAYED })).toBe(401);
