--- a/bench/containment.ts
+++ b/bench/containment.ts
@@ -69,7 +69,7 @@
     logger,
     metrics: new NoopMetrics(),
     probe: async () => "accepted",
-    hasLostLinks: () => false,
+    isExplained: () => false,
     onChange: () => {},
   });
   const body = Buffer.alloc(BODY_BYTES, "x");
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -32,6 +32,15 @@
   readonly abort: AbortController;
 }
 
+/** An attempt that was sent to an endpoint. */
+export interface SentAttempt {
+  readonly target: Target;
+  /** When the request was sent; monotonic milliseconds. */
+  readonly startedAt: number;
+  /** Whether it was sent over a new connection, over which nothing has arrived. */
+  readonly isNewConnection: boolean;
+}
+
 /** Why an attempt failed. */
 export type AttemptFailure = Pick<FailedAttempt, "reason" | "wasNotRun"> & {
   /** Whether any part of the request was sent to the endpoint. */
--- a/src/gateway/CrashMonitor.ts
+++ b/src/gateway/CrashMonitor.ts
@@ -9,18 +9,15 @@
  */
 import { pause } from "../clock";
 import type { AdmissionDecision, CrashLedger, RequestDigest, Suspect } from "../containment";
-import type { Target } from "../gen/ploverstage/v1/fleet_pb";
 import type { CrashRecord } from "../gen/ploverstage/v1/state_pb";
 import type { ProbeOutcome } from "../http";
 import type { Logger, Metrics } from "../metrics";
+import type { SentAttempt } from "./Attempt";
 import { EndpointProbe } from "./EndpointProbe";
 
 /** An attempt that its endpoint broke off. */
-export interface BrokenAttempt {
-  readonly target: Target;
+export interface BrokenAttempt extends SentAttempt {
   readonly requestId: string;
-  /** When the request was sent; monotonic milliseconds. */
-  readonly startedAt: number;
   readonly brokeAt: number;
   /** When the first part of an answer arrived; `undefined` when none did. */
   readonly answeredAt: number | undefined;
@@ -32,8 +29,8 @@
   readonly metrics: Metrics;
   /** Opens a connection to an address and closes it at once. */
   readonly probe: (address: string) => Promise<ProbeOutcome>;
-  /** Checks whether this entry's links to a service's endpoints are lost, so that refused connections prove nothing. */
-  readonly hasLostLinks: (service: string) => boolean;
+  /** Checks whether this entry's lost links explain the break, so that refused connections prove nothing. */
+  readonly isExplained: (attempt: SentAttempt) => boolean;
   /** Called when the ledger has changes to report to control. */
   readonly onChange: () => void;
 }
@@ -140,8 +137,8 @@
 
   private _addCrash(suspects: readonly Suspect[], attempt: BrokenAttempt): void {
     const { target, startedAt, brokeAt, answeredAt, requestId } = attempt;
-    const { ledger, logger, metrics, onChange, hasLostLinks } = this._options;
-    if (hasLostLinks(target.service)) {
+    const { ledger, logger, metrics, onChange, isExplained } = this._options;
+    if (isExplained(attempt)) {
       logger.info({
         event: "crash_not_counted",
         request: requestId,
--- a/src/gateway/DestinationChooser.ts
+++ b/src/gateway/DestinationChooser.ts
@@ -6,6 +6,7 @@
  * entries can serve. Pure: times are monotonic milliseconds given by the caller.
  */
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
+import type { SentAttempt } from "./Attempt";
 import type { LinkFailure, LinkMonitor, LinkState } from "./LinkMonitor";
 import { isPeer, type PeerPool, type PeerRequest } from "./PeerPool";
 import type { TargetPool } from "./TargetPool";
@@ -49,6 +50,16 @@
     return this._options.links.getState(service);
   }
 
+  /**
+   * Checks whether lost links explain that an attempt broke off and its endpoint refuses connections. They do
+   * not when the endpoint accepted a new connection for it after the loss was detected.
+   */
+  explainsBreak({ target, startedAt, isNewConnection }: SentAttempt): boolean {
+    const detectedAt = this._options.links.getLossDetectedAt(target.service);
+    if (detectedAt === undefined) return false;
+    return !isNewConnection || startedAt < detectedAt;
+  }
+
   /** Chooses an endpoint or a peer; `undefined` when there is none. */
   choose(now: number, request: DestinationRequest): Target | undefined {
     const { links, pool, hasIdleConnection } = this._options;
--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -8,8 +8,6 @@
 import type { IncomingMessage } from "node:http";
 import { type Clock, pause } from "../clock";
 import type { RandomSource } from "../consensus";
-import { getPartDigest, getRequestDigest, type RequestDigest, type Suspect } from "../containment";
-import type { Route } from "../declaration";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
 import type { HttpClient } from "../http";
 import type { AnswerBuffers } from "./AnswerBuffers";
@@ -18,12 +16,14 @@
   type AttemptFailure,
   type FailedAttempt,
   getFailureReason,
+  type SentAttempt,
   wasAbandoned,
   wasEndedByEndpoint,
 } from "./Attempt";
 import type { CrashMonitor } from "./CrashMonitor";
 import type { DestinationChooser } from "./DestinationChooser";
-import type { CallMetadata, Dialect } from "./Dialect";
+import type { Dialect } from "./Dialect";
+import type { ExchangeRequest } from "./ExchangeRequest";
 import {
   createBlockedRefusal,
   createNotRunRefusal,
@@ -31,41 +31,14 @@
   type GatewayRefusal,
 } from "./GatewayRefusal";
 import { isFramed } from "./headers";
+import { PeerAttempts } from "./PeerAttempts";
 import { isPeer } from "./PeerPool";
-import {
-  formatRelay,
-  RELAY_REQUEST_HEADER,
-  RELAY_SECRET_HEADER,
-  type RelayedAnswer,
-  readRelayedAnswer,
-} from "./relay";
+import { RequestContainment } from "./RequestContainment";
 import { getRetryAfterMs } from "./retryAfter";
 import type { StreamAdmission, StreamGate } from "./StreamGate";
 import type { TargetPool } from "./TargetPool";
 import { isIdleTooLong, mayRepeat } from "./timeouts";
 
-/** An accepted request. Times are monotonic milliseconds. */
-export interface ExchangeRequest {
-  readonly call: CallMetadata;
-  readonly route: Route;
-  readonly service: string;
-  readonly organisation: string | undefined;
-  readonly method: string;
-  /** Path and query as the caller sent them. */
-  readonly path: string;
-  /** End-to-end headers without framing, alternating names and values. */
-  readonly headers: readonly string[];
-  readonly body: Buffer;
-  readonly receivedAt: number;
-  /** Estimated time of the caller's first request. */
-  readonly firstRequestedAt: number;
-  readonly deadlineAt: number;
-  /** Whether another entry relayed the request; it is not relayed again. */
-  readonly isRelayed: boolean;
-  /** Whether the entry that relayed the request had sent it to an endpoint before. */
-  readonly isRepeat: boolean;
-}
-
 export interface ExchangeDependencies {
   readonly clock: Clock;
   readonly client: HttpClient;
@@ -128,12 +101,9 @@
 const NO_ADMISSION: StreamAdmission = { addFirstEvent: () => {}, end: () => {} };
 
 /** An attempt in progress. */
-interface RunningAttempt {
-  readonly target: Target;
-  readonly startedAt: number;
+interface RunningAttempt extends SentAttempt {
   /** Whether any part of the request was sent. */
   wasSent: boolean;
-  /** Whether the request was sent over a new connection, or waits for one. */
   isNewConnection: boolean;
 }
 
@@ -142,11 +112,14 @@
   readonly request: ExchangeRequest;
   readonly dependencies: ExchangeDependencies;
   readonly failures: FailedAttempt[] = [];
+  /** Decides whether the request is blocked because it crashes endpoints. */
+  readonly containment: RequestContainment;
+  /** Attempts at other entries. */
+  readonly peers: PeerAttempts;
   private readonly _triedTargetIds = new Set<string>();
   private _sentCount = 0;
   private _mayHaveRun = false;
   private _isWithdrawn = false;
-  private _isTrial = false;
   private readonly _cancellation = new AbortController();
   /** Attempts in progress: one, or two while the primary one is idle. */
   private readonly _runningAttempts = new Map<AbortController, RunningAttempt>();
@@ -157,15 +130,7 @@
    * off.
    */
   private _crashProbe: Promise<void> | undefined;
-  private _digest: RequestDigest | undefined;
-  private _suspects: readonly Suspect[] | undefined;
   private _denial: RetryDenial | undefined;
-  /** The final refusal by the entry to which the request was relayed. */
-  private _peerRefusal: GatewayRefusal | undefined;
-  /** Peers that sent the head of an answer, with the number of their attempts. */
-  private readonly _answeredPeerIds = new Set<string>();
-  private _isCounted = false;
-  private _relayedTo: string | undefined;
 
   /**
    * @param request - The request.
@@ -174,6 +139,9 @@
   constructor(request: ExchangeRequest, dependencies: ExchangeDependencies) {
     this.request = request;
     this.dependencies = dependencies;
+    this.containment = new RequestContainment(request, dependencies.crashMonitor);
+    const { destinations, secret } = dependencies;
+    this.peers = new PeerAttempts({ request, destinations, secret });
   }
 
   /** Gets how many endpoints the request was sent to. */
@@ -186,21 +154,6 @@
     return this._denial;
   }
 
-  /** Gets the digest that identifies equal requests. */
-  get digest(): RequestDigest {
-    this._digest ??= getRequestDigest(this.request);
-    return this._digest;
-  }
-
-  /** Gets what a crash under this request is attributed to: the request, and each shared part of its prompt. */
-  get suspects(): readonly Suspect[] {
-    this._suspects ??= [
-      { digest: this.digest, isPart: false },
-      ...this.request.call.sharedParts.map((id) => ({ digest: getPartDigest(id), isPart: true })),
-    ];
-    return this._suspects;
-  }
-
   /**
    * Aborts the attempts in progress because the caller has disconnected or the request's time has expired.
    */
@@ -211,9 +164,7 @@
 
   /** Decides whether the request may be sent to endpoints at all. */
   admit(): boolean {
-    const admittance = this.dependencies.crashMonitor.admit(this.getNow(), () => this.suspects);
-    this._isTrial = admittance === "trial";
-    return admittance !== "keptAway";
+    return this.containment.admit(this.getNow());
   }
 
   /**
@@ -226,10 +177,9 @@
     const running = [...this._runningAttempts.values()];
     const sent = running.filter(({ target, wasSent }) => wasSent && !isPeer(target));
     this._abortAll();
-    const { requestId } = this.request.call;
-    for (const { target, startedAt } of sent) {
-      const attempt = { target, startedAt, requestId, brokeAt: this.getNow(), answeredAt: undefined };
-      void this.dependencies.crashMonitor.addWithdrawal(this.suspects, attempt);
+    const brokeAt = this.getNow();
+    for (const attempt of sent) {
+      this.containment.addWithdrawal({ ...attempt, brokeAt, answeredAt: undefined });
     }
   }
 
@@ -280,25 +230,7 @@
 
   /** Checks whether the request is blocked because endpoints crashed while they ran it. */
   get isBlocked(): boolean {
-    const { crashMonitor } = this.dependencies;
-    return this._isTrial ? this.isConfirmedCause : crashMonitor.isBlocked(this.getNow(), () => this.suspects);
-  }
-
-  /** Gets whether the request, or a part of its prompt, is the confirmed cause of crashes. */
-  get isConfirmedCause(): boolean {
-    return this._getConfirmedCause() !== undefined;
-  }
-
-  /** Gets the id of the part of the prompt that is the confirmed cause of crashes; `undefined` for none. */
-  get confirmedPart(): string | undefined {
-    const cause = this._getConfirmedCause();
-    return this.request.call.sharedParts.find(
-      (id) => cause?.isPart === true && getPartDigest(id) === cause.digest,
-    );
-  }
-
-  private _getConfirmedCause(): Suspect | undefined {
-    return this.dependencies.crashMonitor.getConfirmedCause(() => this.suspects);
+    return this.containment.isBlocked(this.getNow());
   }
 
   /** Chooses a target that this request has not been sent to. */
@@ -324,16 +256,6 @@
     return target !== undefined && isPeer(target);
   }
 
-  /** Gets the address of the entry that answered for this one; `undefined` when none did. */
-  get relayedTo(): string | undefined {
-    return this._relayedTo;
-  }
-
-  /** Records that the request was counted for the retry budget. */
-  setCounted(): void {
-    this._isCounted = true;
-  }
-
   /** Records that data arrived from the target of an attempt. */
   addActivity(target: Target, isNewConnection: boolean): void {
     if (isPeer(target)) return;
@@ -369,7 +291,7 @@
    * sooner.
    */
   takeHedgeTarget(idle: Target): Target | undefined {
-    if (this.isCancelled || this._isWithdrawn || this._isTrial) return undefined;
+    if (this.isCancelled || this._isWithdrawn || this.containment.isTrial) return undefined;
     if (!mayRepeat(this.request.route) || !this.hasAttemptsLeft()) return undefined;
     const now = this.getNow();
     const target = this.chooseTarget();
@@ -424,7 +346,8 @@
         this._sentCount += 1;
       });
       this.addActivity(target, running.isNewConnection);
-      const relayed = isPeer(target) ? this._readRelayedAnswer(target, incoming) : undefined;
+      const relayed = isPeer(target) ? this.peers.readAnswer(target, incoming) : undefined;
+      this._sentCount += relayed?.sent ?? 0;
       return {
         target,
         incoming,
@@ -457,23 +380,17 @@
   addSuccessfulAttempt(attempt: AnsweringAttempt): void {
     attempt.end();
     this._runningAttempts.delete(attempt.abort);
-    if (isPeer(attempt.target)) this._relayedTo = attempt.target.address;
+    if (isPeer(attempt.target)) this.peers.addSuccess(attempt.target);
     this.dependencies.pool.addSuccess(attempt.target.id);
     // An answer that ends with its connection may have been cut, and a failure may not have run.
     const isSuccess = (attempt.incoming.statusCode ?? 0) < MIN_FAILURE_STATUS;
-    if (attempt.isFramed && isSuccess)
-      this.dependencies.crashMonitor.addSuccess(this.getNow(), () => this.suspects);
-  }
-
-  /** Records a refusal by the entry to which the request was relayed; no further attempt is made. */
-  setPeerRefusal(refusal: GatewayRefusal): void {
-    this._peerRefusal = refusal;
+    if (attempt.isFramed && isSuccess) this.containment.addSuccess(this.getNow());
   }
 
   /** Creates the refusal for the caller after all attempts have failed. */
   createRefusal(): GatewayRefusal {
     const last = this.failures.at(-1);
-    if (this._peerRefusal !== undefined && !this._mayHaveRun) return this._peerRefusal;
+    if (this.peers.refusal !== undefined && !this._mayHaveRun) return this.peers.refusal;
     if (this._mayHaveRun) {
       const isExpired = this.getRemainingMs() <= MIN_REMAINING_MS;
       return createOutcomeUnknownRefusal(
@@ -481,7 +398,7 @@
         last?.reason ?? "the request's time has expired",
       );
     }
-    if (this.isBlocked) return createBlockedRefusal(this.isConfirmedCause);
+    if (this.isBlocked) return createBlockedRefusal(this.containment.isConfirmedCause);
     if (last === undefined) {
       const { service, call } = this.request;
       const targetName = call.model === "" ? service : `${service}/${call.model}`;
@@ -493,10 +410,10 @@
 
   private _getDenial(): RetryDenial | undefined {
     if (this.isCancelled) return "over";
-    if (this._peerRefusal !== undefined) return "refused";
+    if (this.peers.refusal !== undefined) return "refused";
     if (!this.hasAttemptsLeft()) return "noAttempt";
     // A suspected request may run only once.
-    if (this._mayHaveRun && (this._isTrial || !mayRepeat(this.request.route))) return "runsOnce";
+    if (this._mayHaveRun && (this.containment.isTrial || !mayRepeat(this.request.route))) return "runsOnce";
     return undefined;
   }
 
@@ -563,7 +480,7 @@
     const { request, dependencies } = this;
     const leftMs = this.getRemainingMs();
     const headers = isPeer(target)
-      ? this._createRelayHeaders(lastEventId)
+      ? this.peers.createHeaders(this.getNow(), this._sentCount, lastEventId)
       : dependencies.dialect.createHeaders(request.headers, {
           leftMs,
           instanceId: target.instanceId,
@@ -586,38 +503,6 @@
     });
   }
 
-  /** Creates the headers of a relayed request: those of the caller and the state of this exchange. */
-  private _createRelayHeaders(lastEventId: string | undefined): string[] {
-    const { headers, firstRequestedAt, route } = this.request;
-    const relayed = formatRelay({
-      leftMs: this.getRemainingMs(),
-      ageMs: this.getNow() - firstRequestedAt,
-      attempts: route.maxAttempts - this._sentCount,
-      ...(lastEventId === undefined ? {} : { lastEventId }),
-      isCounted: this._isCounted,
-      isRepeat: this._sentCount > 0 || this.request.isRepeat,
-    });
-    const { secret } = this.dependencies;
-    const secretHeaders = secret === undefined ? [] : [RELAY_SECRET_HEADER, secret];
-    return [...headers, RELAY_REQUEST_HEADER, relayed, ...secretHeaders];
-  }
-
-  /**
-   * Reads how a peer answered, and adds the attempts that it made.
-   * @throws InvalidRelay
-   */
-  private _readRelayedAnswer({ id }: Target, incoming: IncomingMessage): RelayedAnswer {
-    try {
-      const relayed = readRelayedAnswer(incoming.headers);
-      this._answeredPeerIds.add(id);
-      this._sentCount += relayed.sent;
-      return relayed;
-    } catch (cause) {
-      incoming.destroy();
-      throw cause;
-    }
-  }
-
   /**
    * Checks whether the request can still meet its objective. Always true for a resumed stream: the objective
    * for the first event no longer applies, only the one for the time between events.
@@ -654,7 +539,7 @@
     // An attempt that this entry aborts is no evidence against the endpoint.
     if (this.isCancelled || this._isWithdrawn || failure.wasAbandoned === true) return;
     if (isPeer(target)) {
-      this._addPeerFailure(now, target, failure);
+      this._sentCount += this.peers.addFailure(now, target, failure);
       return;
     }
     this.dependencies.pool.addFailure(now, target.id);
@@ -662,26 +547,11 @@
     if (failure.wasAnswered !== true) this._addLinkFailure(now, running);
     this._suspect(target, !failure.wasSent);
     if (failure.wasEndedByEndpoint === true && failure.wasSent)
-      this._addBrokenAttempt(target, startedAt, now, failure.answeredAt);
-  }
-
-  /** A peer that sent no head may have sent the request to an endpoint. */
-  private _addPeerFailure(now: number, target: Target, failure: AttemptFailure): void {
-    const hasHead = this._answeredPeerIds.has(target.id);
-    if (failure.wasSent && !hasHead) this._sentCount += 1;
-    const hasRefusedOnce = failure.wasNotRun && this._peerRefusal === undefined;
-    if (!hasHead || hasRefusedOnce) this.dependencies.destinations.addPeerFailure(now, target);
-  }
-
-  private _addBrokenAttempt(
-    target: Target,
-    startedAt: number,
-    brokeAt: number,
-    answeredAt: number | undefined,
-  ): void {
-    const { requestId } = this.request.call;
-    const attempt = { target, requestId, startedAt, brokeAt, answeredAt };
-    this._crashProbe = this.dependencies.crashMonitor.addBrokenAttempt(this.suspects, attempt);
+      this._crashProbe = this.containment.addBrokenAttempt({
+        ...running,
+        brokeAt: now,
+        answeredAt: failure.answeredAt,
+      });
   }
 }
 
--- a/src/gateway/FailureTrack.ts
+++ b/src/gateway/FailureTrack.ts
@@ -37,6 +37,7 @@
   private readonly _minEndpoints: number;
   private _lastSuccessAt = Number.NEGATIVE_INFINITY;
   private _failingSince: number | undefined;
+  private _detectedAt: number | undefined;
 
   /** @param minEndpoints - Number of endpoints that must fail; fewer may fail by themselves. */
   constructor(minEndpoints: number) {
@@ -48,6 +49,11 @@
     return this._failingSince;
   }
 
+  /** Gets when it was detected that all endpoints are failing; `undefined` while they are not. */
+  get detectedAt(): number | undefined {
+    return this._detectedAt;
+  }
+
   /** Gets when an endpoint last showed that it works. */
   get lastSuccessAt(): number {
     return this._lastSuccessAt;
@@ -62,9 +68,18 @@
   addSuccess(now: number): void {
     this._lastSuccessAt = now;
     this._failingSince = undefined;
+    this._detectedAt = undefined;
     if (this._failures.size > 0) this._failures.clear();
   }
 
+  /** Records that an endpoint accepted a new connection: earlier ones that failed have another cause. */
+  addConnection(): void {
+    if (this._failingSince !== undefined) return;
+    for (const [address, { sentRequestId }] of this._failures) {
+      if (sentRequestId === undefined) this._failures.delete(address);
+    }
+  }
+
   /**
    * Records a failure.
    * @param domainCount - Number of failure domains that have endpoints of the service.
@@ -76,6 +91,7 @@
     this._failures.set(failure.target.address, { ...failure, failedAt: now });
     if (this._failingSince !== undefined || !this._isShared(domainCount)) return;
     this._failingSince = Math.min(...this.failures.map(({ since }) => since));
+    this._detectedAt = now;
   }
 
   /** Checks whether another endpoint failed by the same request, which may itself be the cause. */
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -138,7 +138,7 @@
     logger,
     metrics,
     probe: (address) => client.probe(address),
-    hasLostLinks: (service) => links.destinations.getState(service) === "lost",
+    isExplained: (attempt) => links.destinations.explainsBreak(attempt),
     onChange: () => {
       reporter.sendSoon();
       server.withdrawConfirmedCauses();
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -10,7 +10,8 @@
 import { CallerTimeouts } from "./CallerTimeouts";
 import type { CallMetadata } from "./Dialect";
 import { delimitByClose } from "./delimitByClose";
-import { Exchange, type ExchangeDependencies, type ExchangeRequest } from "./Exchange";
+import { Exchange, type ExchangeDependencies } from "./Exchange";
+import type { ExchangeRequest } from "./ExchangeRequest";
 import { createNotRunRefusal, GatewayRefusal, getRelayOutcome } from "./GatewayRefusal";
 import { dropHeaders, getEndToEndHeaders } from "./headers";
 import { PlainExchange } from "./PlainExchange";
@@ -160,7 +161,7 @@
    */
   withdrawConfirmedCauses(): void {
     for (const [exchange, { response }] of this._running) {
-      if (!response.headersSent && exchange.isConfirmedCause) exchange.withdraw();
+      if (!response.headersSent && exchange.containment.isConfirmedCause) exchange.withdraw();
     }
   }
 
@@ -266,7 +267,7 @@
   private _countRequest(exchange: Exchange, { relayed }: RequestProgress): void {
     if (relayed?.isCounted !== true && exchange.willRelay) return;
     if (relayed?.isCounted !== true) this._options.onRequest();
-    exchange.setCounted();
+    exchange.peers.setCounted();
   }
 
   private async _accept(incoming: IncomingMessage, progress: RequestProgress): Promise<ExchangeRequest> {
@@ -479,7 +480,7 @@
     const publishedView = this._options.getPublishedView();
     metrics.increment("gateway_requests", 1, { kind, outcome, code });
     metrics.timing("gateway_answer_ms", tookMs, { kind });
-    if (exchange?.relayedTo !== undefined) metrics.increment("gateway_relayed", 1, { kind, outcome });
+    if (exchange?.peers.servedBy !== undefined) metrics.increment("gateway_relayed", 1, { kind, outcome });
     if (exchange !== undefined) this._countAttempts(exchange, kind);
     this._options.logger.info({
       event: "request_ended",
@@ -501,12 +502,12 @@
       took_ms: tookMs,
       sent: exchange?.sentCount ?? 0,
       relayed: progress.relayed === undefined ? undefined : true,
-      relayed_to: exchange?.relayedTo,
+      relayed_to: exchange?.peers.servedBy,
       failures: exchange?.failures,
       not_repeated: exchange?.denial,
       // Shows whether two failed calls were the same request.
-      digest: shouldLogDigest(exchange, code) ? exchange?.digest : undefined,
-      kept_away_part: code === "kept_away" ? exchange?.confirmedPart : undefined,
+      digest: shouldLogDigest(exchange, code) ? exchange?.containment.digest : undefined,
+      kept_away_part: code === "kept_away" ? exchange?.containment.confirmedPart : undefined,
       // Shows what failed calls with different digests have in common.
       parts: shouldLogDigest(exchange, code) ? call?.sharedParts : undefined,
       ...details,
--- a/src/gateway/LinkMonitor.ts
+++ b/src/gateway/LinkMonitor.ts
@@ -55,6 +55,15 @@
     return this._isFailing(service, "connections") ? "noConnections" : "sound";
   }
 
+  /** Gets when it was detected that a service's links are lost; `undefined` while they are not. */
+  getLossDetectedAt(service: string): number | undefined {
+    if (this.getState(service) !== "lost") return undefined;
+    const times = [...this._services.values()].map(
+      ({ answers }) => answers.detectedAt ?? Number.POSITIVE_INFINITY,
+    );
+    return this._services.get(service)?.answers.detectedAt ?? Math.min(...times);
+  }
+
   /** Gets whether the links to the endpoints of any service are not sound. */
   get hasLoss(): boolean {
     return [...this._services.keys()].some((service) => this.getState(service) !== "sound");
@@ -80,7 +89,10 @@
 
   /** Records that an endpoint accepted a new connection, over which nothing has arrived yet. */
   addConnection(now: number, { service }: Target): void {
-    this._getLinks(service).connectableSince ??= now;
+    const links = this._getLinks(service);
+    links.connectableSince ??= now;
+    links.answers.addConnection();
+    links.connections.addConnection();
   }
 
   /**
--- /dev/null
+++ b/src/gateway/PeerAttempts.ts
@@ -0,0 +1,106 @@
+/** The attempts of one request at other entries, to which this entry relays it. */
+import type { IncomingMessage } from "node:http";
+import type { Target } from "../gen/ploverstage/v1/fleet_pb";
+import type { AttemptFailure } from "./Attempt";
+import type { DestinationChooser } from "./DestinationChooser";
+import type { ExchangeRequest } from "./ExchangeRequest";
+import type { GatewayRefusal } from "./GatewayRefusal";
+import {
+  formatRelay,
+  RELAY_REQUEST_HEADER,
+  RELAY_SECRET_HEADER,
+  type RelayedAnswer,
+  readRelayedAnswer,
+} from "./relay";
+
+export interface PeerAttemptsOptions {
+  readonly request: ExchangeRequest;
+  readonly destinations: DestinationChooser;
+  /** Shared by all entries; `undefined` where none is configured. */
+  readonly secret: string | undefined;
+}
+
+/** Relayed attempts of one request. */
+export class PeerAttempts {
+  private readonly _options: PeerAttemptsOptions;
+  /** Peers that sent the head of an answer, which tells the number of their attempts. */
+  private readonly _answeredIds = new Set<string>();
+  private _refusal: GatewayRefusal | undefined;
+  private _servedBy: string | undefined;
+  private _isCounted = false;
+
+  /** @param options - The request, and what is known of peers. */
+  constructor(options: PeerAttemptsOptions) {
+    this._options = options;
+  }
+
+  /** Gets the final refusal by a peer; `undefined` when none has refused the request finally. */
+  get refusal(): GatewayRefusal | undefined {
+    return this._refusal;
+  }
+
+  /** Gets the address of the entry that answered for this one; `undefined` when none did. */
+  get servedBy(): string | undefined {
+    return this._servedBy;
+  }
+
+  /** Records that the request was counted for the retry budget. */
+  setCounted(): void {
+    this._isCounted = true;
+  }
+
+  /** Records a final refusal by a peer; no further attempt is made. */
+  setRefusal(refusal: GatewayRefusal): void {
+    this._refusal = refusal;
+  }
+
+  /** Records that a peer completed its answer. */
+  addSuccess({ address }: Target): void {
+    this._servedBy = address;
+  }
+
+  /**
+   * Creates the headers of the request: those of the caller and the state of the exchange.
+   * @param sentCount - Number of endpoints to which the request was sent before.
+   * @param lastEventId - Id of the event after which a stream continues.
+   */
+  createHeaders(now: number, sentCount: number, lastEventId: string | undefined): string[] {
+    const { request, secret } = this._options;
+    const relayed = formatRelay({
+      leftMs: Math.max(0, request.deadlineAt - now),
+      ageMs: now - request.firstRequestedAt,
+      attempts: Math.max(0, request.route.maxAttempts - sentCount),
+      ...(lastEventId === undefined ? {} : { lastEventId }),
+      isCounted: this._isCounted,
+      isRepeat: sentCount > 0 || request.isRepeat,
+    });
+    const secretHeaders = secret === undefined ? [] : [RELAY_SECRET_HEADER, secret];
+    return [...request.headers, RELAY_REQUEST_HEADER, relayed, ...secretHeaders];
+  }
+
+  /**
+   * Reads how a peer answered.
+   * @throws InvalidRelay
+   */
+  readAnswer({ id }: Target, incoming: IncomingMessage): RelayedAnswer {
+    try {
+      const relayed = readRelayedAnswer(incoming.headers);
+      this._answeredIds.add(id);
+      return relayed;
+    } catch (cause) {
+      incoming.destroy();
+      throw cause;
+    }
+  }
+
+  /**
+   * Records a failed attempt.
+   * @returns The number of endpoints to which the peer may have sent the request without telling.
+   */
+  addFailure(now: number, peer: Target, failure: AttemptFailure): number {
+    const hasHead = this._answeredIds.has(peer.id);
+    const hasRefusedOnce = failure.wasNotRun && this._refusal === undefined;
+    if (!hasHead || hasRefusedOnce) this._options.destinations.addPeerFailure(now, peer);
+    return failure.wasSent && !hasHead ? 1 : 0;
+  }
+}
--- a/src/gateway/checkAnswer.ts
+++ b/src/gateway/checkAnswer.ts
@@ -26,7 +26,7 @@
   relayed: RelayedAnswer,
 ): AttemptFailure | undefined {
   if (relayed.outcome === "answered") return undefined;
-  if (relayed.outcome === "refused") exchange.setPeerRefusal(createPeerRefusal(status, relayed));
+  if (relayed.outcome === "refused") exchange.peers.setRefusal(createPeerRefusal(status, relayed));
   return createFailure(
     `another entry answered ${status}: ${relayed.reason ?? relayed.outcome}`,
     relayed.outcome !== "unknown",
--- a/test/gateway/Exchange.test.ts
+++ b/test/gateway/Exchange.test.ts
@@ -3,7 +3,8 @@
 import { SeededRandom } from "../../src/consensus";
 import type { CrashMonitor } from "../../src/gateway/CrashMonitor";
 import { EntryLinks, type EntryLinksOptions } from "../../src/gateway/EntryLinks";
-import { Exchange, type ExchangeDependencies, type ExchangeRequest } from "../../src/gateway/Exchange";
+import { Exchange, type ExchangeDependencies } from "../../src/gateway/Exchange";
+import type { ExchangeRequest } from "../../src/gateway/ExchangeRequest";
 import { TargetPool } from "../../src/gateway/TargetPool";
 import { type Target, TargetSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
 
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -146,7 +146,7 @@
       logger,
       metrics: this.metrics,
       probe: (address) => this._client.probe(address),
-      hasLostLinks: (service) => this.links.destinations.getState(service) === "lost",
+      isExplained: (attempt) => this.links.destinations.explainsBreak(attempt),
       onChange: () => {},
     });
   }
--- a/test/gateway/LinkMonitor.test.ts
+++ b/test/gateway/LinkMonitor.test.ts
@@ -74,6 +74,15 @@
     expect(links.getState("llm")).toBe("lost");
   });
 
+  it("keeps the links for sound when another endpoint accepts a connection between two that refuse it", () => {
+    const links = new LinkMonitor();
+    for (let i = 0; i < 6; i++) {
+      addConnectFailure(links, 1_000 + i * 100, createTarget(i));
+      links.addConnection(1_050 + i * 100, createTarget(9));
+    }
+    expect(links.getState("llm")).toBe("sound");
+  });
+
   it("keeps the links for sound when failures lie further apart than one cause explains", () => {
     const links = new LinkMonitor();
     addConnectFailure(links, 1_000, createTarget(0));
