--- a/src/gateway/EntryLinks.ts
+++ b/src/gateway/EntryLinks.ts
@@ -71,6 +71,13 @@
     this._peers.setPeers(peers);
   }
 
+  /** Applies a change of the endpoints. */
+  updateTargets(): void {
+    const services = this._options.pool.getTargets().map(({ service }) => service);
+    this._monitor.retainServices(new Set(services));
+    this._reportLoss();
+  }
+
   /** Stops probing and reporting. */
   stop(): void {
     this._probe.stop();
@@ -91,6 +98,11 @@
     });
     metrics.gauge("gateway_links_lost", state === "sound" ? 0 : 1, { service });
     if (this._monitor.hasLoss) this._probe.start();
+    this._reportLoss();
+  }
+
+  /** Tells control when the services whose links are lost have changed. */
+  private _reportLoss(): void {
     const { lostServices } = this._monitor;
     if (lostServices.join() === this._lostServices.join()) return;
     this._lostServices = lostServices;
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -151,6 +151,7 @@
     }
     const targets = view.getTargets();
     pool.setTargets(targets);
+    links.updateTargets();
     links.setPeers(view.getPeers());
     updateRoutes();
   };
--- a/src/gateway/LinkMonitor.ts
+++ b/src/gateway/LinkMonitor.ts
@@ -74,6 +74,11 @@
     return [...this._services.keys()].filter((service) => this.getState(service) === "lost").sort();
   }
 
+  /** Discards what is known of services that have no endpoints any more, since none of them can answer again. */
+  retainServices(services: ReadonlySet<string>): void {
+    for (const service of this._services.keys()) if (!services.has(service)) this._services.delete(service);
+  }
+
   /** Gets the failures since the last success of a service's endpoints. */
   getFailures(service: string): readonly EndpointFailure[] {
     const links = this._services.get(service);
