--- a/src/gateway/Dialect.ts
+++ b/src/gateway/Dialect.ts
@@ -6,9 +6,6 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 
-/** Maximum number of shared parts of a prompt that are read. */
-export const MAX_PROMPT_PARTS = 8;
-
 /** Metadata that a caller sends with its request. */
 export interface CallMetadata {
   /** Id that the caller gives to this request; a retry has another one. */
@@ -20,11 +17,8 @@
   readonly model: string;
   readonly promptTokens: number;
   readonly answerTokens: number;
-  /**
-   * Ids of the parts of the prompt that other requests may share, in order; at most `MAX_PROMPT_PARTS`. The
-   * last part belongs to the request alone and is left out.
-   */
-  readonly sharedParts: readonly string[];
+  /** Ids of the parts of the prompt in order. The last part belongs to the request, others share the rest. */
+  readonly promptParts: readonly string[];
   /** Id of the last event that the caller received from an earlier attempt. */
   readonly lastEventId: string | undefined;
 }
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -509,7 +509,7 @@
       digest: shouldLogDigest(exchange, code) ? exchange?.containment.digest : undefined,
       kept_away_part: code === "kept_away" ? exchange?.containment.confirmedPart : undefined,
       // Shows what failed calls with different digests have in common.
-      parts: shouldLogDigest(exchange, code) ? call?.sharedParts : undefined,
+      parts: shouldLogDigest(exchange, code) ? exchange?.containment.sharedParts : undefined,
       ...details,
     });
   }
--- a/src/gateway/RequestContainment.ts
+++ b/src/gateway/RequestContainment.ts
@@ -6,6 +6,9 @@
 /** An attempt that its endpoint broke off. */
 type BrokenRun = Omit<BrokenAttempt, "requestId">;
 
+/** Maximum number of shared parts of a prompt that a crash may be attributed to. */
+const MAX_SHARED_PARTS = 8;
+
 /** Containment of the crashes of one request. */
 export class RequestContainment {
   private readonly _request: ExchangeRequest;
@@ -29,11 +32,16 @@
     return this._digest;
   }
 
+  /** Gets the ids of the parts of the prompt that other requests may share. */
+  get sharedParts(): readonly string[] {
+    return [...new Set(this._request.call.promptParts.slice(0, -1))].slice(0, MAX_SHARED_PARTS);
+  }
+
   /** Gets what a crash under this request is attributed to: the request, and each shared part of its prompt. */
   get suspects(): readonly Suspect[] {
     this._suspects ??= [
       { digest: this.digest, isPart: false },
-      ...this._request.call.sharedParts.map((id) => ({ digest: getPartDigest(id), isPart: true })),
+      ...this.sharedParts.map((id) => ({ digest: getPartDigest(id), isPart: true })),
     ];
     return this._suspects;
   }
@@ -64,7 +72,7 @@
   get confirmedPart(): string | undefined {
     const cause = this._getConfirmedCause();
     if (cause?.isPart !== true) return undefined;
-    return this._request.call.sharedParts.find((id) => getPartDigest(id) === cause.digest);
+    return this.sharedParts.find((id) => getPartDigest(id) === cause.digest);
   }
 
   /** Records that the request was answered successfully, which clears it and the parts of its prompt. */
