--- a/bench/containment.ts
+++ b/bench/containment.ts
@@ -3,7 +3,14 @@
  * Also counts how often a request is wrongly refused that only ran on instances when their rack was lost.
  */
 import { create } from "@bufbuild/protobuf";
-import { CrashLedger, getRequestDigest, MAX_CRASH_RECORDS, type RequestContent } from "../src/containment";
+import {
+  CrashLedger,
+  getPartDigest,
+  getRequestDigest,
+  MAX_CRASH_RECORDS,
+  type RequestContent,
+  type Suspect,
+} from "../src/containment";
 import { CrashMonitor } from "../src/gateway/CrashMonitor";
 import { CrashRecordSchema } from "../src/gen/ploverstage/v1/state_pb";
 import { NoopMetrics } from "../src/metrics";
@@ -17,6 +24,8 @@
 
 const SETTLE_MS = 3_000;
 const REQUEST_COUNT = 20_000;
+/** Ids of the shared parts of a prompt. */
+const PARTS = ["5c1e07a2", "91bd3f06"];
 const BODY_BYTES = 2_048;
 const US_PER_MS = 1_000;
 /** Instances per lost rack, and entries that observe the losses. */
@@ -67,15 +76,18 @@
   const startedAt = performance.now();
   for (let i = 0; i < REQUEST_COUNT; i++) {
     const content: RequestContent = { organisation: "atlas", method: "POST", path: `/work/${i}`, body };
-    // A request computes its digest only once.
-    let digest: ReturnType<typeof getRequestDigest> | undefined;
-    const getDigest = () => {
-      digest ??= getRequestDigest(content);
-      return digest;
+    // A request computes its digests only once.
+    let suspects: readonly Suspect[] | undefined;
+    const getSuspects = () => {
+      suspects ??= [
+        { digest: getRequestDigest(content), isPart: false },
+        ...PARTS.map((id) => ({ digest: getPartDigest(id), isPart: true })),
+      ];
+      return suspects;
     };
-    monitor.admit(i, getDigest);
-    monitor.isBlocked(i, getDigest);
-    monitor.addSuccess(i, getDigest);
+    monitor.admit(i, getSuspects);
+    monitor.isBlocked(i, getSuspects);
+    monitor.addSuccess(i, getSuspects);
   }
   return ((performance.now() - startedAt) / REQUEST_COUNT) * US_PER_MS;
 }
--- a/src/containment/CrashLedger.ts
+++ b/src/containment/CrashLedger.ts
@@ -9,11 +9,13 @@
 import { type CrashRecord, CrashRecordSchema } from "../gen/ploverstage/v1/state_pb";
 import { CrashTable, type CrashVerdict } from "./CrashTable";
 import { getCrashDepth, isCrashRecordIncluded } from "./crashRecords";
-import type { RequestDigest } from "./RequestDigest";
+import type { PartDigest, RequestDigest, Suspect } from "./RequestDigest";
 
 /** A crash of an instance while it ran a request. */
 export interface ObservedCrash {
-  readonly digest: RequestDigest;
+  readonly digest: RequestDigest | PartDigest;
+  /** Whether the digest is that of a part of prompts. */
+  readonly isPart?: boolean;
   /** Id of the incarnation that ended. */
   readonly life: string;
   /** When the request was sent to the instance. */
@@ -78,7 +80,7 @@
   }
 
   /** Decides whether a request may be sent to endpoints. A returned trial counts as started. */
-  admit(now: number, digest: RequestDigest): AdmissionDecision {
+  admit(now: number, digest: RequestDigest | PartDigest): AdmissionDecision {
     if (this.isBlocked(now, digest)) return "keptAway";
     if (this._table.getVerdict(digest) === "free") return "admitted";
     this._delayTrial(now, digest);
@@ -86,13 +88,49 @@
   }
 
   /** Checks whether a request must not be sent to endpoints now. */
-  isBlocked(now: number, digest: RequestDigest): boolean {
+  isBlocked(now: number, digest: RequestDigest | PartDigest): boolean {
     const verdict = this._table.getVerdict(digest);
     return verdict === "proven" || (verdict === "doubted" && now < (this._nextTrialAt.get(digest) ?? 0));
   }
 
+  /**
+   * Decides whether a request with several suspects may be sent to endpoints. A returned trial counts as
+   * started.
+   *
+   * A part that is only confirmed together with something else is tried again in a request without the other:
+   * its success clears the part.
+   */
+  admitSuspects(now: number, suspects: readonly Suspect[]): AdmissionDecision {
+    if (this.areSuspectsBlocked(now, suspects)) return "keptAway";
+    const tried = suspects.filter(({ digest }) => this._table.getVerdict(digest) !== "free");
+    for (const { digest } of tried) this._delayTrial(now, digest);
+    return tried.length === 0 ? "admitted" : "trial";
+  }
+
+  /** Checks whether a request with several suspects must not be sent to endpoints now. */
+  areSuspectsBlocked(now: number, suspects: readonly Suspect[]): boolean {
+    if (this.haveConfirmedCause(suspects)) return true;
+    return suspects.some(
+      ({ digest }) => this._table.getVerdict(digest) !== "free" && now < (this._nextTrialAt.get(digest) ?? 0),
+    );
+  }
+
+  /** Checks whether one of a request's suspects, and nothing else, is the confirmed cause of crashes. */
+  haveConfirmedCause(suspects: readonly Suspect[]): boolean {
+    return this.getConfirmedCause(suspects) !== undefined;
+  }
+
+  /** Gets the suspect that is the confirmed cause of crashes; `undefined` when none is. */
+  getConfirmedCause(suspects: readonly Suspect[]): Suspect | undefined {
+    const present = new Set<string>(suspects.map(({ digest }) => digest));
+    return suspects.find(
+      ({ digest, isPart }) =>
+        this._table.getVerdict(digest) === "proven" && !(isPart && this._table.isExplained(digest, present)),
+    );
+  }
+
   /** Checks whether a request is the confirmed cause of crashes. */
-  isConfirmedCause(digest: RequestDigest): boolean {
+  isConfirmedCause(digest: RequestDigest | PartDigest): boolean {
     return this._table.getVerdict(digest) === "proven";
   }
 
@@ -107,7 +145,7 @@
   }
 
   /** Gets the record of a request; `undefined` when there is none. */
-  getRecord(digest: RequestDigest): CrashRecord | undefined {
+  getRecord(digest: RequestDigest | PartDigest): CrashRecord | undefined {
     return this._table.getRecord(digest);
   }
 
@@ -117,13 +155,13 @@
    * that ran on all of them has one crash in a row.
    * @returns The number of crashes in a row, this one included.
    */
-  addCrash({ digest, life, startedAt, brokeAt, wasAnswered }: ObservedCrash): number {
+  addCrash({ digest, isPart, life, startedAt, brokeAt, wasAnswered }: ObservedCrash): number {
     const known = this._table.getRecord(digest);
     const generation = known?.generation ?? 0;
     const recorded = known?.crashes.find((crash) => crash.life === life);
     const depth = recorded?.depth ?? this._getDepthAt(digest, generation, startedAt) + 1;
     const crash = { life, depth, answered: wasAnswered };
-    this._add(brokeAt, create(CrashRecordSchema, { digest, generation, crashes: [crash] }));
+    this._add(brokeAt, create(CrashRecordSchema, { digest, isPart, generation, crashes: [crash] }));
     this._updatePending(digest);
     return depth;
   }
@@ -132,10 +170,11 @@
    * Records a successful run, which clears the request: a request that crashes every instance has none.
    * @returns Whether there was a crash or a release to clear.
    */
-  addSuccess(now: number, digest: RequestDigest): boolean {
+  addSuccess(now: number, digest: RequestDigest | PartDigest): boolean {
     const known = this._table.getRecord(digest);
     if (known === undefined || (known.crashes.length === 0 && known.releases === 0)) return false;
-    this._add(now, create(CrashRecordSchema, { digest, generation: known.generation + 1 }));
+    const { isPart, generation } = known;
+    this._add(now, create(CrashRecordSchema, { digest, isPart, generation: generation + 1 }));
     this._updatePending(digest);
     return true;
   }
@@ -190,7 +229,7 @@
       this._nextTrialAt.delete(this._nextTrialAt.keys().next().value!);
   }
 
-  private _getDepthAt(digest: RequestDigest, generation: number, time: number): number {
+  private _getDepthAt(digest: RequestDigest | PartDigest, generation: number, time: number): number {
     const observations = (this._depthObservations.get(digest) ?? []).filter(
       (depth) => depth.generation === generation,
     );
--- a/src/containment/CrashTable.ts
+++ b/src/containment/CrashTable.ts
@@ -74,6 +74,17 @@
     return record === undefined ? "free" : this._getRecordVerdict(record);
   }
 
+  /**
+   * Checks whether something else was suspected of every crash of a suspect, so that either may be the cause.
+   * @param present - Digests of the suspect's own request, which can't tell the two apart.
+   */
+  isExplained(digest: string, present: ReadonlySet<string>): boolean {
+    const [first, ...rest] = this._records.get(digest)?.crashes ?? [];
+    if (first === undefined) return false;
+    const others = [...(this._suspects.get(first.life) ?? [])].filter((other) => !present.has(other));
+    return others.some((other) => rest.every(({ life }) => this._suspects.get(life)?.has(other) === true));
+  }
+
   /** Counts the requests that are the confirmed cause of crashes. */
   countConfirmedCauses(): number {
     return this.getRecords().filter((record) => this._getRecordVerdict(record) === "proven").length;
@@ -83,18 +94,20 @@
     const depth = getCrashDepth(record);
     if (depth >= (record.releases > 0 ? CONFIRMED_DEPTH_AFTER_RELEASE : CONFIRMED_DEPTH)) return "proven";
     if (record.releases > 0) return "doubted";
-    const isSoleSuspect = record.crashes.every((crash) => this._isSoleSuspect(record.digest, crash));
+    const isSoleSuspect = record.crashes.every((crash) => this._isSoleSuspect(record, crash));
     return depth >= SUSPECTED_DEPTH && isSoleSuspect ? "doubted" : "free";
   }
 
   /**
-   * Checks whether a request is the sole suspect of a crash. Among several requests, those that had received
-   * part of a response are weaker suspects than those that had received none.
+   * Checks whether a request is the only one suspected of a crash, or a part the only part. Among several
+   * requests, those that had received part of a response are weaker suspects than those that had received
+   * none.
    */
-  private _isSoleSuspect(digest: string, crash: RequestCrash): boolean {
+  private _isSoleSuspect({ digest, isPart }: CrashRecord, crash: RequestCrash): boolean {
     for (const otherDigest of this._suspects.get(crash.life) ?? []) {
-      if (otherDigest === digest) continue;
-      const otherCrash = this._records.get(otherDigest)?.crashes.find(({ life }) => life === crash.life);
+      const other = this._records.get(otherDigest);
+      if (otherDigest === digest || other?.isPart !== isPart) continue;
+      const otherCrash = other.crashes.find(({ life }) => life === crash.life);
       if (otherCrash !== undefined && (crash.answered || !otherCrash.answered)) return false;
     }
     return true;
--- a/src/containment/RequestDigest.ts
+++ b/src/containment/RequestDigest.ts
@@ -3,12 +3,21 @@
  *
  * Only a hash of these parts is stored, sent to other processes and logged. Pure.
  */
-import { createHash } from "node:crypto";
+import { createHash, type Hash } from "node:crypto";
 import type { Brand } from "effect";
 
 /** SHA-256 of a request's caller, method, path and body, truncated to 128 bits; base64url. */
 export type RequestDigest = string & Brand.Brand<"RequestDigest">;
 
+/** SHA-256 of the id of a part of prompts, truncated to 128 bits; base64url. */
+export type PartDigest = string & Brand.Brand<"PartDigest">;
+
+/** What a crash may be attributed to: a whole request, or a part of its prompt that other requests share. */
+export interface Suspect {
+  readonly digest: RequestDigest | PartDigest;
+  readonly isPart: boolean;
+}
+
 /** The parts of a request that the digest covers. */
 export interface RequestContent {
   /** `undefined` where callers need no key. */
@@ -28,5 +37,15 @@
   // JSON separates the parts, so that the end of one can't be read as the start of the next.
   hash.update(JSON.stringify([organisation ?? null, method, path]));
   hash.update(body);
-  return hash.digest().subarray(0, DIGEST_BYTES).toString("base64url") as RequestDigest;
+  return encodeDigest(hash) as RequestDigest;
+}
+
+/** Gets the digest of a part of prompts, whichever caller, model or path it is used with. */
+export function getPartDigest(id: string): PartDigest {
+  // A list of one element can't be the parts of a request.
+  return encodeDigest(createHash("sha256").update(JSON.stringify([id]))) as PartDigest;
+}
+
+function encodeDigest(hash: Hash): string {
+  return hash.digest().subarray(0, DIGEST_BYTES).toString("base64url");
 }
--- a/src/containment/crashRecords.ts
+++ b/src/containment/crashRecords.ts
@@ -39,6 +39,7 @@
     releases: Math.max(a.releases, b.releases),
     changedAtIndex: Math.max(a.changedAtIndex, b.changedAtIndex),
     crashedAtMs: Math.max(a.crashedAtMs, b.crashedAtMs),
+    isPart: a.isPart || b.isPart,
   });
 }
 
--- a/src/containment/index.ts
+++ b/src/containment/index.ts
@@ -9,5 +9,12 @@
 export { CrashTable, type CrashVerdict } from "./CrashTable";
 export { checkCrashRecord } from "./checkCrashRecord";
 export { getCrashDepth, isCrashRecordIncluded, mergeCrashRecords } from "./crashRecords";
-export { getRequestDigest, type RequestContent, type RequestDigest } from "./RequestDigest";
+export {
+  getPartDigest,
+  getRequestDigest,
+  type PartDigest,
+  type RequestContent,
+  type RequestDigest,
+  type Suspect,
+} from "./RequestDigest";
 export { BLOCK_MS, createRelease, isReleaseDue } from "./release";
--- a/src/containment/release.ts
+++ b/src/containment/release.ts
@@ -28,12 +28,13 @@
  * a single crash blocks it again.
  */
 export function createRelease(
-  { digest, generation, releases }: CrashRecord,
+  { digest, generation, releases, isPart }: CrashRecord,
   wasBlocked: boolean,
 ): CrashRecord {
   return create(CrashRecordSchema, {
     digest,
     generation: generation + 1,
     releases: wasBlocked ? releases + 1 : releases,
+    isPart,
   });
 }
--- a/src/gateway/CrashMonitor.ts
+++ b/src/gateway/CrashMonitor.ts
@@ -8,7 +8,7 @@
  * turn every 0.3 s.
  */
 import { pause } from "../clock";
-import type { AdmissionDecision, CrashLedger, RequestDigest } from "../containment";
+import type { AdmissionDecision, CrashLedger, RequestDigest, Suspect } from "../containment";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
 import type { CrashRecord } from "../gen/ploverstage/v1/state_pb";
 import type { ProbeOutcome } from "../http";
@@ -64,44 +64,44 @@
 
   /**
    * Decides whether a request may be sent to endpoints.
-   * @param getDigest - Only called when the ledger contains crashes.
+   * @param getSuspects - Only called when the ledger contains crashes.
    */
-  admit(now: number, getDigest: () => RequestDigest): AdmissionDecision {
+  admit(now: number, getSuspects: () => readonly Suspect[]): AdmissionDecision {
     const { ledger } = this._options;
-    return ledger.isEmpty ? "admitted" : ledger.admit(now, getDigest());
+    return ledger.isEmpty ? "admitted" : ledger.admitSuspects(now, getSuspects());
   }
 
   /** Checks whether a request is blocked from endpoints at the moment. */
-  isBlocked(now: number, getDigest: () => RequestDigest): boolean {
+  isBlocked(now: number, getSuspects: () => readonly Suspect[]): boolean {
     const { ledger } = this._options;
-    return !ledger.isEmpty && ledger.isBlocked(now, getDigest());
+    return !ledger.isEmpty && ledger.areSuspectsBlocked(now, getSuspects());
   }
 
-  /** Checks whether a request is the confirmed cause of crashes. */
-  isConfirmedCause(getDigest: () => RequestDigest): boolean {
+  /** Gets which of a request's suspects is the confirmed cause of crashes; `undefined` when none is. */
+  getConfirmedCause(getSuspects: () => readonly Suspect[]): Suspect | undefined {
     const { ledger } = this._options;
-    return !ledger.isEmpty && ledger.isConfirmedCause(getDigest());
+    return ledger.isEmpty ? undefined : ledger.getConfirmedCause(getSuspects());
   }
 
   /**
    * Records that a request was withdrawn from an endpoint, which may have started to run it already. If the
    * endpoint ends now, the crash is attributed to this request and not to the requests that ran concurrently.
    */
-  async addWithdrawal(digest: RequestDigest, attempt: BrokenAttempt): Promise<void> {
+  async addWithdrawal(suspects: readonly Suspect[], attempt: BrokenAttempt): Promise<void> {
     await pause(WITHDRAWAL_PROBE_DELAY_MS);
-    await this.addBrokenAttempt(digest, attempt);
+    await this.addBrokenAttempt(suspects, attempt);
   }
 
   /**
    * Records that an endpoint broke off. This counts as a crash once a probe shows that the endpoint has
    * ended. Resolves after the first probe, which detects nearly all crashes.
    */
-  async addBrokenAttempt(digest: RequestDigest, attempt: BrokenAttempt): Promise<void> {
+  async addBrokenAttempt(suspects: readonly Suspect[], attempt: BrokenAttempt): Promise<void> {
     const { target, brokeAt, answeredAt } = attempt;
     if (answeredAt !== undefined && brokeAt - answeredAt > MAX_ANSWERED_MS) return;
     const { first, final } = this._endpointProbe.probe(target);
-    if (await first) this._addCrash(digest, attempt);
-    else void final.then((hasEnded) => hasEnded && this._addCrash(digest, attempt));
+    if (await first) this._addCrash(suspects, attempt);
+    else void final.then((hasEnded) => hasEnded && this._addCrash(suspects, attempt));
   }
 
   /** Applies committed crash records. Each request whose verdict changes is logged. */
@@ -114,24 +114,31 @@
     for (const [i, digest] of digests.entries()) {
       const verdict = ledger.getVerdict(digest);
       if (verdict !== oldVerdicts[i])
-        logger.info({ event: "request_judged", digest, verdict, before: oldVerdicts[i] });
+        logger.info({
+          event: "request_judged",
+          digest,
+          is_part: ledger.getRecord(digest as RequestDigest)?.isPart,
+          verdict,
+          before: oldVerdicts[i],
+        });
     }
   }
 
   /**
-   * Records that a request completed successfully.
-   * @param getDigest - Only called when the ledger contains crashes.
+   * Records that a request completed successfully, which clears it and the parts of its prompt.
+   * @param getSuspects - Only called when the ledger contains crashes.
    */
-  addSuccess(now: number, getDigest: () => RequestDigest): void {
+  addSuccess(now: number, getSuspects: () => readonly Suspect[]): void {
     const { ledger, logger, onChange } = this._options;
     if (ledger.isEmpty) return;
-    const digest = getDigest();
-    if (!ledger.addSuccess(now, digest)) return;
-    logger.info({ event: "request_cleared", digest });
+    const cleared = getSuspects().filter(({ digest }) => ledger.addSuccess(now, digest));
+    if (cleared.length === 0) return;
+    for (const { digest, isPart } of cleared)
+      logger.info({ event: "request_cleared", digest, is_part: isPart });
     onChange();
   }
 
-  private _addCrash(digest: RequestDigest, attempt: BrokenAttempt): void {
+  private _addCrash(suspects: readonly Suspect[], attempt: BrokenAttempt): void {
     const { target, startedAt, brokeAt, answeredAt, requestId } = attempt;
     const { ledger, logger, metrics, onChange, hasLostLinks } = this._options;
     if (hasLostLinks(target.service)) {
@@ -144,18 +151,20 @@
       return;
     }
     const wasAnswered = answeredAt !== undefined;
-    const depth = ledger.addCrash({ digest, life: target.id, startedAt, brokeAt, wasAnswered });
+    const crash = { life: target.id, startedAt, brokeAt, wasAnswered };
+    const depths = suspects.map((suspect) => ledger.addCrash({ ...suspect, ...crash }));
     metrics.increment("gateway_crashes", 1, { answered: String(wasAnswered) });
     logger.warn({
       event: "instance_crashed",
       request: requestId,
-      digest,
+      digest: suspects[0]?.digest,
+      parts: suspects.filter(({ isPart }) => isPart).map(({ digest }) => digest),
       target: target.id,
       instance: target.instanceId,
       ran_ms: Math.round(brokeAt - startedAt),
       answered: wasAnswered,
-      depth,
-      kept_away: ledger.isBlocked(brokeAt, digest),
+      depth: Math.max(...depths),
+      kept_away: ledger.areSuspectsBlocked(brokeAt, suspects),
     });
     onChange();
   }
--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -8,7 +8,7 @@
 import type { IncomingMessage } from "node:http";
 import { type Clock, pause } from "../clock";
 import type { RandomSource } from "../consensus";
-import { getRequestDigest, type RequestDigest } from "../containment";
+import { getPartDigest, getRequestDigest, type RequestDigest, type Suspect } from "../containment";
 import type { Route } from "../declaration";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
 import type { HttpClient } from "../http";
@@ -97,6 +97,7 @@
 const STALLED_TIMEOUT_MS = 100;
 /** Additional idle time before a request that was relayed is relayed to another peer. */
 const PEER_IDLE_MARGIN_MS = 300;
+const MIN_FAILURE_STATUS = 300;
 /** An attempt is not started with less time left than this. */
 const MIN_REMAINING_MS = 5;
 /**
@@ -155,6 +156,7 @@
    */
   private _crashProbe: Promise<void> | undefined;
   private _digest: RequestDigest | undefined;
+  private _suspects: readonly Suspect[] | undefined;
   private _denial: RetryDenial | undefined;
   /** The final refusal by the entry to which the request was relayed. */
   private _peerRefusal: GatewayRefusal | undefined;
@@ -188,6 +190,15 @@
     return this._digest;
   }
 
+  /** Gets what a crash under this request is attributed to: the request, and each shared part of its prompt. */
+  get suspects(): readonly Suspect[] {
+    this._suspects ??= [
+      { digest: this.digest, isPart: false },
+      ...this.request.call.sharedParts.map((id) => ({ digest: getPartDigest(id), isPart: true })),
+    ];
+    return this._suspects;
+  }
+
   /**
    * Aborts the attempts in progress because the caller has disconnected or the request's time has expired.
    */
@@ -198,7 +209,7 @@
 
   /** Decides whether the request may be sent to endpoints at all. */
   admit(): boolean {
-    const admittance = this.dependencies.crashMonitor.admit(this.getNow(), () => this.digest);
+    const admittance = this.dependencies.crashMonitor.admit(this.getNow(), () => this.suspects);
     this._isTrial = admittance === "trial";
     return admittance !== "keptAway";
   }
@@ -216,7 +227,7 @@
     const { requestId } = this.request.call;
     for (const { target, startedAt } of sent) {
       const attempt = { target, startedAt, requestId, brokeAt: this.getNow(), answeredAt: undefined };
-      void this.dependencies.crashMonitor.addWithdrawal(this.digest, attempt);
+      void this.dependencies.crashMonitor.addWithdrawal(this.suspects, attempt);
     }
   }
 
@@ -268,12 +279,24 @@
   /** Checks whether the request is blocked because endpoints crashed while they ran it. */
   get isBlocked(): boolean {
     const { crashMonitor } = this.dependencies;
-    return this._isTrial ? this.isConfirmedCause : crashMonitor.isBlocked(this.getNow(), () => this.digest);
+    return this._isTrial ? this.isConfirmedCause : crashMonitor.isBlocked(this.getNow(), () => this.suspects);
   }
 
-  /** Checks whether the request is the confirmed cause of crashes. */
+  /** Gets whether the request, or a part of its prompt, is the confirmed cause of crashes. */
   get isConfirmedCause(): boolean {
-    return this.dependencies.crashMonitor.isConfirmedCause(() => this.digest);
+    return this._getConfirmedCause() !== undefined;
+  }
+
+  /** Gets the id of the part of the prompt that is the confirmed cause of crashes; `undefined` for none. */
+  get confirmedPart(): string | undefined {
+    const cause = this._getConfirmedCause();
+    return this.request.call.sharedParts.find(
+      (id) => cause?.isPart === true && getPartDigest(id) === cause.digest,
+    );
+  }
+
+  private _getConfirmedCause(): Suspect | undefined {
+    return this.dependencies.crashMonitor.getConfirmedCause(() => this.suspects);
   }
 
   /** Chooses a target that this request has not been sent to. */
@@ -423,7 +446,10 @@
     this._runningAttempts.delete(attempt.abort);
     if (isPeer(attempt.target)) this._relayedTo = attempt.target.address;
     this.dependencies.pool.addSuccess(attempt.target.id);
-    this.dependencies.crashMonitor.addSuccess(this.getNow(), () => this.digest);
+    // An answer that ends with its connection may have been cut, and a failure may not have run.
+    const isSuccess = (attempt.incoming.statusCode ?? 0) < MIN_FAILURE_STATUS;
+    if (attempt.isFramed && isSuccess)
+      this.dependencies.crashMonitor.addSuccess(this.getNow(), () => this.suspects);
   }
 
   /** Records a refusal by the entry to which the request was relayed; no further attempt is made. */
@@ -635,7 +661,7 @@
   ): void {
     const { requestId } = this.request.call;
     const attempt = { target, requestId, startedAt, brokeAt, answeredAt };
-    this._crashProbe = this.dependencies.crashMonitor.addBrokenAttempt(this.digest, attempt);
+    this._crashProbe = this.dependencies.crashMonitor.addBrokenAttempt(this.suspects, attempt);
   }
 }
 
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -505,6 +505,7 @@
       not_repeated: exchange?.denial,
       // Shows whether two failed calls were the same request.
       digest: shouldLogDigest(exchange, code) ? exchange?.digest : undefined,
+      kept_away_part: code === "kept_away" ? exchange?.confirmedPart : undefined,
       // Shows what failed calls with different digests have in common.
       parts: shouldLogDigest(exchange, code) ? call?.sharedParts : undefined,
       ...details,
