--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -8,7 +8,7 @@
 import { createConfig, createRoute, HOST, KEY } from "../support/config.mjs";
 import { runCase } from "../support/main.mjs";
 import { pause, System, waitUntil } from "../support/system.mjs";
-import { getAnswerHeaders, Worker } from "../support/worker.mjs";
+import { getAnswerHeaders, resetConnection, Worker } from "../support/worker.mjs";
 
 const ZONES = ["nambu-hall", "campus-lab", "coop-depot"];
 const EVENTS = 10;
@@ -43,7 +43,7 @@
         if (isCut && i > CUT_AFTER) {
           cut.add(id);
           record.add("worker_resets", { request: id, after_events: CUT_AFTER });
-          response.socket?.resetAndDestroy();
+          resetConnection(response.socket);
           return;
         }
         response.write(`id: ${i}\ndata: token ${i} of ${EVENTS}\n\n`);
@@ -91,6 +91,10 @@
       while (next < REQUESTS) answers.push(await send(next++ % 2, "/stream/draft"));
     };
     await Promise.all(Array.from({ length: CALLERS }, callOnAndOn));
+    // The entry logs each stream that it knows to be incomplete.
+    const logs = system.entries.map(({ log }) => log).join("");
+    const wasNoticed = (id) =>
+      logs.split("\n").some((line) => line.includes(`"request":"${id}"`) && line.includes('"outcome":"cut"'));
     // Complete by its framing, or without framing and with an orderly end of the connection.
     const looksComplete = ({ end }) => ["length", "chunked", "close"].includes(end);
     return answers
@@ -101,6 +105,7 @@
         events,
         of: EVENTS,
         reset_by_worker: cut.has(id),
+        entry_logged_cut: wasNoticed(id),
       }));
   },
 );
--- a/review/support/worker.mjs
+++ b/review/support/worker.mjs
@@ -137,3 +137,12 @@
     "X-Ploverstage-Response-Seal": `seal.${id}`,
   };
 }
+
+/**
+ * Resets a connection. `resetAndDestroy` of Node.js ends the connection in order first, so that its peer may see an
+ * orderly end; this sends the reset alone.
+ */
+export function resetConnection(socket) {
+  socket._handle?.reset(() => {});
+  socket.destroy();
+}
