review/4: bodies at work aren't counted, and entries pass their memory in a burst

Bodies of the allowed size, 1.6 times the usual traffic for 14 s: two entries pass 350 MB again and again, since the bound of 64 MB holds only while a body is being read.

--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,76 +1,147 @@
 /**
- * A key is taken away from a client that is connected. On a route that allows anonymous callers, requests with that
- * key go on running, although a key that is not known gets 401.
+ * Many callers come at once with bodies of the size that the configuration allows. An entry keeps the body of each
+ * request until its answer, without a bound, and passes the memory of its machine. The platform stand-in kills a
+ * process over its memoryMb and starts it again, as DEPLOY.md says.
  */
+import { readFileSync } from "node:fs";
+import { request } from "node:http";
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
-import { call } from "../support/client.mjs";
-import { createConfig, createRoute, HOST, KEY, TENANT } from "../support/config.mjs";
+import { createRequestId } from "../support/client.mjs";
+import { createConfig, createRoute, HOST, KEY } from "../support/config.mjs";
 import { runCase } from "../support/main.mjs";
-import { BOUNDS, pause, System, waitUntil } from "../support/system.mjs";
+import { pause, System, waitUntil } from "../support/system.mjs";
 import { getAnswerHeaders, Worker } from "../support/worker.mjs";
 
 const ZONES = ["nambu-hall", "campus-lab", "coop-depot"];
-const DROPPED_KEY = "anfqasnmgkcuyj8pjbvk";
-const REQUESTS = 20;
-/** Time without disruption after which machines are in touch, and one second more. */
-const CALM_MS = BOUNDS.contactMs + 1_000;
+const ENTRIES = 2;
+/** Of a `front` machine in SYSTEM.md, MB. */
+const MEMORY_MB = 350;
+const WORKERS = 30;
+/** The `maxBodyBytes` of PROTOCOL.md. */
+const BODY = Buffer.alloc(4_194_304, "b");
+const WORK_MS = 3_000;
+/** A second, for each entry; 12 x 4.2 MB are 50 MB/s, of the 125 MB/s of the machine's link. */
+const USUAL_PER_S = 12;
+/** A day of the site: `burst`, x 1.6, for 14 s. */
+const BURST_X = 1.6;
+const BURST_MS = 14_000;
+const QUIET_MS = 7_000;
+const BURSTS = 4;
+const DEADLINE_MS = 8_000;
+const RESTART_MS = 500;
+const MIN_ENDS = 3;
 
 await runCase(
   dirname(fileURLToPath(import.meta.url)),
   async ({ addresses, record, hasTrouble, cleanups }) => {
-    const system = await System.start(addresses, { entries: 2, zones: ZONES });
+    const system = await System.start(addresses, { entries: ENTRIES, zones: ZONES });
     cleanups.push(() => system.stop());
-    const tenants = new Map();
-    const run = (request, response) => {
-      tenants.set(
-        request.headers["x-ploverstage-request-id"],
-        request.headers["x-ploverstage-tenant"] ?? null,
-      );
-      response.writeHead(200, getAnswerHeaders(request)).end("done");
+    const run = (request_, response) => {
+      const workMs = request_.url === "/short/a" ? 20 : WORK_MS;
+      setTimeout(() => {
+        if (!response.destroyed) response.writeHead(200, getAnswerHeaders(request_)).end("done");
+      }, workMs);
     };
-    const workers = ZONES.map(
-      (zone) =>
-        new Worker({
-          ip: addresses.createIp(),
-          service: "wuno96b",
-          zone,
-          controls: system.controlAddresses,
-          record,
-          run,
-        }),
-    );
-    for (const worker of workers) await worker.start();
+    for (let i = 0; i < WORKERS; i++) {
+      const worker = new Worker({
+        ip: addresses.createIp(),
+        service: "wuno96b",
+        zone: ZONES[i % ZONES.length],
+        controls: system.controlAddresses,
+        record,
+        run,
+        keepsBodies: false,
+      });
+      await worker.start();
+      cleanups.push(() => worker.crash());
+    }
     const routes = [
-      createRoute("r-open", "/open/", { allowAnonymous: true, routeType: "idempotent" }),
-      createRoute("r-closed", "/closed/", { routeType: "idempotent" }),
+      createRoute("r-upload", "/upload/", { timeoutMs: DEADLINE_MS }),
+      createRoute("r-short", "/short/"),
     ];
-    const withKeys = (apiKeys) => ({ tenants: [{ name: TENANT, apiKeys, priority: 1 }] });
-    await system.putConfig(createConfig(7, routes, withKeys([KEY, DROPPED_KEY])));
+    await system.putConfig(createConfig(7, routes));
     await system.waitUntilReady();
-    const send = async (entry, path, key) => {
-      const address = system.entries[entry].listen.front;
-      const answer = await call({ address, host: HOST, path, method: "GET", headers: { "Api-Key": key } });
-      const { id, status } = answer;
-      record.add("answered", { entry, path, key, request: id, status, tenant: tenants.get(id) });
-      return answer;
+    const counts = {};
+    const send = (entry, path, body) => {
+      const [host, port] = system.entries[entry].listen.front.split(":");
+      const headers = {
+        Host: HOST,
+        "Api-Key": KEY,
+        "X-Ploverstage-Request-Id": createRequestId(),
+        "X-Ploverstage-Deadline-Ms": String(DEADLINE_MS),
+        "Content-Length": String(body.length),
+      };
+      return new Promise((done) => {
+        const outgoing = request({ host, port, path, method: "POST", headers, agent: false }, (answer) => {
+          answer.resume();
+          answer.once("close", () => done(answer.complete ? answer.statusCode : "cut"));
+        });
+        outgoing.setTimeout(DEADLINE_MS, () => outgoing.destroy());
+        outgoing.once("error", (cause) => done(cause.code));
+        outgoing.end(body);
+      });
     };
-    for (let entry = 0; entry < 2; entry++) {
-      await waitUntil("the entry serves", async () => (await send(entry, "/closed/a", KEY)).status === 200);
+    for (let entry = 0; entry < ENTRIES; entry++) {
+      await waitUntil(
+        "the entry serves",
+        async () => (await send(entry, "/short/a", Buffer.from("a"))) === 200,
+      );
     }
-    const keysAfter = hasTrouble ? [KEY] : [KEY, DROPPED_KEY];
-    await system.putConfig(createConfig(10, routes, withKeys(keysAfter)));
-    record.add("acknowledged", { version: 10, keys: keysAfter });
-    await pause(BOUNDS.configApplyMs + CALM_MS);
-    const answers = [];
-    for (let i = 0; i < REQUESTS; i++) {
-      for (const path of ["/open/b", "/closed/b"]) {
-        answers.push({ path, answer: await send(i % 2, path, DROPPED_KEY) });
+    const ends = system.entries.map(() => 0);
+    const peaks = system.entries.map(() => 0);
+    let isOver = false;
+    const watch = async (handle, i) => {
+      while (!isOver) {
+        await pause(50);
+        const memoryMb = getMemoryMb(handle.child.pid);
+        peaks[i] = Math.max(peaks[i], memoryMb);
+        if (handle.isRunning && memoryMb <= MEMORY_MB) continue;
+        await handle.end("SIGKILL");
+        ends[i] += 1;
+        record.add("process_ended", { process: handle.name, memory_mb: memoryMb, limit_mb: MEMORY_MB });
+        await pause(RESTART_MS);
+        if (!isOver) handle.start();
       }
+    };
+    const watches = system.entries.map(watch);
+    const pending = [];
+    const press = async (x, forMs) => {
+      record.add("traffic", { per_s_and_entry: USUAL_PER_S * x, for_ms: forMs });
+      const endAt = performance.now() + forMs;
+      for (let next = performance.now(); next < endAt; next += 1_000 / (USUAL_PER_S * x)) {
+        await pause(Math.max(0, next - performance.now()));
+        for (let entry = 0; entry < ENTRIES; entry++) {
+          pending.push(
+            send(entry, "/upload/statement", BODY).then((outcome) => {
+              counts[outcome] = (counts[outcome] ?? 0) + 1;
+            }),
+          );
+        }
+      }
+    };
+    for (let i = 0; i < BURSTS; i++) {
+      await press(1, QUIET_MS);
+      await press(hasTrouble ? BURST_X : 1, BURST_MS);
     }
-    if (!hasTrouble) return answers.filter(({ answer }) => answer.status !== 200);
-    return answers
-      .filter(({ answer }) => workers.some(({ ran }) => ran.includes(answer.id)))
-      .map(({ path, answer: { id, status } }) => ({ path, request: id, status, tenant: tenants.get(id) }));
+    await Promise.all(pending);
+    isOver = true;
+    await Promise.all(watches);
+    record.add("outcomes", { counts, ends, peaks_mb: peaks });
+    console.log(JSON.stringify({ counts, ends, peaks_mb: peaks }));
+    const broken = ends.filter((count) => count >= MIN_ENDS).length;
+    return broken >= 2
+      ? [{ machines: broken, ends, peaks_mb: peaks, limit_mb: MEMORY_MB, answers: counts }]
+      : [];
   },
 );
+
+function getMemoryMb(pid) {
+  try {
+    return Math.round(
+      Number(/VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, "utf8"))?.[1] ?? 0) / 1_000,
+    );
+  } catch {
+    return 0;
+  }
+}
