A call whose session ends before it was sent is opened once more in a new session

Cause, by a trace with times: the call began at 2614.0 ms and took the manager of the session that was ending, whose 'close' came at 2615.7 ms. The end of the session then failed each call that waited, although none was sent and the library's manager itself opened the stream in a new session 3 ms later. Earlier machines handled 'close' before the next call began, so the order of these two events decided. Ruled out: that the manager stays without a session (the next calls were answered), that the new connection was cut (it was opened 2.8 ms later), that the call's own time was over.

Change: 'request' opens the stream once more when the manager has been replaced, that is after the end of a session; other failures are not retried. A stream of the first session that opens late is still closed with CANCEL, before any body is sent, so no call is sent twice. The call's own time is kept by the transport that awaits it, and is not started again.

--- a/src/rpc/ReconnectingSessionManager.ts
+++ b/src/rpc/ReconnectingSessionManager.ts
@@ -16,6 +16,7 @@
 type TransportOptions = Extract<Parameters<typeof createConnectTransport>[0], { httpVersion: "2" }>;
 /** The interface through which a transport opens sessions. */
 type SessionManager = NonNullable<TransportOptions["sessionManager"]>;
+type RequestParameters = Parameters<Http2SessionManager["request"]>;
 
 /** A session manager, and the promise that fails the calls waiting for one of its sessions. */
 interface ManagerState {
@@ -51,18 +52,35 @@
   }
 
   /**
-   * Opens a stream for a request.
-   * @throws ConnectError - When a session ended before the request was sent.
+   * Opens a stream for a request. If the session ends before the stream is open, the stream is opened once
+   * more in a new session.
+   * @throws ConnectError - When a session ended again before the request was sent.
    */
-  async request(...parameters: Parameters<Http2SessionManager["request"]>): Promise<ClientHttp2Stream> {
+  async request(...parameters: RequestParameters): Promise<ClientHttp2Stream> {
     const state = this._current;
+    try {
+      return await this._open(state, parameters);
+    } catch (cause) {
+      // Only the end of a session replaces the manager. Other failures are not retried.
+      if (this._current === state) throw cause;
+      return await this._open(this._current, parameters);
+    }
+  }
+
+  /** Reports to the session's manager that bytes of an answer were read. */
+  notifyResponseByteRead(stream: ClientHttp2Stream): void {
+    const { manager } = (stream.session && this._managerStates.get(stream.session)) ?? this._current;
+    manager.notifyResponseByteRead(stream);
+  }
+
+  private async _open(state: ManagerState, parameters: RequestParameters): Promise<ClientHttp2Stream> {
     const opening = state.manager.request(...parameters);
     try {
       const stream = await Promise.race([opening, state.sessionEnded]);
       if (stream.session !== undefined) this._addSession(state, stream.session);
       return stream;
     } catch (cause) {
-      // The call has failed, so the stream is closed: otherwise the peer would still answer it.
+      // A stream that opens later is closed without a body, so the peer does not run its call.
       opening.then(
         (stream) => this._closeLateStream(state, stream),
         () => {},
@@ -71,14 +89,8 @@
     }
   }
 
-  /** Reports to the session's manager that bytes of an answer were read. */
-  notifyResponseByteRead(stream: ClientHttp2Stream): void {
-    const { manager } = (stream.session && this._managerStates.get(stream.session)) ?? this._current;
-    manager.notifyResponseByteRead(stream);
-  }
-
   /**
-   * Closes a stream that was opened after its call had failed. The stream and its session may still emit
+   * Closes a stream that was opened after its session had ended. The stream and its session may still emit
    * errors, which have no other listener.
    */
   private _closeLateStream(state: ManagerState, stream: ClientHttp2Stream): void {
