A relayed request that may be running is not refused as not run

Callers saw 503 with Retry-After (REFUSED) for requests that may not be repeated and that an instance was running: those that an entry had relayed to another one, at their route's time.

Cause: expired time was decided by sentCount > 0, and a relayed attempt was counted only once its answer's head had arrived. Evidence, by one request's id in both logs: the first entry 'time_over', status 503, sent 0 after 1,500 ms; the second entry 'caller_gone', sent 1, relayed, 2 ms later, 1,475 ms after it had sent it to an instance. Ruled out: a refusal of the second entry passed on (it ended later, without one), an older refusal of another entry (the failures are two refused connections).

Each attempt now has one state (not sent, sent, answered, over), the same for endpoints and entries, and 'mayHaveRun' reads all of them, those in progress too; each way out asks it. A relayed attempt counts as sent from its first byte. Mended by the same state: a hedge relayed beside another relay was sent as no repeat, without a retry of the budget, and with one attempt more than its route allows. request_ended tells may_have_run, and counts a relay in progress in 'sent'.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import { LostAnswer, OversizedAnswer, UnreachableEndpoint } from "../errors";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
+import type { AttemptState } from "./AttemptState";
 import type { RelayedAnswer } from "./relay";
 
 /** A failed attempt, as written to the log. */
@@ -22,6 +23,7 @@
 /** An attempt whose endpoint has started to answer. */
 export interface AnsweringAttempt {
   readonly target: Target;
+  readonly state: AttemptState;
   readonly incoming: IncomingMessage;
   readonly startedAt: number;
   /** Whether the endpoint's answer has a length or chunked framing. */
--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -20,6 +20,7 @@
   wasAbandoned,
   wasEndedByEndpoint,
 } from "./Attempt";
+import { AttemptState, countSent, mayHaveRun } from "./AttemptState";
 import type { CrashMonitor } from "./CrashMonitor";
 import type { DestinationChooser } from "./DestinationChooser";
 import type { Dialect } from "./Dialect";
@@ -102,8 +103,7 @@
 
 /** An attempt in progress. */
 interface RunningAttempt extends SentAttempt {
-  /** Whether any part of the request was sent. */
-  wasSent: boolean;
+  readonly state: AttemptState;
   isNewConnection: boolean;
 }
 
@@ -117,8 +117,8 @@
   /** Attempts at other entries. */
   readonly peers: PeerAttempts;
   private readonly _triedTargetIds = new Set<string>();
-  private _sentCount = 0;
-  private _mayHaveRun = false;
+  /** All attempts, those in progress too. */
+  private readonly _attempts: AttemptState[] = [];
   private _isWithdrawn = false;
   private readonly _cancellation = new AbortController();
   /** Attempts in progress: one, or two while the primary one is idle. */
@@ -144,9 +144,14 @@
     this.peers = new PeerAttempts({ request, destinations, secret });
   }
 
-  /** Gets how many endpoints the request was sent to. */
+  /** Gets how many endpoints may have received the request. */
   get sentCount(): number {
-    return this._sentCount;
+    return countSent(this._attempts);
+  }
+
+  /** Gets whether an endpoint may have begun to run the request, as far as all attempts until now tell. */
+  get mayHaveRun(): boolean {
+    return mayHaveRun(this._attempts);
   }
 
   /** Gets why the request was not retried; `undefined` when it was not denied a retry. */
@@ -175,7 +180,7 @@
     if (this._isWithdrawn) return;
     this._isWithdrawn = true;
     const running = [...this._runningAttempts.values()];
-    const sent = running.filter(({ target, wasSent }) => wasSent && !isPeer(target));
+    const sent = running.filter(({ target, state }) => state.phase !== "notSent" && !isPeer(target));
     this._abortAll();
     const brokeAt = this.getNow();
     for (const attempt of sent) {
@@ -243,7 +248,7 @@
       model: call.model,
       excluded: this._triedTargetIds,
       // A request that was sent before would take a retry to find out about the links.
-      isRepeatable: mayRepeat(route) && this._sentCount === 0,
+      isRepeatable: mayRepeat(route) && this.sentCount === 0,
       mayRelay: !isRelayed,
     });
   }
@@ -266,7 +271,7 @@
 
   /** Checks whether the route and the remaining time allow one more attempt. */
   hasAttemptsLeft(): boolean {
-    return this._sentCount < this.request.route.maxAttempts && this.getRemainingMs() > MIN_REMAINING_MS;
+    return this.sentCount < this.request.route.maxAttempts && this.getRemainingMs() > MIN_REMAINING_MS;
   }
 
   /**
@@ -330,7 +335,9 @@
     abort: AbortController,
   ): Promise<AnsweringAttempt | AttemptFailure> {
     const startedAt = this.getNow();
-    const running: RunningAttempt = { target, startedAt, wasSent: false, isNewConnection: true };
+    const state = new AttemptState();
+    this._attempts.push(state);
+    const running: RunningAttempt = { target, startedAt, state, isNewConnection: true };
     this._runningAttempts.set(abort, running);
     this._crashProbe = undefined;
     this._triedTargetIds.add(target.id);
@@ -339,17 +346,16 @@
     destinations.addAttempt(startedAt, target);
     try {
       const incoming = await this._sendRequest(target, lastEventId, abort, (isNewConnection) => {
-        running.wasSent = true;
+        state.setSent();
         running.isNewConnection = isNewConnection;
-        if (isPeer(target)) return;
-        if (isNewConnection) destinations.addConnection(this.getNow(), target);
-        this._sentCount += 1;
+        if (isNewConnection && !isPeer(target)) destinations.addConnection(this.getNow(), target);
       });
       this.addActivity(target, running.isNewConnection);
       const relayed = isPeer(target) ? this.peers.readAnswer(target, incoming) : undefined;
-      this._sentCount += relayed?.sent ?? 0;
+      state.setAnswered(relayed?.sent ?? 1);
       return {
         target,
+        state,
         incoming,
         startedAt,
         isFramed: relayed?.isFramed ?? isFramed(incoming),
@@ -360,7 +366,7 @@
     } catch (cause) {
       end();
       this._runningAttempts.delete(abort);
-      const failure = this._createFailure(cause, running.wasSent, abort);
+      const failure = this._createFailure(cause, state.phase !== "notSent", abort);
       this._addFailure(running, failure);
       return failure;
     }
@@ -371,14 +377,15 @@
     attempt.end();
     this._runningAttempts.delete(attempt.abort);
     attempt.abort.abort();
-    const { target, startedAt } = attempt;
+    const { target, startedAt, state } = attempt;
     // Its connection has carried an answer.
-    this._addFailure({ target, startedAt, wasSent: true, isNewConnection: false }, failure);
+    this._addFailure({ target, startedAt, state, isNewConnection: false }, failure);
   }
 
   /** Records that an attempt completed successfully. */
   addSuccessfulAttempt(attempt: AnsweringAttempt): void {
     attempt.end();
+    attempt.state.end(false);
     this._runningAttempts.delete(attempt.abort);
     if (isPeer(attempt.target)) this.peers.addSuccess(attempt.target);
     this.dependencies.pool.addSuccess(attempt.target.id);
@@ -390,8 +397,8 @@
   /** Creates the refusal for the caller after all attempts have failed. */
   createRefusal(): GatewayRefusal {
     const last = this.failures.at(-1);
-    if (this.peers.refusal !== undefined && !this._mayHaveRun) return this.peers.refusal;
-    if (this._mayHaveRun) {
+    if (this.peers.refusal !== undefined && !this.mayHaveRun) return this.peers.refusal;
+    if (this.mayHaveRun) {
       const isExpired = this.getRemainingMs() <= MIN_REMAINING_MS;
       return createOutcomeUnknownRefusal(
         isExpired ? "time_over" : "answer_lost",
@@ -404,7 +411,7 @@
       const targetName = call.model === "" ? service : `${service}/${call.model}`;
       return createNotRunRefusal("no_target", `no target serves ${targetName} now`, this._getRetryAfterMs());
     }
-    const code = this._sentCount === 0 ? "endpoint_unreachable" : "endpoint_refused";
+    const code = this.sentCount === 0 ? "endpoint_unreachable" : "endpoint_refused";
     return createNotRunRefusal(code, last.reason, this._getRetryAfterMs());
   }
 
@@ -413,14 +420,14 @@
     if (this.peers.refusal !== undefined) return "refused";
     if (!this.hasAttemptsLeft()) return "noAttempt";
     // A suspected request may run only once.
-    if (this._mayHaveRun && (this.containment.isTrial || !mayRepeat(this.request.route))) return "runsOnce";
+    if (this.mayHaveRun && (this.containment.isTrial || !mayRepeat(this.request.route))) return "runsOnce";
     return undefined;
   }
 
   private _takeFromBudget(): RetryDenial | undefined {
     const target = this.chooseTarget();
     if (target === undefined) return "noTarget";
-    return this._sentCount === 0 || this._mayRepeatAt(target) ? undefined : "noRepeat";
+    return this.sentCount === 0 || this._mayRepeatAt(target) ? undefined : "noRepeat";
   }
 
   /** Takes a retry from the budget, unless the target is a peer, which takes it when it sends the request. */
@@ -458,15 +465,12 @@
     if (destinations.getState(target.service) === "sound") onSuspicion(target, isUnreachable);
   }
 
-  private _addLinkFailure(
-    now: number,
-    { target, startedAt, wasSent, isNewConnection }: RunningAttempt,
-  ): void {
+  private _addLinkFailure(now: number, { target, startedAt, state, isNewConnection }: RunningAttempt): void {
     const { pool, destinations } = this.dependencies;
     destinations.addFailure(now, {
       target,
       since: Math.max(startedAt, pool.getLastActivityAt(target.id)),
-      sentRequestId: wasSent ? this.request.call.requestId : undefined,
+      sentRequestId: state.sentCount > 0 ? this.request.call.requestId : undefined,
       isNewConnection,
     });
   }
@@ -480,7 +484,7 @@
     const { request, dependencies } = this;
     const leftMs = this.getRemainingMs();
     const headers = isPeer(target)
-      ? this.peers.createHeaders(this.getNow(), this._sentCount, lastEventId)
+      ? this.peers.createHeaders(this.getNow(), this.sentCount, lastEventId)
       : dependencies.dialect.createHeaders(request.headers, {
           leftMs,
           instanceId: target.instanceId,
@@ -523,9 +527,9 @@
   }
 
   private _addFailure(running: RunningAttempt, failure: AttemptFailure): void {
-    const { target, startedAt } = running;
+    const { target, startedAt, state } = running;
     const now = this.getNow();
-    if (!failure.wasNotRun) this._mayHaveRun = true;
+    state.end(failure.wasNotRun);
     this.failures.push({
       target: target.id,
       instance: target.instanceId,
@@ -539,7 +543,7 @@
     // An attempt that this entry aborts is no evidence against the endpoint.
     if (this.isCancelled || this._isWithdrawn || failure.wasAbandoned === true) return;
     if (isPeer(target)) {
-      this._sentCount += this.peers.addFailure(now, target, failure);
+      this.peers.addFailure(now, target, failure);
       return;
     }
     this.dependencies.pool.addFailure(now, target.id);
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -439,14 +439,14 @@
   private _endExpired(response: ServerResponse, progress: RequestProgress): void {
     const { exchange } = progress;
     if (exchange === undefined || response.writableEnded || response.destroyed) return;
-    const wasSent = exchange.sentCount > 0;
+    const { mayHaveRun } = exchange;
     exchange.cancel();
     if (response.headersSent) {
       response.destroy();
       return;
     }
     const reason = "the request's time has expired";
-    const refusal = wasSent
+    const refusal = mayHaveRun
       ? createFinalRefusal(504, "time_over", reason)
       : createNotRunRefusal("time_over", reason, STOPPING_RETRY_MS);
     this._refuse(response, progress, refusal);
@@ -501,6 +501,8 @@
       code,
       took_ms: tookMs,
       sent: exchange?.sentCount ?? 0,
+      // Shows whether a refusal may say that the request did not run.
+      may_have_run: exchange?.mayHaveRun ?? false,
       relayed: progress.relayed === undefined ? undefined : true,
       relayed_to: exchange?.peers.servedBy,
       failures: exchange?.failures,
--- a/src/gateway/PeerAttempts.ts
+++ b/src/gateway/PeerAttempts.ts
@@ -23,7 +23,7 @@
 /** Relayed attempts of one request. */
 export class PeerAttempts {
   private readonly _options: PeerAttemptsOptions;
-  /** Peers that sent the head of an answer, which tells the number of their attempts. */
+  /** Peers that sent the head of an answer. */
   private readonly _answeredIds = new Set<string>();
   private _refusal: GatewayRefusal | undefined;
   private _servedBy: string | undefined;
@@ -61,7 +61,7 @@
 
   /**
    * Creates the headers of the request: those of the caller and the state of the exchange.
-   * @param sentCount - Number of endpoints to which the request was sent before.
+   * @param sentCount - Number of endpoints that may have received the request before.
    * @param lastEventId - Id of the event after which a stream continues.
    */
   createHeaders(now: number, sentCount: number, lastEventId: string | undefined): string[] {
@@ -93,14 +93,10 @@
     }
   }
 
-  /**
-   * Records a failed attempt.
-   * @returns The number of endpoints to which the peer may have sent the request without telling.
-   */
-  addFailure(now: number, peer: Target, failure: AttemptFailure): number {
+  /** Records a failed attempt. */
+  addFailure(now: number, peer: Target, failure: AttemptFailure): void {
     const hasHead = this._answeredIds.has(peer.id);
     const hasRefusedOnce = failure.wasNotRun && this._refusal === undefined;
     if (!hasHead || hasRefusedOnce) this._options.destinations.addPeerFailure(now, peer);
-    return failure.wasSent && !hasHead ? 1 : 0;
   }
 }
--- a/test/gateway/relaying.test.ts
+++ b/test/gateway/relaying.test.ts
@@ -9,6 +9,9 @@
 const PROBE_MS = 200;
 const AVOIDED_MS = 600;
 const REFUSED: Script = (_seen, response) => void response.destroy();
+/** Runs requests and never answers. */
+const HOLD: Script = () => {};
+const TIMEOUT_MS = 400;
 const STREAM_ROUTE = { kind: "stream", isResumable: true } as const;
 
 describe("an entry that reaches no endpoint", () => {
@@ -76,6 +79,30 @@
     expect(peer.requests).toHaveLength(1);
   });
 
+  // Guards against a promise that a request did not run while another entry's endpoint runs it.
+  it("does not say that a request did not run when its time expires at another entry's endpoint", async () => {
+    const { cut, peer } = await startPair(HOLD, { kind: "notRepeatable", timeoutMs: TIMEOUT_MS });
+    const result = await cut.call();
+    expect(peer.requests).toHaveLength(1);
+    expect(result.status).toBe(504);
+    expect(result.headers).not.toHaveProperty("retry-after");
+    expect(getEnded(cut).at(-1)).toMatchObject({ code: "time_over", sent: 1, may_have_run: true });
+  });
+
+  // Guards against repeats that are not counted because another entry has not told yet of its attempts.
+  it("takes a retry when a request that waits at another entry is relayed once more", async () => {
+    const route = { objectiveMs: 50, timeoutMs: 1_500 };
+    const silent = await start([HOLD], route);
+    const second = await start([answer(200, "repeated")], route);
+    const cut = await startCut([silent, second], route);
+    second.retries = 0;
+    // Which entry is chosen first is random; one of a few requests starts at the first one.
+    let status = 200;
+    while (silent.requests.length === 0) status = (await cut.call()).status;
+    expect(status).toBe(504);
+    expect(second.retries).toBeLessThan(0);
+  });
+
   it("relays a stream event by event", async () => {
     const { cut } = await startPair(streamEvents([1, 2, 3], "whole"), STREAM_ROUTE);
     const result = await cut.call();
@@ -156,8 +183,7 @@
   });
 
   it("records no crash of endpoints that it lost together", async () => {
-    const hold: Script = () => {};
-    const cut = await start([hold, hold], { maxAttempts: 1 });
+    const cut = await start([HOLD, HOLD], { maxAttempts: 1 });
     // The second endpoint of a harness is avoided at first.
     await new Promise((resolve) => setTimeout(resolve, AVOIDED_MS));
     const answers = [cut.call({ body: "a" }), cut.call({ body: "b", headers: { "x-id": "call-2" } })];
