Bodies count toward one memory budget until no part of the process holds them

Callers' connections closed without an answer (LOST) in a burst of large bodies, 37 and 38 requests at work at two entries: both passed their 350 MB and were ended, three times each.

Cause: a body left the 64 MiB limit for bodies as soon as it had been read, and was held until the answer; answers had a limit of their own, and neither knew the memory of the process. Evidence: arrayBuffers 256 MB at 58 requests at work of 4.2 MB, no refusal for room. Ruled out: copies made by joining chunks (up to 60 MB, the same in the usual traffic), queues of connections (instances read at once).

Change: one budget from memory_mb (the platform's limit) less what the process uses. Declared lengths are reserved before the first byte, chunks as they arrive; the reservation ends with the request, or when the body is let go: bodies that were sent whole make room for others, those that may not be repeated first, and such a request is not sent again. Else refused as not run with the time at which room comes, and the rest of the body is dropped, so that the refusal can be read (throwing while a body was read had closed the connection). A first form still failed: listeners of the request held the chunks of bodies that were let go (101 MB reserved, 256 MB held).

--- a/src/containment/RequestDigest.ts
+++ b/src/containment/RequestDigest.ts
@@ -25,7 +25,8 @@
   readonly method: string;
   /** Path and query as the caller sent them. */
   readonly path: string;
-  readonly body: Uint8Array;
+  /** The bytes of the body, in one part or more. */
+  readonly body: Uint8Array | readonly Uint8Array[];
 }
 
 /** 128 bits: among a trillion requests, two have the same digest with a probability of 1 in 10^15. */
@@ -36,7 +37,7 @@
   const hash = createHash("sha256");
   // JSON separates the parts, so that the end of one can't be read as the start of the next.
   hash.update(JSON.stringify([organisation ?? null, method, path]));
-  hash.update(body);
+  for (const chunk of body instanceof Uint8Array ? [body] : body) hash.update(chunk);
   return encodeDigest(hash) as RequestDigest;
 }
 
--- a/src/gateway/AnswerBuffers.ts
+++ b/src/gateway/AnswerBuffers.ts
@@ -1,20 +1,28 @@
 /**
  * Limits the bytes that a process buffers for all incomplete answers together.
  *
- * When the total exceeds the limit, the largest answer is abandoned. An endpoint that sends data without end
- * therefore costs no other caller its answer. Pure.
+ * Answers share the budget with the bodies of requests. When answers exceed their limit, or all together the
+ * budget, the largest answer is abandoned. An endpoint that sends data without end therefore costs no other
+ * caller its answer. Pure.
  */
 import { BufferedAnswer, type BufferTotal } from "./BufferedAnswer";
+import type { MemoryBudget } from "./MemoryBudget";
+
+/** The part of the memory budget that answers use. */
+export type AnswerBudget = Pick<MemoryBudget, "maxBytes" | "isExceeded" | "addAnswerBytes">;
+
+/** Fraction of the budget that answers may take. */
+const ANSWER_SHARE = 0.5;
 
 /** Buffered bytes of all answers of a process. */
 export class AnswerBuffers implements BufferTotal {
-  private readonly _maxBytes: number;
+  private readonly _budget: AnswerBudget;
   private readonly _answers = new Set<BufferedAnswer>();
   private _bytes = 0;
 
-  /** @param maxBytes - Limit on the total. */
-  constructor(maxBytes: number) {
-    this._maxBytes = maxBytes;
+  /** @param budget - Budget of the process. */
+  constructor(budget: AnswerBudget) {
+    this._budget = budget;
   }
 
   /** Gets the total number of buffered bytes. */
@@ -35,6 +43,7 @@
   /** @internal */
   add(bytes: number): void {
     this._bytes += bytes;
+    this._budget.addAnswerBytes(bytes);
   }
 
   /** @internal */
@@ -44,7 +53,12 @@
 
   /** @internal Abandons the largest answers until the total is within the limit. */
   enforceLimit(): void {
-    while (this._bytes > this._maxBytes) this._getLargest().abandon();
+    while (this._isExceeded) this._getLargest().abandon();
+  }
+
+  private get _isExceeded(): boolean {
+    if (this._bytes === 0) return false;
+    return this._budget.isExceeded || this._bytes > this._budget.maxBytes * ANSWER_SHARE;
   }
 
   private _getLargest(): BufferedAnswer {
--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -32,6 +32,7 @@
   type GatewayRefusal,
 } from "./GatewayRefusal";
 import { isFramed } from "./headers";
+import type { MemoryBudget } from "./MemoryBudget";
 import { PeerAttempts } from "./PeerAttempts";
 import { isPeer } from "./PeerPool";
 import { RequestContainment } from "./RequestContainment";
@@ -55,6 +56,8 @@
   readonly takeRetry: () => boolean;
   /** Counts and limits the buffered bytes of incomplete answers. */
   readonly buffers: AnswerBuffers;
+  /** Limits the bytes of bodies and answers together. */
+  readonly memory: MemoryBudget;
   /** Randomises the time at which refused callers retry. */
   readonly random: RandomSource;
   /** Shared by all entries; `undefined` where none is configured. */
@@ -89,6 +92,8 @@
   | "over"
   /** The route allows no more attempts, or no time is left. */
   | "noAttempt"
+  /** The request's body was let go to make room for others. */
+  | "noBody"
   /** The request may have run and must not run twice. */
   | "runsOnce"
   /** No other target serves the request. */
@@ -142,6 +147,8 @@
     this.containment = new RequestContainment(request, dependencies.crashMonitor);
     const { destinations, secret } = dependencies;
     this.peers = new PeerAttempts({ request, destinations, secret });
+    // Crashes are attributed to a request by its digest, which covers the body.
+    request.body.allowEviction(() => this.containment.digest);
   }
 
   /** Gets how many endpoints may have received the request. */
@@ -271,7 +278,8 @@
 
   /** Checks whether the route and the remaining time allow one more attempt. */
   hasAttemptsLeft(): boolean {
-    return this.sentCount < this.request.route.maxAttempts && this.getRemainingMs() > MIN_REMAINING_MS;
+    const { route, body } = this.request;
+    return body.isHeld && this.sentCount < route.maxAttempts && this.getRemainingMs() > MIN_REMAINING_MS;
   }
 
   /**
@@ -418,6 +426,7 @@
   private _getDenial(): RetryDenial | undefined {
     if (this.isCancelled) return "over";
     if (this.peers.refusal !== undefined) return "refused";
+    if (!this.request.body.isHeld) return "noBody";
     if (!this.hasAttemptsLeft()) return "noAttempt";
     // A suspected request may run only once.
     if (this.mayHaveRun && (this.containment.isTrial || !mayRepeat(this.request.route))) return "runsOnce";
--- a/src/gateway/ExchangeRequest.ts
+++ b/src/gateway/ExchangeRequest.ts
@@ -1,6 +1,7 @@
 /** A request that an entry has accepted. */
 import type { Route } from "../declaration";
 import type { CallMetadata } from "./Dialect";
+import type { RequestBody } from "./RequestBody";
 
 /** An accepted request. Times are monotonic milliseconds. */
 export interface ExchangeRequest {
@@ -13,7 +14,7 @@
   readonly path: string;
   /** End-to-end headers without framing, alternating names and values. */
   readonly headers: readonly string[];
-  readonly body: Buffer;
+  readonly body: RequestBody;
   readonly receivedAt: number;
   /** Estimated time of the caller's first request. */
   readonly firstRequestedAt: number;
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -16,7 +16,7 @@
 import { EntryEndpointSchema, type ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
 import { HttpClient, listen, splitAddress } from "../http";
 import type { Logger, Metrics } from "../metrics";
-import { SuspensionMonitor } from "../process";
+import { MemoryUse, SuspensionMonitor } from "../process";
 import {
   CrashReporter,
   FollowedView,
@@ -32,6 +32,7 @@
 import type { Dialect } from "./Dialect";
 import { EntryLinks } from "./EntryLinks";
 import { GatewayServer } from "./GatewayServer";
+import { MemoryBudget } from "./MemoryBudget";
 import { RelayServer } from "./RelayServer";
 import { StreamGate } from "./StreamGate";
 import { TargetPool } from "./TargetPool";
@@ -47,11 +48,7 @@
 }
 
 const ENDPOINT_IDLE_TIMEOUT_MS = 30_000;
-/**
- * Limit on the buffered bytes of incomplete answers over all requests: a process has a few hundred megabytes
- * of memory.
- */
-const MAX_BUFFERED_ANSWER_BYTES = 64 * 1_024 * 1_024;
+const BYTES_PER_MB = 1_000_000;
 /**
  * Fraction of an entry's share of the endpoints' slots that may initially wait for a first event; the other
  * slots are expected to be generating answers. Callers that return after a power loss find few replicas: with
@@ -131,6 +128,12 @@
   });
   const budget = new SharedRetryBudget(() => getRetryBound(live.current));
   const getEntryCount = () => Math.max(1, view.entryCount);
+  const memoryUse = new MemoryUse();
+  const memory = new MemoryBudget({
+    limitBytes: gateway.memoryMb * BYTES_PER_MB,
+    getOwnBytes: () => memoryUse.getOwnBytes(clock.getMonotonicMs()),
+    onEvicted: () => metrics.increment("gateway_bodies_let_go", 1),
+  });
   let routes: RouteTable | undefined;
   const ledger = new CrashLedger();
   const crashMonitor = new CrashMonitor({
@@ -176,7 +179,8 @@
       destinations: links.destinations,
       secret,
       crashMonitor,
-      buffers: new AnswerBuffers(MAX_BUFFERED_ANSWER_BYTES),
+      memory,
+      buffers: new AnswerBuffers(memory),
       gate: new StreamGate(clock, (service, model) =>
         getInitialWindow(pool, getEntryCount(), service, model),
       ),
--- a/src/gateway/GatewayRefusal.ts
+++ b/src/gateway/GatewayRefusal.ts
@@ -10,6 +10,7 @@
   | "no_route"
   | "unknown_key"
   | "body_too_large"
+  | "no_memory"
   | "malformed_request"
   | "stopping"
   | "no_target"
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -7,15 +7,19 @@
 import { Connections, listen } from "../http";
 import type { Logger, Metrics } from "../metrics";
 import type { ReceivedView } from "../registration";
+import { type BodyFailure, BodyReader, getDeclaredBytes } from "./BodyReader";
+import type { BodyReservation } from "./BodyReservation";
 import { CallerTimeouts } from "./CallerTimeouts";
 import type { CallMetadata } from "./Dialect";
 import { delimitByClose } from "./delimitByClose";
+import { dropBody } from "./dropBody";
 import { Exchange, type ExchangeDependencies } from "./Exchange";
 import type { ExchangeRequest } from "./ExchangeRequest";
 import { createNotRunRefusal, GatewayRefusal, getRelayOutcome } from "./GatewayRefusal";
 import { dropHeaders, getEndToEndHeaders } from "./headers";
 import { PlainExchange } from "./PlainExchange";
 import type { CompleteAnswer } from "./PlainSource";
+import type { RequestBody } from "./RequestBody";
 import {
   createRelayAnswerHeaders,
   formatRelay,
@@ -25,6 +29,7 @@
 } from "./relay";
 import { getFirstViewRetryAfterMs } from "./retryAfter";
 import { StreamExchange } from "./StreamExchange";
+import { mayRepeat } from "./timeouts";
 
 export interface GatewayServerOptions {
   /** host:port */
@@ -51,15 +56,9 @@
 const REQUEST_TIMEOUT_MS = 30_000;
 /** Interval of the check for callers that send their headers too slowly. */
 const SLOW_SENDER_CHECK_INTERVAL_MS = 500;
-/**
- * Retry time for a caller refused because request buffers are full: the requests buffered now have been sent
- * on by then.
- */
-const BUFFERS_FULL_RETRY_MS = 500;
 const STOPPING_RETRY_MS = 50;
 /** Callers reuse a connection up to the declared time, so the server closes it a little later. */
 const IDLE_TIMEOUT_MARGIN_MS = 1_000;
-const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 const FRAMING_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
 
 /** State of a partially processed request. */
@@ -69,6 +68,9 @@
   readonly relayed: RelayedRequest | undefined;
   call: CallMetadata | undefined;
   route: Route | undefined;
+  /** Room for the body, from before it is read. */
+  reservation: BodyReservation | undefined;
+  body: RequestBody | undefined;
   exchange: Exchange | undefined;
 }
 
@@ -88,7 +90,6 @@
   private readonly _startedAt: number;
   private readonly _running = new Map<Exchange, RunningRequest>();
   private _requestCount = 0;
-  private _bufferedBytes = 0;
   private _isStopping = false;
   private _refusesRequests = false;
   private _onIdle: () => void = () => {};
@@ -223,6 +224,8 @@
       relayed,
       call: undefined,
       route: undefined,
+      reservation: undefined,
+      body: undefined,
       exchange: undefined,
     };
     try {
@@ -230,12 +233,19 @@
     } catch (cause) {
       this._refuse(response, progress, toRefusal(cause));
     } finally {
+      this._releaseBody(progress);
       this._requestCount -= 1;
       // The last bytes of an answer are sent in this turn of the event loop.
       setImmediate(() => this._endIfIdle());
     }
   }
 
+  private _releaseBody({ reservation, body }: RequestProgress): void {
+    const now = this._options.clock.getMonotonicMs();
+    body?.release(now);
+    reservation?.release(now);
+  }
+
   private async _run(
     incoming: IncomingMessage,
     response: ServerResponse,
@@ -306,7 +316,10 @@
         call,
       );
     }
-    const body = await this._readBody(incoming, routes.declaration.limits.bodyBytes);
+    const owner = { organisation: organisation?.name, isRepeatable: mayRepeat(route) };
+    progress.reservation = this._options.dependencies.memory.open(owner);
+    const body = await this._readBody(incoming, routes.declaration.limits.bodyBytes, progress.reservation);
+    progress.body = body;
     const timeoutMs = call.waitMs ?? route.timeoutMs;
     const ageMs = relayed?.ageMs ?? this._callerTimeouts.addTimeout(receivedAt, route.name, timeoutMs);
     return {
@@ -375,37 +388,38 @@
     return route.split.find((share) => share.weight > 0)!.service;
   }
 
-  private async _readBody(incoming: IncomingMessage, limit: number): Promise<Buffer> {
-    const declared = Number(incoming.headers["content-length"] ?? 0);
-    if (declared > limit) throw createFinalRefusal(413, "body_too_large", `the body exceeds ${limit} bytes`);
-    const chunks: Buffer[] = [];
-    let length = 0;
-    try {
-      for await (const chunk of incoming as AsyncIterable<Buffer>) {
-        length += chunk.length;
-        this._bufferedBytes += chunk.length;
-        if (length > limit)
-          throw createFinalRefusal(413, "body_too_large", `the body exceeds ${limit} bytes`);
-        if (this._bufferedBytes > MAX_BUFFERED_BYTES) {
-          throw createNotRunRefusal(
-            "body_too_large",
-            "too many request bodies are buffered",
-            BUFFERS_FULL_RETRY_MS,
-          );
-        }
-        chunks.push(chunk);
-      }
-    } catch (cause) {
-      if (cause instanceof GatewayRefusal) throw cause;
-      throw createFinalRefusal(
+  /** @throws GatewayRefusal - When the body was not read; its rest is dropped. */
+  private async _readBody(
+    incoming: IncomingMessage,
+    maxBytes: number,
+    reservation: BodyReservation,
+  ): Promise<RequestBody> {
+    const body = await BodyReader.read(incoming, maxBytes, reservation);
+    if (typeof body !== "string") return body;
+    dropBody(incoming, maxBytes);
+    throw this._createBodyRefusal(body, incoming, maxBytes);
+  }
+
+  private _createBodyRefusal(
+    failure: BodyFailure,
+    incoming: IncomingMessage,
+    maxBytes: number,
+  ): GatewayRefusal {
+    const { memory, clock } = this._options.dependencies;
+    if (failure === "tooLarge")
+      return createFinalRefusal(413, "body_too_large", `the body exceeds ${maxBytes} bytes`);
+    if (failure === "broken")
+      return createFinalRefusal(
         400,
         "malformed_request",
         "the connection closed before the body was complete",
       );
-    } finally {
-      this._bufferedBytes -= length;
-    }
-    return Buffer.concat(chunks);
+    const bytes = getDeclaredBytes(incoming) || maxBytes;
+    return createNotRunRefusal(
+      "no_memory",
+      "the bodies of the requests in progress take all the memory for bodies",
+      memory.getRetryAfterMs(clock.getMonotonicMs(), bytes),
+    );
   }
 
   private async _runStream(
@@ -480,6 +494,7 @@
     const publishedView = this._options.getPublishedView();
     metrics.increment("gateway_requests", 1, { kind, outcome, code });
     metrics.timing("gateway_answer_ms", tookMs, { kind });
+    metrics.gauge("gateway_buffered_bytes", this._options.dependencies.memory.bytes);
     if (exchange?.peers.servedBy !== undefined) metrics.increment("gateway_relayed", 1, { kind, outcome });
     if (exchange !== undefined) this._countAttempts(exchange, kind);
     this._options.logger.info({
--- a/src/gateway/RequestContainment.ts
+++ b/src/gateway/RequestContainment.ts
@@ -28,7 +28,7 @@
 
   /** Gets the digest that identifies equal requests. */
   get digest(): RequestDigest {
-    this._digest ??= getRequestDigest(this._request);
+    this._digest ??= getRequestDigest({ ...this._request, body: this._request.body.chunks });
     return this._digest;
   }
 
--- a/src/http/HttpClient.ts
+++ b/src/http/HttpClient.ts
@@ -9,6 +9,14 @@
 import { connect } from "node:net";
 import { LostAnswer, MalformedAnswer, UnreachableEndpoint } from "../errors";
 
+/** A body that may be let go after it has been sent. */
+export interface HttpBody {
+  /** The bytes, read when the call is sent. */
+  readonly chunks: readonly Uint8Array[];
+  /** Called when the body is being sent. Returns a function that is called once it was sent or the call is over. */
+  startSending(): () => void;
+}
+
 /** An HTTP request and its limits. */
 export interface HttpCall {
   readonly method: string;
@@ -18,7 +26,7 @@
   /** Headers by name, or a list of alternating names and values that is sent unchanged. */
   readonly headers?: IncomingHttpHeaders | readonly string[];
   /** The whole body; `undefined` for none. */
-  readonly body?: string | Uint8Array;
+  readonly body?: string | Uint8Array | HttpBody;
   /** Maximum time to connect, in milliseconds. */
   readonly connectMs: number;
   /** Maximum time without data before and during the response, in milliseconds. */
@@ -196,7 +204,7 @@
 
   /**
    * Sends the request. No byte is written earlier, because Node writes the head of a request together with
-   * its end.
+   * the first bytes of its body, or with its end.
    */
   private _sendNow(): void {
     clearTimeout(this._timer);
@@ -209,7 +217,20 @@
       return;
     }
     this._isSent = true;
-    this._outgoing.end(this._call.body);
+    this._sendBody();
+  }
+
+  private _sendBody(): void {
+    const { body } = this._call;
+    if (body === undefined || typeof body === "string" || body instanceof Uint8Array) {
+      this._outgoing.end(body);
+      return;
+    }
+    const endSending = body.startSending();
+    this._outgoing.once("finish", endSending);
+    this._outgoing.once("close", endSending);
+    for (const chunk of body.chunks.slice(0, -1)) this._outgoing.write(chunk);
+    this._outgoing.end(body.chunks.at(-1));
   }
 
   private _abort(reason: string): void {
--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -29,6 +29,8 @@
   | "gateway_kept_away"
   | "gateway_links_lost"
   | "gateway_relayed"
+  | "gateway_buffered_bytes"
+  | "gateway_bodies_let_go"
   | "instance_orders"
   | "replica_moves"
   | "leaderships"
--- a/test/gateway/AnswerBuffers.test.ts
+++ b/test/gateway/AnswerBuffers.test.ts
@@ -1,12 +1,14 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import { AnswerBuffers } from "../../src/gateway/AnswerBuffers";
+import { type AnswerBudget, AnswerBuffers } from "../../src/gateway/AnswerBuffers";
 
 const MAX_BYTES = 100;
+/** A budget of which answers may take `MAX_BYTES`, and which nothing else uses. */
+const BUDGET: AnswerBudget = { maxBytes: 2 * MAX_BYTES, isExceeded: false, addAnswerBytes: () => {} };
 
 describe("AnswerBuffers", () => {
   it("abandons the largest answer, not the one that exceeded the limit", () => {
-    const buffers = new AnswerBuffers(MAX_BYTES);
+    const buffers = new AnswerBuffers(BUDGET);
     const ended: string[] = [];
     const endless = buffers.open((bytes) => ended.push(`endless ${bytes}`));
     const small = buffers.open((bytes) => ended.push(`small ${bytes}`));
@@ -24,7 +26,7 @@
       bytes: fc.option(fc.nat(2 * MAX_BYTES), { nil: undefined }),
     });
     const property = fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
-      const buffers = new AnswerBuffers(MAX_BYTES);
+      const buffers = new AnswerBuffers(BUDGET);
       const open = () => buffers.open(() => {});
       const answers = Array.from({ length: 5 }, open);
       for (const { answer, bytes } of steps) {
@@ -41,7 +43,7 @@
   });
 
   it("counts no bytes of an abandoned answer, even when more of it arrives", () => {
-    const buffers = new AnswerBuffers(MAX_BYTES);
+    const buffers = new AnswerBuffers(BUDGET);
     const answer = buffers.open(() => {});
     answer.setBytes(MAX_BYTES + 1);
     answer.setBytes(MAX_BYTES);
--- a/test/gateway/Exchange.test.ts
+++ b/test/gateway/Exchange.test.ts
@@ -7,6 +7,7 @@
 import type { ExchangeRequest } from "../../src/gateway/ExchangeRequest";
 import { TargetPool } from "../../src/gateway/TargetPool";
 import { type Target, TargetSchema } from "../../src/gen/ploverstage/v1/fleet_pb";
+import { createBody } from "./createBody";
 
 const TIMEOUT_MS = 1_000;
 
@@ -20,6 +21,7 @@
     route: { kind, maxAttempts: 2 },
     service: "service",
     deadlineAt: TIMEOUT_MS,
+    body: createBody(),
   } as ExchangeRequest;
   const crashMonitor: Partial<CrashMonitor> = { isBlocked: () => false, addWithdrawal: async () => {} };
   const dependencies = {
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -13,6 +13,7 @@
 import { CrashMonitor } from "../../src/gateway/CrashMonitor";
 import { EntryLinks } from "../../src/gateway/EntryLinks";
 import { GatewayServer } from "../../src/gateway/GatewayServer";
+import { MemoryBudget } from "../../src/gateway/MemoryBudget";
 import { RelayServer } from "../../src/gateway/RelayServer";
 import { StreamGate } from "../../src/gateway/StreamGate";
 import { TargetPool } from "../../src/gateway/TargetPool";
@@ -87,7 +88,11 @@
   }
 }
 
-const MAX_BUFFERED_ANSWER_BYTES = 64 * 1_024 * 1_024;
+/** Memory limit of a gateway. */
+export const LIMIT_BYTES = 350_000_000;
+const MAX_BODY_BYTES = 100_000;
+/** The memory that a gateway uses for itself. */
+export const OWN_BYTES = 100_000_000;
 
 const BASE_ROUTE: Route = {
   name: "route",
@@ -122,6 +127,20 @@
   readonly ledger = new CrashLedger();
   /** Crash monitor of the gateway. */
   readonly crashMonitor: CrashMonitor;
+  /** Memory limit of the gateway, bytes. */
+  limitBytes = LIMIT_BYTES;
+  /** Memory budget of the gateway. */
+  readonly memory = new MemoryBudget({
+    limitBytes: LIMIT_BYTES,
+    getOwnBytes: () => OWN_BYTES + LIMIT_BYTES - this.limitBytes,
+    onEvicted: () => {
+      this.evictedCount += 1;
+    },
+  });
+  /** Number of bodies that the gateway has let go to make room. */
+  evictedCount = 0;
+  /** Largest number of bytes reserved for bodies when an endpoint received a request. */
+  peakBodyBytes = 0;
   /** Whether a leader has confirmed the declaration. */
   isConfirmed = true;
   publishedView: ReceivedView = { control: "10.0.0.1:1", term: 2, heartbeatAgeMs: 80 };
@@ -152,10 +171,14 @@
   }
 
   /** Starts one endpoint for each script, and a gateway that forwards requests to them. */
-  static async start(scripts: readonly Script[], route: Partial<Route> = {}): Promise<GatewayHarness> {
+  static async start(
+    scripts: readonly Script[],
+    route: Partial<Route> = {},
+    maxBodyBytes = MAX_BODY_BYTES,
+  ): Promise<GatewayHarness> {
     const harness = new GatewayHarness();
     const targets = await Promise.all(scripts.map((script, i) => harness._startEndpoint(script, i)));
-    await harness._startGateway(targets, { ...BASE_ROUTE, ...route });
+    await harness._startGateway(targets, { ...BASE_ROUTE, ...route }, maxBodyBytes);
     return harness;
   }
 
@@ -259,8 +282,14 @@
   private async _listen(script: Script, index: number, port: number): Promise<number> {
     const server = createServer(async (incoming, response) => {
       let body = "";
-      for await (const chunk of incoming as AsyncIterable<Buffer>) body += chunk.toString();
+      try {
+        for await (const chunk of incoming as AsyncIterable<Buffer>) body += chunk.toString();
+      } catch {
+        // The gateway or the end of this endpoint has closed the connection, so there is no request to answer.
+        return;
+      }
       const { method, url, headers, rawHeaders } = incoming;
+      this.peakBodyBytes = Math.max(this.peakBodyBytes, this.memory.bodyBytes);
       const seen = { method: method!, path: url!, headers, rawHeaders, body, index };
       this.requests.push(seen);
       script(seen, response);
@@ -283,7 +312,7 @@
     });
   }
 
-  private async _startGateway(targets: readonly Target[], route: Route): Promise<void> {
+  private async _startGateway(targets: readonly Target[], route: Route, maxBodyBytes: number): Promise<void> {
     const system = new SystemClock();
     const clock: Clock = {
       getMonotonicMs: () => system.getMonotonicMs() + this._suspendedMs,
@@ -310,7 +339,7 @@
       routes: [route],
       services: [{ name: "service", maxConnections: 10, engine: undefined }],
       organisations: [{ name: "atlas", keys: ["k1"], priority: 0 }],
-      limits: { headerBytes: 16_384, bodyBytes: 100_000, headerMs: 300, idleMs: 15_000 },
+      limits: { headerBytes: 16_384, bodyBytes: maxBodyBytes, headerMs: 300, idleMs: 15_000 },
     };
     const routes = new RouteTable(declaration);
     this._port = await getFreePort();
@@ -328,7 +357,8 @@
         destinations: this.links.destinations,
         secret: undefined,
         crashMonitor: this.crashMonitor,
-        buffers: new AnswerBuffers(MAX_BUFFERED_ANSWER_BYTES),
+        memory: this.memory,
+        buffers: new AnswerBuffers(this.memory),
         gate: new StreamGate(clock, () => 32),
         random,
         takeRetry: () => this.retries-- > 0,
--- a/test/gateway/RequestContainment.test.ts
+++ b/test/gateway/RequestContainment.test.ts
@@ -3,9 +3,10 @@
 import { CrashMonitor, type CrashMonitorOptions } from "../../src/gateway/CrashMonitor";
 import type { ExchangeRequest } from "../../src/gateway/ExchangeRequest";
 import { RequestContainment } from "../../src/gateway/RequestContainment";
+import { createBody } from "./createBody";
 
 function createContainment(promptParts: readonly string[]): RequestContainment {
-  const request = { call: { promptParts }, method: "POST", path: "/", body: Buffer.from("") };
+  const request = { call: { promptParts }, method: "POST", path: "/", body: createBody("b") };
   const options = { ledger: new CrashLedger(), probe: async () => "accepted" };
   const monitor = new CrashMonitor(options as unknown as CrashMonitorOptions);
   return new RequestContainment(request as unknown as ExchangeRequest, monitor);
