A join of an instance that left a replica is bound to the orders that it had begun when it was out

Callers could be served by two replicas with one instance in both (TWO): an instance answered that it had left, took its place again by a join carried out 9 s late, and was ordered into another replica on the strength of the old answer while its first head was open.

Cause: an answer is proof of the moment at which it was given, and was used for as long as no report spoke against it. Ruled out: a report that was ignored (it came after the join), an order to leave that was not carried out.

Change: after it has confirmed its leave an instance is asked for its status, its place and the number of orders that it has begun, both of one moment; only a status without the place counts, for 1.5 s, and the next join carries that number (expectedRev on the platform). A refused join is answered by asking anew. Control asks as soon as the leave is confirmed. askBorn and the new question are one call, askStatus. leave_checked logs what was answered.

The deliberate defect in which heads confirm without leaving now also has them deny their place, since the question finds it otherwise.

--- a/src/registration/IdentityChecks.ts
+++ b/src/registration/IdentityChecks.ts
@@ -13,7 +13,7 @@
 
 export interface IdentityChecksOptions {
   readonly registry: InstanceRegistry;
-  readonly orders: Pick<InstanceOrders, "identify" | "askBorn">;
+  readonly orders: Pick<InstanceOrders, "identify" | "askStatus">;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -77,7 +77,8 @@
 
   private async _queryStartTime(now: number, { instanceId, born, address }: InstanceReport): Promise<void> {
     const { registry, orders, logger } = this._options;
-    const answered = await orders.askBorn({ instanceId, born, address }, ANSWER_TIMEOUT_MS);
+    const status = await orders.askStatus({ instanceId, born, address }, ANSWER_TIMEOUT_MS);
+    const answered = status?.born;
     if (answered !== undefined) registry.confirmIncarnation(now, { instanceId, born: answered });
     const knownBorn = registry.getInstance(instanceId)?.report.born;
     logger.info({ event: "life_checked", instance: instanceId, address, born, answered, knownBorn });
--- a/src/registration/InstanceOrders.ts
+++ b/src/registration/InstanceOrders.ts
@@ -15,6 +15,11 @@
   readonly model: string;
   /** Instance ids, the head first. */
   readonly members: readonly string[];
+  /**
+   * Number of orders that the instance must have begun; with any other number it refuses the order as
+   * `unfit`. `undefined` to join whatever the instance has done before.
+   */
+  readonly expectedOrders?: number;
 }
 
 /** Makes the head of a replica accept requests. */
@@ -65,15 +70,26 @@
 /** The result of probing an instance for a heartbeat. */
 export type ProbeOutcome = "present" | "silent" | "absent";
 
+/** What an instance tells of itself when asked. All values are of the same moment. */
+export interface InstanceStatus {
+  /** Start time of the incarnation, Unix milliseconds; 0 when the instance does not report it. */
+  readonly born: number;
+  /** The replica that the instance is in; `undefined` for none. */
+  readonly place: { readonly replicaId: string; readonly epoch: number } | undefined;
+  /** Number of orders that the incarnation has begun; `undefined` when the instance does not report it. */
+  readonly orderCount: number | undefined;
+}
+
 /** Sends orders and probes to instances. */
 export interface InstanceOrders {
   /** Checks whether the given instance listens at its address. Never throws. */
   identify(receiver: OrderReceiver, timeoutMs: number): Promise<Identity>;
   /**
-   * Gets the start time of the incarnation that listens at an address. Never throws.
-   * @returns 0 when the instance does not report its start time; `undefined` when there was no clear answer.
+   * Asks the incarnation that listens at an address for its status, which may be some hundred milliseconds
+   * old. Never throws.
+   * @returns `undefined` when there was no clear answer.
    */
-  askBorn(receiver: OrderReceiver, timeoutMs: number): Promise<number | undefined>;
+  askStatus(receiver: OrderReceiver, timeoutMs: number): Promise<InstanceStatus | undefined>;
   /** Checks whether any instance answers at an address. Never throws. */
   probe(receiver: OrderReceiver, timeoutMs: number): Promise<ProbeOutcome>;
   /**
--- a/src/registration/OrderDispatcher.ts
+++ b/src/registration/OrderDispatcher.ts
@@ -148,6 +148,9 @@
     this._busy.delete(key);
     this._completedCount += 1;
     if (outcome === "elsewhere") this._options.onEnd(receiver);
+    // A refused join is not repeated but sent with another number of expected orders.
+    if (outcome === "unfit" && order.kind === "join" && order.expectedOrders !== undefined)
+      this._sentAt.delete(getOrderKey(receiver, order));
     const tookMs = Math.round(clock.getMonotonicMs() - now);
     metrics.increment("instance_orders", 1, { order: order.kind, outcome });
     logger.info({ event: "order_sent", instance: instanceId, order, outcome, took_ms: tookMs });
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -4,16 +4,23 @@
  *
  * A controller exists only while this process leads. It receives all data on instances from their reports.
  */
-import type { Clock, EventLoopLag } from "../clock";
+import { type Clock, type EventLoopLag, pause } from "../clock";
 import type { ConsensusDriver } from "../consensus";
 import type { RouteTable } from "../declaration";
 import { PlaceState } from "../gen/ploverstage/v1/fleet_pb";
 import { type Replica, ReplicaPhase } from "../gen/ploverstage/v1/state_pb";
+import { getIncarnationKey, type IncarnationKey } from "../ids";
 import type { Logger, Metrics } from "../metrics";
 import { type Action, type InstanceFacts, REASON } from "../planner";
 import type { HeartbeatMonitor } from "./HeartbeatMonitor";
 import { IdentityChecks } from "./IdentityChecks";
-import type { InstanceOrder, InstanceOrders, OrderOutcome, OrderReceiver } from "./InstanceOrders";
+import type {
+  InstanceOrder,
+  InstanceOrders,
+  InstanceStatus,
+  OrderOutcome,
+  OrderReceiver,
+} from "./InstanceOrders";
 import type { InstanceRegistry } from "./InstanceRegistry";
 import { LeaveConfirmations, type OccupiedPlace } from "./LeaveConfirmations";
 import type { LoadLimit } from "./LoadLimiter";
@@ -54,6 +61,12 @@
 /** Minimum interval between two probes of the members of one replica. */
 const PROBE_INTERVAL_MS = 1_000;
 const PROBE_TIMEOUT_MS = 250;
+/**
+ * Interval and maximum number of questions for the place of an instance that has left a replica. An answer
+ * shows the place of some hundred milliseconds ago.
+ */
+const PLACE_QUERY_INTERVAL_MS = 80;
+const MAX_PLACE_QUERIES = 6;
 /** Maximum number of consecutive probes of an instance whose last report is still too recent to suspect it. */
 const MAX_PROBES = 4;
 /** An instance whose last report is more recent than this counts as present, whatever a probe returns. */
@@ -73,6 +86,8 @@
   private readonly _orphanHeads: OrphanHeads;
   private readonly _leaveConfirmations: LeaveConfirmations;
   private readonly _probedAt = new Map<string, number>();
+  /** Incarnations that are being asked for their places. */
+  private readonly _placeQueries = new Set<IncarnationKey>();
   private _isStepping = false;
 
   constructor(options: ReplicaControllerOptions) {
@@ -97,9 +112,9 @@
     });
   }
 
-  /** Gets a number that increases whenever an instance is suspected or an order completes. */
+  /** Gets a number that increases whenever an instance is suspected, proven to be free or an order completes. */
   get revision(): number {
-    return this._suspicions.revision + this._dispatcher.completedCount;
+    return this._suspicions.revision + this._dispatcher.completedCount + this._leaveConfirmations.revision;
   }
 
   /**
@@ -328,27 +343,84 @@
    * first that it left it.
    */
   private _joinInstance(replica: Replica, instance: InstanceFacts): void {
-    const occupied = this._leaveConfirmations.getOccupiedPlace(instance.id, replica);
+    const now = this._options.clock.getMonotonicMs();
+    const occupied = this._leaveConfirmations.getOccupiedPlace(now, instance.id, replica);
     if (occupied === undefined) {
       void this._sendJoin(replica, instance);
       return;
     }
-    void this._leave(getReceiver(instance), occupied).then((hasLeft) => {
-      const isForming = this._options.driver.machine.getReplica(replica.id)?.phase === ReplicaPhase.FORMING;
-      if (hasLeft && isForming) void this._sendJoin(replica, instance);
+    const receiver = getReceiver(instance);
+    if (this._placeQueries.has(getIncarnationKey(receiver))) return;
+    void this._leave(receiver, occupied)
+      .then((hasLeft) => hasLeft && this._confirmAbsence(receiver, occupied))
+      .then((isProven) => {
+        const isForming = this._options.driver.machine.getReplica(replica.id)?.phase === ReplicaPhase.FORMING;
+        if (isProven && isForming) void this._sendJoin(replica, instance);
+      });
+  }
+
+  /**
+   * Asks an instance that has confirmed its leave for its place, until its answer is recent enough to show
+   * that it is in no replica.
+   * @returns Whether the answer proves that.
+   */
+  private async _confirmAbsence(receiver: OrderReceiver, occupied: OccupiedPlace): Promise<boolean> {
+    const key = getIncarnationKey(receiver);
+    if (this._placeQueries.has(key)) return false;
+    this._placeQueries.add(key);
+    const { clock, logger } = this._options;
+    const startedAt = clock.getMonotonicMs();
+    const { isProven, queries, status } = await this._queryPlace(receiver, occupied);
+    this._placeQueries.delete(key);
+    logger.info({
+      event: "leave_checked",
+      instance: receiver.instanceId,
+      replica: occupied.replicaId,
+      proven: isProven,
+      queries,
+      place: status?.place,
+      orders: status?.orderCount,
+      took_ms: Math.round(clock.getMonotonicMs() - startedAt),
     });
+    return isProven;
+  }
+
+  private async _queryPlace(receiver: OrderReceiver, { epoch }: OccupiedPlace) {
+    const { orders, clock } = this._options;
+    let status: InstanceStatus | undefined;
+    for (let queries = 1; queries <= MAX_PLACE_QUERIES; queries++) {
+      status = await orders.askStatus(receiver, PROBE_TIMEOUT_MS);
+      if (status === undefined) return { isProven: false, queries, status };
+      const now = clock.getMonotonicMs();
+      const isProven = this._leaveConfirmations.addStatus(now, receiver.instanceId, epoch, status);
+      if (isProven) return { isProven, queries, status };
+      // A delayed order has made an instance that restarted join an older replica.
+      if (status.place !== undefined && status.place.epoch < epoch) await this._leave(receiver, status.place);
+      await pause(PLACE_QUERY_INTERVAL_MS);
+    }
+    return { isProven: false, queries: MAX_PLACE_QUERIES, status };
   }
 
   private async _sendJoin(replica: Replica, instance: InstanceFacts): Promise<void> {
     const members = replica.members.map((member) => member.instanceId);
     const { id: replicaId, epoch, model } = replica;
-    const order: InstanceOrder = { kind: "join", replicaId, epoch, model, members };
+    const expectedOrders = this._leaveConfirmations.getOrderCount(instance.id);
+    const order: InstanceOrder = {
+      kind: "join",
+      replicaId,
+      epoch,
+      model,
+      members,
+      ...(expectedOrders === undefined ? {} : { expectedOrders }),
+    };
     const receiver = getReceiver(instance);
     const leftAt = this._leaveConfirmations.getLeftAt(instance.id);
     const sentAt = this._options.clock.getMonotonicMs();
     const outcome = await (instance.model === model
       ? this._dispatcher.send(receiver, order)
       : this._dispatcher.sendLoad(receiver, order));
+    // The instance has begun another order since it was in no replica, so it is asked again.
+    if (outcome === "unfit") this._leaveConfirmations.removeAbsence(instance.id);
     if (outcome === undefined || leftAt === undefined) return;
     this._options.logger.info({
       event: "join_after_leave",
@@ -385,7 +457,12 @@
         if (outcome === undefined) return;
         const endedAt = this._options.clock.getMonotonicMs();
         this._closer.addOutcome(endedAt, replica, due, outcome);
-        if (due.order.kind === "leave") this._addLeave(due.receiver, replica, outcome);
+        if (due.order.kind !== "leave") return;
+        this._addLeave(due.receiver, replica, outcome);
+        // Its next join need not wait for the answer then.
+        if (LEFT_OUTCOMES.has(outcome)) {
+          void this._confirmAbsence(due.receiver, { replicaId: replica.id, epoch: replica.epoch });
+        }
       });
     }
   }
--- a/test/platform/WorkerStandin.test.ts
+++ b/test/platform/WorkerStandin.test.ts
@@ -102,6 +102,10 @@
     await post("/-/order", { op: "open", ...place });
     await (await post("/llm/x", {})).text();
     expect(worker.partialRuns).toHaveLength(1);
+    const report = await (await fetch(`http://${worker.relay!.address}/-/report`)).json();
+    expect(report).toMatchObject({ seqNo: 2, group: { name: "g", epoch: 1 } });
+    const late = { op: "join", group: "h", epoch: 2, model: "M", members: ["llm-0"], expectedRev: 1 };
+    expect((await post("/-/order", late)).status).toBe(409);
     worker.crash();
   });
 });
--- a/test/platform/WorkerStandin.ts
+++ b/test/platform/WorkerStandin.ts
@@ -110,6 +110,8 @@
   private readonly _born: number;
   private _staged: readonly string[];
   private _sequence: number;
+  /** Number of orders that it has begun. */
+  private _orderCount = 0;
   private _reportTarget: string | undefined;
   /** Index of the next control process to report to; the first one is chosen at random. */
   private _nextControl: number | undefined;
@@ -281,7 +283,9 @@
     if (expected !== undefined && expected !== this.id) {
       response.writeHead(421, { "x-ploverstage-instance-id": this.id }).end();
     } else if (request.url === "/-/report")
-      response.end(JSON.stringify({ seqNo: this._sequence, born: this._born }));
+      response.end(
+        JSON.stringify({ seqNo: this._orderCount, born: this._born, group: this._describePlace() }),
+      );
     else if (request.url === "/-/order")
       this._executeOrder(JSON.parse(Buffer.concat(chunks).toString()), response);
     else {
@@ -299,10 +303,19 @@
   }
 
   private _executeOrder(
-    order: { op: string; group: string; epoch: number; model: string; members: string[] },
+    order: {
+      op: string;
+      group: string;
+      epoch: number;
+      model: string;
+      members: string[];
+      expectedRev?: number;
+    },
     response: ServerResponse,
   ): void {
     const { _place: place } = this;
+    if (order.expectedRev !== undefined && order.expectedRev !== this._orderCount)
+      return void response.writeHead(409).end();
     this._notify(order.op, order.group);
     const isOwn = place !== undefined && place.name === order.group && place.epoch === order.epoch;
     if (order.op === "join") {
@@ -315,6 +328,7 @@
     else if (order.op === "open") this._place!.state = "open";
     else if (order.op === "close") this._place!.state = "ready";
     else if (order.op === "leave") this._place = undefined;
+    this._orderCount += 1;
     response.writeHead(202).end();
     if (order.op !== "join") this._reportChange();
   }
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -5,7 +5,7 @@
 import { describe, expect, it } from "vitest";
 import { PlatformDeclarations } from "../../platform/PlatformDeclarations";
 import { PlatformDialect } from "../../platform/PlatformDialect";
-import { createDeregistration, readHeartbeat, readStartTime } from "../../platform/PlatformReports";
+import { createDeregistration, readHeartbeat, readStatus } from "../../platform/PlatformReports";
 import { InvalidDeclaration, InvalidReport } from "../../src/errors";
 import { InstanceReportSchema, PlaceState } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { checkReport } from "../../src/registration/checkReport";
@@ -201,9 +201,9 @@
     expect(readHeartbeat("i", JSON.stringify(HEARTBEAT)).born).toBe(0);
     expect(createDeregistration("i", JSON.stringify({ born }))).toMatchObject({ born, deregistered: true });
     expect(createDeregistration("i", "").born).toBe(0);
-    expect(readStartTime({ seqNo: 1, born })).toBe(born);
-    expect(readStartTime({ born: 1.5 })).toBeUndefined();
-    expect(readStartTime("no report")).toBeUndefined();
+    expect(readStatus({ seqNo: 1, born })).toEqual({ born, orderCount: 1, place: undefined });
+    expect(readStatus({ born: 1.5 })).toBeUndefined();
+    expect(readStatus("no report")).toBeUndefined();
   });
 });
 
--- a/test/registration/FleetLeadership.test.ts
+++ b/test/registration/FleetLeadership.test.ts
@@ -58,7 +58,7 @@
         send: () => Promise.resolve("done"),
         probe: () => Promise.resolve("present"),
         identify: () => Promise.resolve("itself"),
-        askBorn: () => Promise.resolve(undefined),
+        askStatus: () => Promise.resolve(undefined),
       },
       clock,
       logger: { info: () => {}, warn: () => {} } as never,
--- a/test/registration/IdentityChecks.test.ts
+++ b/test/registration/IdentityChecks.test.ts
@@ -32,7 +32,13 @@
     registry = new InstanceRegistry();
     checks = new IdentityChecks({
       registry,
-      orders: { identify: (receiver) => answer(receiver), askBorn: () => Promise.resolve(answeredStartTime) },
+      orders: {
+        identify: (receiver) => answer(receiver),
+        askStatus: async () =>
+          answeredStartTime === undefined
+            ? undefined
+            : { born: answeredStartTime, place: undefined, orderCount: undefined },
+      },
       clock: { getMonotonicMs: () => now, getWallMs: () => now },
       logger: { info: () => {} } as never,
     });
--- a/test/registration/OrderDispatcher.test.ts
+++ b/test/registration/OrderDispatcher.test.ts
@@ -22,7 +22,7 @@
         send,
         probe: () => Promise.resolve("present"),
         identify: () => Promise.resolve("itself"),
-        askBorn: () => Promise.resolve(undefined),
+        askStatus: () => Promise.resolve(undefined),
       },
       clock: { getMonotonicMs: () => 0, getWallMs: () => 0 },
       logger: { info: () => {} } as never,
--- a/test/registration/PlanningFactsSource.test.ts
+++ b/test/registration/PlanningFactsSource.test.ts
@@ -29,7 +29,7 @@
         send: () => Promise.resolve("begun"),
         probe: () => Promise.resolve("present"),
         identify: () => Promise.resolve("itself"),
-        askBorn: () => Promise.resolve(undefined),
+        askStatus: () => Promise.resolve(undefined),
       },
       clock: { getMonotonicMs: () => NOW, getWallMs: () => NOW },
       logger: { info: () => {} } as never,
--- a/test/registration/ReplicaController.test.ts
+++ b/test/registration/ReplicaController.test.ts
@@ -41,7 +41,7 @@
       orders: {
         send: () => Promise.resolve("done"),
         identify: () => Promise.resolve("itself"),
-        askBorn: () => Promise.resolve(undefined),
+        askStatus: () => Promise.resolve(undefined),
         probe: (receiver) => {
           if (receiver.instanceId !== "f1") return Promise.resolve("present");
           now += PROBE_MS;
--- a/test/registration/ServicePlanner.test.ts
+++ b/test/registration/ServicePlanner.test.ts
@@ -58,7 +58,7 @@
         send: () => Promise.resolve("done"),
         probe: () => Promise.resolve("present"),
         identify: () => Promise.resolve("itself"),
-        askBorn: () => Promise.resolve(undefined),
+        askStatus: () => Promise.resolve(undefined),
       },
       clock: { getMonotonicMs: () => 100, getWallMs: () => 100 },
       logger: { info: () => {} } as never,
--- a/test/registration/ownership/InstanceModel.ts
+++ b/test/registration/ownership/InstanceModel.ts
@@ -6,7 +6,7 @@
  */
 import { PlaceState } from "../../../src/gen/ploverstage/v1/fleet_pb";
 import type { Incarnation } from "../../../src/ids";
-import type { InstanceOrder, JoinOrder, OrderOutcome } from "../../../src/registration";
+import type { InstanceOrder, InstanceStatus, JoinOrder, OrderOutcome } from "../../../src/registration";
 
 /** Times of an instance, milliseconds. */
 export const INSTANCE_TIMES = {
@@ -14,6 +14,8 @@
   joinMs: 600,
   loadMs: 1_000,
   openMs: 300,
+  /** Age of an answer about the status. */
+  answerAgeMs: 200,
   /** How long a head that lost a member stalls before it breaks. */
   stallMs: 4_000,
 } as const;
@@ -56,6 +58,11 @@
   isPartitioned = false;
   sequence = 0;
   place: Place | undefined;
+  private _orderCount = 0;
+  /** The answers about the status that were true since the given times, oldest first. */
+  private readonly _answers: { readonly at: number; readonly answer: InstanceStatus }[] = [
+    { at: Number.NEGATIVE_INFINITY, answer: { born: 0, place: undefined, orderCount: 0 } },
+  ];
   private _newestEpoch = 0;
   private _newestFence = 0;
 
@@ -95,6 +102,14 @@
     if (this.place !== undefined) this.place.brokenAt ??= now + INSTANCE_TIMES.stallMs;
   }
 
+  /** Gets the answer about the status, which is as old as the instance's answers are. */
+  getStatus(now: number): InstanceStatus {
+    return {
+      ...this._answers.findLast(({ at }) => at <= now - INSTANCE_TIMES.answerAgeMs)!.answer,
+      born: this.born,
+    };
+  }
+
   /**
    * Executes an order.
    * @param onPlaceLeft - Called with the place that the instance had until now.
@@ -104,6 +119,19 @@
     order: InstanceOrder,
     fence: number,
     onPlaceLeft: (place: Place) => void,
+  ): OrderOutcome {
+    const outcome = this._execute(now, order, fence, onPlaceLeft);
+    if (outcome === "begun") this._orderCount += 1;
+    const { place, _orderCount: orderCount } = this;
+    this._answers.push({ at: now, answer: { born: this.born, place: place && { ...place }, orderCount } });
+    return outcome;
+  }
+
+  private _execute(
+    now: number,
+    order: InstanceOrder,
+    fence: number,
+    onPlaceLeft: (place: Place) => void,
   ): OrderOutcome {
     if (this._checksFences && fence < this._newestFence) return "stale";
     this._newestFence = Math.max(fence, this._newestFence);
@@ -132,7 +160,8 @@
   }
 
   private _join(now: number, order: JoinOrder, onPlaceLeft: (place: Place) => void): OrderOutcome {
-    const { replicaId, epoch, members, model } = order;
+    const { replicaId, epoch, members, model, expectedOrders } = order;
+    if (expectedOrders !== undefined && expectedOrders !== this._orderCount) return "unfit";
     if (epoch < this._newestEpoch) return "stale";
     const previous = this.place;
     if (previous?.replicaId === replicaId && previous.epoch === epoch) return "done";
--- a/test/registration/ownership/OrderModel.ts
+++ b/test/registration/ownership/OrderModel.ts
@@ -54,7 +54,7 @@
 export class OrderModel implements InstanceOrders {
   /** The faults of orders from now on. */
   faults: OrderFaults = RELIABLE;
-  /** A deliberate defect: orders to leave are answered but not executed. */
+  /** A deliberate defect: orders to leave are answered but not executed, and no place is told. */
   ignoresLeaves = false;
   /** Instances that joined a replica while the head of their earlier one accepted requests. */
   readonly shared: string[] = [];
@@ -100,12 +100,18 @@
     return listener.id === instanceId ? "itself" : "another";
   }
 
-  /** Gets the start time of the incarnation that answers. */
-  async askBorn({ instanceId, address }: OrderReceiver, timeoutMs: number): Promise<number | undefined> {
+  /** Gets the status that the incarnation had a moment ago. */
+  async askStatus({ instanceId, address }: OrderReceiver, timeoutMs: number) {
     await wait(ORDER_LATENCY_MS);
-    const listener = this._options.getListener(address);
+    await this._waitExtraDelay();
+    const { getListener, getNow } = this._options;
+    const listener = getListener(address);
     if (listener?.isPartitioned === true) await wait(timeoutMs);
-    return listener?.id === instanceId && !listener.isPartitioned ? listener.born : undefined;
+    if (listener?.id !== instanceId || listener.isPartitioned) return undefined;
+    const answer = listener.getStatus(getNow());
+    if (this.ignoresLeaves) return { ...answer, place: undefined };
+    await this._waitExtraDelay();
+    return answer;
   }
 
   /** Probes an instance. */
--- a/test/registration/ownership/overload.test.ts
+++ b/test/registration/ownership/overload.test.ts
@@ -156,7 +156,8 @@
     places.addLeave(now, second.instanceId, before.epoch);
     // The leader has received no report from the instance.
     await send(second, "join", before);
-    if (places.getOccupiedPlace(second.instanceId, next) !== undefined) await send(second, "leave", before);
+    if (places.getOccupiedPlace(now, second.instanceId, next) !== undefined)
+      await send(second, "leave", before);
     await send(second, "join", next);
     expect(orders.shared).toEqual([]);
   });
