An answer whose caller has gone before its end is over at once

Seen by the review (by reading, no case): a stream whose caller disconnected right before its end stayed in progress for good, so requestCount never returned to zero and a planned stop waited for it until its limit.

Cause: the end of a stream was awaited by the callback of response.end, which Node never calls once the connection is gone. endWhole also ends with the connection. Ruled out by the second test: a caller that leaves while the last bytes wait; Node calls back there.

Test: 'whole is over when its caller disconnects before it ends' failed before (1 s without an end).

--- a/src/gateway/StreamExchange.ts
+++ b/src/gateway/StreamExchange.ts
@@ -7,7 +7,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AnsweringAttempt } from "./Attempt";
 import type { AttemptRace } from "./AttemptRace";
-import { breakOff, delimitByClose } from "./answerEnd";
+import { breakOff, delimitByClose, endWhole } from "./answerEnd";
 import { createRace } from "./createRace";
 import type { StreamEvent } from "./EventSplitter";
 import type { Exchange } from "./Exchange";
@@ -107,7 +107,7 @@
 
   private async _complete(attempt: AnsweringAttempt): Promise<StreamResult> {
     this._writeHead(attempt);
-    await new Promise<void>((resolve) => this._response.end(resolve));
+    await endWhole(this._response);
     return this.getResult(true);
   }
 
--- a/src/gateway/answerEnd.ts
+++ b/src/gateway/answerEnd.ts
@@ -25,6 +25,16 @@
   response.useChunkedEncodingByDefault = false;
 }
 
+/** Ends an answer as whole. Resolves once its last bytes have been sent, or its caller has disconnected. */
+export function endWhole(response: ServerResponse): Promise<void> {
+  if (response.destroyed) return Promise.resolve();
+  return new Promise((resolve) => {
+    // Without a connection, `end` never calls back.
+    response.once("close", resolve);
+    response.end(resolve);
+  });
+}
+
 /**
  * Ends an answer of which the caller has received only a part. A missing last chunk or a missing part of the
  * declared length shows that to the caller; without either, the connection is reset.
--- a/test/gateway/answerEnd.test.ts
+++ b/test/gateway/answerEnd.test.ts
@@ -1,13 +1,17 @@
 /** How answers end, as the caller's connection shows it. */
 import { readdirSync, readFileSync } from "node:fs";
-import type { ServerResponse } from "node:http";
-import { connect } from "node:net";
+import { createServer, type ServerResponse } from "node:http";
+import { type AddressInfo, connect } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
+import { pause } from "../../src/clock";
 import type { Route } from "../../src/declaration";
+import { endWhole } from "../../src/gateway/answerEnd";
 import { waitUntil } from "../support/waitUntil";
 import { GatewayHarness, type Script } from "./GatewayHarness";
 
 const TIMEOUT_MS = 400;
+/** More than a connection takes from a caller that reads nothing. */
+const LARGE_BYTES = 32 * 1_024 * 1_024;
 const EVENT = "id: 1\ndata: 1\n\n";
 const STREAM = { kind: "stream", isResumable: false, maxAttempts: 1, timeoutMs: 5_000 } as const;
 
@@ -130,6 +134,30 @@
     expect(end).toBe("in order");
   });
 
+  // Guards against requests that stay in progress for good, so that a stop waits for them in vain.
+  it.each(["before", "while"] as const)(
+    "whole is over when its caller disconnects %s it ends",
+    async (moment) => {
+      let response: ServerResponse | undefined;
+      const server = createServer((_request, begun) => {
+        response = begun;
+        begun.writeHead(200);
+        begun.write("b".repeat(LARGE_BYTES));
+      });
+      await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+      const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+      socket.pause();
+      socket.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+      await waitUntil("the answer has begun", () => response !== undefined);
+      if (moment === "before") socket.destroy();
+      if (moment === "before") await waitUntil("the connection is gone", () => response!.destroyed);
+      const isOver = endWhole(response!).then(() => true);
+      socket.destroy();
+      expect(await Promise.race([isOver, pause(1_000)])).toBe(true);
+      server.close();
+    },
+  );
+
   it("is ended in one module only", () => {
     const folder = new URL("../../src/gateway/", import.meta.url);
     const files = readdirSync(folder).filter((file) =>
