--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -149,6 +149,8 @@
   /** Links of the gateway to its endpoints and to other gateways. */
   links!: EntryLinks;
   private _gateway!: GatewayServer;
+  private _pool!: TargetPool;
+  private readonly _gate = new StreamGate(new SystemClock(), () => 32);
   private _relayServer: RelayServer | undefined;
   private _relayPort = 0;
   /** Number of retries in the budget of the gateway. */
@@ -182,6 +184,17 @@
     return harness;
   }
 
+  /** Gets what the gateway counts for requests in progress; all of it is 0 when there are none. */
+  getAccounts(): Record<"requests" | "bytes" | "atEndpoints" | "waiting", number> {
+    const atEndpoints = this.targets.map(({ id }) => this._pool.getInFlight(id));
+    return {
+      requests: this._gateway.requestCount,
+      bytes: this.memory.bytes,
+      atEndpoints: atEndpoints.reduce((sum, count) => sum + count, 0),
+      waiting: this._gate.waitingCount,
+    };
+  }
+
   /** Gets the port at which the gateway accepts relayed requests. */
   get relayPort(): number {
     return this._relayPort;
@@ -320,6 +333,7 @@
     };
     const random = new SeededRandom(1);
     const pool = new TargetPool(random);
+    this._pool = pool;
     pool.setTargets(targets);
     this.targets = targets;
     // The other targets count as suspected, so the first one is chosen until it has failed.
@@ -359,7 +373,7 @@
         crashMonitor: this.crashMonitor,
         memory: this.memory,
         buffers: new AnswerBuffers(this.memory),
-        gate: new StreamGate(clock, () => 32),
+        gate: this._gate,
         random,
         takeRetry: () => this.retries-- > 0,
         onSuspicion: () => {},
