--- a/src/registration/LeaveConfirmations.ts
+++ b/src/registration/LeaveConfirmations.ts
@@ -88,11 +88,12 @@
   }
 
   /**
-   * Gets the number of orders that an instance had begun when it was last proven to be in no replica;
-   * `undefined` without a proof.
+   * Gets the number of orders that an instance had begun when it was proven to have left its last replica;
+   * `undefined` without a recent proof.
    */
-  getOrderCount(instanceId: string): number | undefined {
-    return this._absences.get(instanceId)?.orderCount;
+  getOrderCount(now: number, instanceId: string): number | undefined {
+    const absence = this._absences.get(instanceId);
+    return absence !== undefined && isRecent(now, absence) ? absence.orderCount : undefined;
   }
 
   /**
@@ -122,7 +123,7 @@
    */
   private _hasLeft(now: number, instanceId: string, { epoch }: OccupiedPlace): boolean {
     const absence = this._absences.get(instanceId);
-    if (absence === undefined || absence.epoch < epoch || now - absence.at > MAX_ABSENCE_AGE_MS) return false;
+    if (absence === undefined || absence.epoch < epoch || !isRecent(now, absence)) return false;
     const instance = this._registry.getInstance(instanceId);
     const hasRejoined = instance?.report.place?.epoch === epoch && instance.reportedAt > absence.at;
     return !hasRejoined;
@@ -153,6 +154,10 @@
   }
 }
 
+function isRecent(now: number, { at }: Absence): boolean {
+  return now - at <= MAX_ABSENCE_AGE_MS;
+}
+
 function findReleased(machine: StateMachine): Map<string, Replica> {
   const released = machine
     .getKnownReplicas()
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -404,7 +404,8 @@
   private async _sendJoin(replica: Replica, instance: InstanceFacts): Promise<void> {
     const members = replica.members.map((member) => member.instanceId);
     const { id: replicaId, epoch, model } = replica;
-    const expectedOrders = this._leaveConfirmations.getOrderCount(instance.id);
+    const sentAt = this._options.clock.getMonotonicMs();
+    const expectedOrders = this._leaveConfirmations.getOrderCount(sentAt, instance.id);
     const order: InstanceOrder = {
       kind: "join",
       replicaId,
@@ -415,7 +416,6 @@
     };
     const receiver = getReceiver(instance);
     const leftAt = this._leaveConfirmations.getLeftAt(instance.id);
-    const sentAt = this._options.clock.getMonotonicMs();
     const outcome = await (instance.model === model
       ? this._dispatcher.send(receiver, order)
       : this._dispatcher.sendLoad(receiver, order));
--- a/src/settings/Settings.ts
+++ b/src/settings/Settings.ts
@@ -130,7 +130,7 @@
   seeds: Schema.Array(Address).check(Schema.isMinLength(1)),
   /** Port of the control processes if it differs from the port in the seeds. */
   controlPort: Schema.optionalKey(Port),
-  /** Memory limit of the process. Requests whose bodies would exceed it are refused. */
+  /** Memory limit of the process, megabytes. Requests whose bodies would exceed it are refused. */
   memoryMb: withDefault(Schema.Number.check(Schema.isGreaterThan(0)), 320),
   /** Maximum duration of a planned stop. */
   stopS: withDefault(NonNegative, 8),
--- a/test/registration/LeaveConfirmations.test.ts
+++ b/test/registration/LeaveConfirmations.test.ts
@@ -69,7 +69,7 @@
     expect(places.getOccupiedPlace(now, "f0", next)).toEqual(occupied);
     expect(leave(RELEASED_AT, 3)).toBe(true);
     expect(places.getOccupiedPlace(now, "f0", next)).toBeUndefined();
-    expect(places.getOrderCount("f0")).toBe(ORDER_COUNT);
+    expect(places.getOrderCount(now, "f0")).toBe(ORDER_COUNT);
     expect(places.getOccupiedPlace(now, "f1", next)).toEqual(occupied);
   });
 
@@ -81,11 +81,12 @@
     expect(places.getOccupiedPlace(now, "f0", next)).toBeUndefined();
     now += 1;
     expect(places.getOccupiedPlace(now, "f0", next)).toEqual(occupied);
+    expect(places.getOrderCount(now, "f0")).toBeUndefined();
     leave(now, 3);
     expect(places.getOccupiedPlace(now, "f0", next)).toBeUndefined();
     places.removeAbsence("f0");
     expect(places.getOccupiedPlace(now, "f0", next)).toEqual(occupied);
-    expect(places.getOrderCount("f0")).toBeUndefined();
+    expect(places.getOrderCount(now, "f0")).toBeUndefined();
   });
 
   it("takes no answer for a proof that shows the place, or that came before the leave was confirmed", () => {
