--- a/src/gateway/BodyReader.ts
+++ b/src/gateway/BodyReader.ts
@@ -68,7 +68,7 @@
     else this._chunks.push(chunk);
   }
 
-  /** Removes all references to the chunks: the request outlives a body that is let go. */
+  /** Removes all references to the chunks: the request outlives a body that is evicted. */
   private _end(result: RequestBody | BodyFailure): void {
     for (const [event, listener] of this._listeners) this._incoming.off(event, listener);
     // Later errors of the connection are handled where the answer is sent.
--- a/src/gateway/BodyReservation.ts
+++ b/src/gateway/BodyReservation.ts
@@ -15,7 +15,7 @@
   give(owner: BodyOwner, bytes: number): void;
   /** Records the end of a body, which tells at which rate room becomes free. */
   addRelease(now: number, bytes: number): void;
-  /** Records whether a body may be let go. */
+  /** Records whether a body may be evicted. */
   setIdle(body: BodyReservation, isIdle: boolean): void;
 }
 
@@ -39,7 +39,7 @@
     return this._bytes;
   }
 
-  /** Gets whether the body is held; `false` once the reservation was released or the body was let go. */
+  /** Gets whether the body is held; `false` once the reservation was released or the body was evicted. */
   get isOpen(): boolean {
     return this._isOpen;
   }
@@ -53,7 +53,7 @@
     return true;
   }
 
-  /** Sets what to do when the body is let go to make room. Without it, the body is kept. */
+  /** Sets what to do when the body is evicted to make room. Without it, the body is kept. */
   setOnEvict(onEvict: () => void): void {
     this._onEvict = onEvict;
   }
@@ -82,7 +82,7 @@
     this._close();
   }
 
-  /** @internal Lets the body go to make room; the request can't be sent again. */
+  /** @internal Evicts the body to make room; the request can't be sent again. */
   evict(): void {
     this._onEvict?.();
     this._close();
--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -92,7 +92,7 @@
   | "over"
   /** The route allows no more attempts, or no time is left. */
   | "noAttempt"
-  /** The request's body was let go to make room for others. */
+  /** The request's body was evicted to make room for others. */
   | "noBody"
   /** The request may have run and must not run twice. */
   | "runsOnce"
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -132,7 +132,7 @@
   const memory = new MemoryBudget({
     limitBytes: gateway.memoryMb * BYTES_PER_MB,
     getOwnBytes: () => memoryUse.getOwnBytes(clock.getMonotonicMs()),
-    onEvicted: () => metrics.increment("gateway_bodies_let_go", 1),
+    onEvicted: () => metrics.increment("gateway_bodies_evicted", 1),
   });
   let routes: RouteTable | undefined;
   const ledger = new CrashLedger();
--- a/src/gateway/MemoryBudget.ts
+++ b/src/gateway/MemoryBudget.ts
@@ -2,7 +2,7 @@
  * Limits the bytes that a process buffers for all requests and answers together.
  *
  * A request reserves its body before the body is read, and gives the reservation back when no part of the
- * process holds the body any more. When there is no room, bodies that have been sent whole are let go, since
+ * process holds the body any more. When there is no room, bodies that have been sent whole are evicted, since
  * they are only needed to send a request again. Pure: times are monotonic milliseconds given by the caller.
  */
 import { type BodyOwner, BodyReservation, type BodyRoom } from "./BodyReservation";
@@ -12,7 +12,7 @@
   readonly limitBytes: number;
   /** Gets the memory that the process uses for itself, bytes. */
   readonly getOwnBytes: () => number;
-  /** Called for each body that is let go to make room. */
+  /** Called for each body that is evicted to make room. */
   readonly onEvicted: () => void;
 }
 
@@ -33,7 +33,7 @@
 export class MemoryBudget implements BodyRoom {
   private readonly _options: MemoryBudgetOptions;
   private readonly _bytesByOrganisation = new Map<string | undefined, number>();
-  /** Bodies that may be let go, in the order in which they were sent; those that are needed less likely first. */
+  /** Bodies that may be evicted, in the order in which they were sent; those that are needed less likely first. */
   private readonly _idleBodies = [new Set<BodyReservation>(), new Set<BodyReservation>()] as const;
   /** Bytes of bodies that ended, weighted by how recently; at the time of the last one. */
   private _releasedBytes = 0;
@@ -67,7 +67,7 @@
     return new BodyReservation(this, owner);
   }
 
-  /** Adds to the bytes of buffered answers; a negative number subtracts. Lets bodies go where there is no room. */
+  /** Adds to the bytes of buffered answers; a negative number subtracts. Evicts bodies where there is no room. */
   addAnswerBytes(bytes: number): void {
     this._answerBytes += bytes;
     this._evictUntil(() => !this.isExceeded);
@@ -114,7 +114,7 @@
     this._releasedAt = now;
   }
 
-  /** @internal Records whether a body may be let go. */
+  /** @internal Records whether a body may be evicted. */
   setIdle(body: BodyReservation, isIdle: boolean): void {
     const bodies = this._idleBodies[body.owner.isRepeatable ? 1 : 0];
     if (isIdle) bodies.add(body);
--- a/src/gateway/RequestBody.ts
+++ b/src/gateway/RequestBody.ts
@@ -1,9 +1,9 @@
-/** The body of a request, which may be let go before the request is over. */
+/** The body of a request, which may be evicted before the request is over. */
 import type { BodyReservation } from "./BodyReservation";
 
 /** Body of one request. */
 export class RequestBody {
-  /** Number of bytes, also after the body was let go. */
+  /** Number of bytes, also after the body was evicted. */
   readonly length: number;
   private readonly _reservation: BodyReservation;
   private _chunks: readonly Uint8Array[];
@@ -18,7 +18,7 @@
     this.length = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
   }
 
-  /** Gets the bytes; none once the body was let go. */
+  /** Gets the bytes; none once the body was evicted. */
   get chunks(): readonly Uint8Array[] {
     return this._chunks;
   }
@@ -34,7 +34,7 @@
   }
 
   /**
-   * Allows the body to be let go once it has been sent whole.
+   * Allows the body to be evicted once it has been sent whole.
    * @param onEvict - Called right before that, while the bytes can still be read.
    */
   allowEviction(onEvict: () => void): void {
@@ -44,7 +44,7 @@
     });
   }
 
-  /** Lets the body go because the request is over. */
+  /** Releases the body because the request is over. */
   release(now: number): void {
     this._reservation.release(now);
     this._chunks = [];
--- a/src/http/HttpClient.ts
+++ b/src/http/HttpClient.ts
@@ -9,7 +9,7 @@
 import { connect } from "node:net";
 import { LostAnswer, MalformedAnswer, UnreachableEndpoint } from "../errors";
 
-/** A body that may be let go after it has been sent. */
+/** A body that may be evicted after it has been sent. */
 export interface HttpBody {
   /** The bytes, read when the call is sent. */
   readonly chunks: readonly Uint8Array[];
--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -30,7 +30,7 @@
   | "gateway_links_lost"
   | "gateway_relayed"
   | "gateway_buffered_bytes"
-  | "gateway_bodies_let_go"
+  | "gateway_bodies_evicted"
   | "instance_orders"
   | "replica_moves"
   | "leaderships"
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -137,7 +137,7 @@
       this.evictedCount += 1;
     },
   });
-  /** Number of bodies that the gateway has let go to make room. */
+  /** Number of bodies that the gateway has evicted to make room. */
   evictedCount = 0;
   /** Largest number of bytes reserved for bodies when an endpoint received a request. */
   peakBodyBytes = 0;
--- a/test/gateway/MemoryBudget.test.ts
+++ b/test/gateway/MemoryBudget.test.ts
@@ -12,7 +12,7 @@
   return new MemoryBudget({ limitBytes: LIMIT_BYTES, getOwnBytes: () => OWN_BYTES, onEvicted: () => {} });
 }
 
-/** Reserves a body that has been sent whole and may be let go. */
+/** Reserves a body that has been sent whole and may be evicted. */
 function addSentBody(
   budget: MemoryBudget,
   bytes: number,
@@ -43,7 +43,7 @@
     endSending();
   });
 
-  it("lets bodies go that were sent whole, the oldest and those that can't be repeated first", () => {
+  it("evicts bodies that were sent whole, the oldest and those that can't be repeated first", () => {
     const budget = createBudget();
     const evicted: string[] = [];
     const share = budget.maxBytes * 0.2;
@@ -78,7 +78,7 @@
     expect(small.reserve(budget.maxBytes * 0.1)).toBe(true);
   });
 
-  it("lets bodies go when answers need their room", () => {
+  it("evicts bodies when answers need their room", () => {
     const budget = createBudget();
     const body = addSentBody(budget, budget.maxBytes * 0.7);
     budget.addAnswerBytes(budget.maxBytes * 0.4);
--- a/test/gateway/bodies.test.ts
+++ b/test/gateway/bodies.test.ts
@@ -88,7 +88,7 @@
     expect(peakBytes).toBeLessThan(LIMIT_BYTES * 0.9 - OWN_BYTES);
   });
 
-  it("that were let go are not sent again, and such a request is never refused as not run after it ran", async () => {
+  it("that were evicted are not sent again, and such a request is never refused as not run after it ran", async () => {
     const ids = new Set<string>();
     const crashLate: Script = (seen, response) => {
       ids.add(String(seen.headers["x-id"]));
@@ -109,7 +109,7 @@
     expect(harness.memory.bytes).toBe(0);
   });
 
-  it("of a crashing request are known by the same digest after they were let go", async () => {
+  it("of a crashing request are known by the same digest after they were evicted", async () => {
     const harness = await start([() => {}], {
       kind: "notRepeatable",
       timeoutMs: 10_000,
@@ -118,7 +118,7 @@
     const calls = Array.from({ length: BURST }, (_, i) =>
       harness.call({ body: `${i}${BODY}`.slice(0, MAX_BODY_BYTES), headers: { "x-id": `call-${i}` } }),
     );
-    await waitUntil("bodies were let go", () => harness.evictedCount > 0);
+    await waitUntil("bodies were evicted", () => harness.evictedCount > 0);
     await waitUntil("the requests run", () => harness.requests.length > harness.evictedCount);
     harness.endEndpoint(0);
     await Promise.all(calls);
