An instance is asked for its place once, right before its next join, and in turn with orders

Now an instance that has confirmed its leave is asked when its next join is due, one question in most cases, and questions take turns with orders.

--- a/src/registration/LeaveConfirmations.ts
+++ b/src/registration/LeaveConfirmations.ts
@@ -67,6 +67,22 @@
     if (newest === undefined || epoch >= newest.epoch) this._leaves.set(instanceId, { epoch, at: now });
   }
 
+  /**
+   * Checks whether an instance has confirmed that it left the replica of an epoch, and has reported no return
+   * since.
+   */
+  hasConfirmed(instanceId: string, epoch: number): boolean {
+    const leave = this._leaves.get(instanceId);
+    if (leave === undefined || leave.epoch < epoch) return false;
+    const instance = this._registry.getInstance(instanceId);
+    return !(instance?.report.place?.epoch === epoch && instance.reportedAt > leave.at);
+  }
+
+  /** Removes the confirmation of an instance, whose status shows that it is in the replica. */
+  removeLeave(instanceId: string): void {
+    this._leaves.delete(instanceId);
+  }
+
   /**
    * Adds the status of an instance, which it told after it had confirmed its leave.
    * @param epoch - Epoch of the replica that it left.
--- a/src/registration/OrderDispatcher.ts
+++ b/src/registration/OrderDispatcher.ts
@@ -5,7 +5,13 @@
 import { type Clock, TurnQueue } from "../clock";
 import { getIncarnationKey, type Incarnation, type IncarnationKey } from "../ids";
 import type { Logger, Metrics } from "../metrics";
-import type { InstanceOrder, InstanceOrders, OrderOutcome, OrderReceiver } from "./InstanceOrders";
+import type {
+  InstanceOrder,
+  InstanceOrders,
+  InstanceStatus,
+  OrderOutcome,
+  OrderReceiver,
+} from "./InstanceOrders";
 import { type LoadLimit, LoadLimiter } from "./LoadLimiter";
 
 export interface OrderDispatcherOptions {
@@ -127,6 +133,12 @@
     return outcome;
   }
 
+  /** Asks an instance for its status. Questions are started in turns like orders. */
+  async askStatus(receiver: OrderReceiver, timeoutMs: number): Promise<InstanceStatus | undefined> {
+    await this._turns.waitForTurn();
+    return this._options.orders.askStatus(receiver, timeoutMs);
+  }
+
   private _isDue(now: number, life: Incarnation, order: InstanceOrder): boolean {
     if (this.isBusy(life)) return false;
     const sentAt = this._sentAt.get(getOrderKey(life, order));
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -65,8 +65,8 @@
  * Interval and maximum number of questions for the place of an instance that has left a replica. An answer
  * shows the place of some hundred milliseconds ago.
  */
-const PLACE_QUERY_INTERVAL_MS = 80;
-const MAX_PLACE_QUERIES = 6;
+const PLACE_QUERY_INTERVAL_MS = 120;
+const MAX_PLACE_QUERIES = 4;
 /** Maximum number of consecutive probes of an instance whose last report is still too recent to suspect it. */
 const MAX_PROBES = 4;
 /** An instance whose last report is more recent than this counts as present, whatever a probe returns. */
@@ -351,7 +351,8 @@
     }
     const receiver = getReceiver(instance);
     if (this._placeQueries.has(getIncarnationKey(receiver))) return;
-    void this._leave(receiver, occupied)
+    const hasConfirmed = this._leaveConfirmations.hasConfirmed(instance.id, occupied.epoch);
+    void (hasConfirmed ? Promise.resolve(true) : this._leave(receiver, occupied))
       .then((hasLeft) => hasLeft && this._confirmAbsence(receiver, occupied))
       .then((isProven) => {
         const isForming = this._options.driver.machine.getReplica(replica.id)?.phase === ReplicaPhase.FORMING;
@@ -386,10 +387,10 @@
   }
 
   private async _queryPlace(receiver: OrderReceiver, { epoch }: OccupiedPlace) {
-    const { orders, clock } = this._options;
+    const { clock } = this._options;
     let status: InstanceStatus | undefined;
     for (let queries = 1; queries <= MAX_PLACE_QUERIES; queries++) {
-      status = await orders.askStatus(receiver, PROBE_TIMEOUT_MS);
+      status = await this._dispatcher.askStatus(receiver, PROBE_TIMEOUT_MS);
       if (status === undefined) return { isProven: false, queries, status };
       const now = clock.getMonotonicMs();
       const isProven = this._leaveConfirmations.addStatus(now, receiver.instanceId, epoch, status);
@@ -398,6 +399,8 @@
       if (status.place !== undefined && status.place.epoch < epoch) await this._leave(receiver, status.place);
       await pause(PLACE_QUERY_INTERVAL_MS);
     }
+    // The instance is still in the replica, so it is ordered to leave again.
+    this._leaveConfirmations.removeLeave(receiver.instanceId);
     return { isProven: false, queries: MAX_PLACE_QUERIES, status };
   }
 
@@ -457,12 +460,7 @@
         if (outcome === undefined) return;
         const endedAt = this._options.clock.getMonotonicMs();
         this._closer.addOutcome(endedAt, replica, due, outcome);
-        if (due.order.kind !== "leave") return;
-        this._addLeave(due.receiver, replica, outcome);
-        // Its next join need not wait for the answer then.
-        if (LEFT_OUTCOMES.has(outcome)) {
-          void this._confirmAbsence(due.receiver, { replicaId: replica.id, epoch: replica.epoch });
-        }
+        if (due.order.kind === "leave") this._addLeave(due.receiver, replica, outcome);
       });
     }
   }
