A bound join that is sent again expects the order that it began itself

A join begun at 20.07 s was sent again at 20.59, as no report confirmed it, with the same number of orders, and was refused for its own first execution; the instance was then asked, ordered and joined anew. The number is now counted on by one when the order was begun.

--- a/src/registration/LeaveConfirmations.ts
+++ b/src/registration/LeaveConfirmations.ts
@@ -98,6 +98,13 @@
     return true;
   }
 
+  /** Records that an instance has begun an order that was bound to its proof. The order may be sent again. */
+  addBegunOrder(instanceId: string): void {
+    const absence = this._absences.get(instanceId);
+    if (absence !== undefined)
+      this._absences.set(instanceId, { ...absence, orderCount: absence.orderCount + 1 });
+  }
+
   /** Removes the proof for an instance, which refused an order that was bound to it. */
   removeAbsence(instanceId: string): void {
     this._absences.delete(instanceId);
--- a/src/registration/ReplicaController.ts
+++ b/src/registration/ReplicaController.ts
@@ -422,6 +422,7 @@
     const outcome = await (instance.model === model
       ? this._dispatcher.send(receiver, order)
       : this._dispatcher.sendLoad(receiver, order));
+    if (outcome === "begun") this._leaveConfirmations.addBegunOrder(instance.id);
     // The instance has begun another order since it was in no replica, so it is asked again.
     if (outcome === "unfit") this._leaveConfirmations.removeAbsence(instance.id);
     if (outcome === undefined || leftAt === undefined) return;
--- a/test/registration/LeaveConfirmations.test.ts
+++ b/test/registration/LeaveConfirmations.test.ts
@@ -89,6 +89,16 @@
     expect(places.getOrderCount(now, "f0")).toBeUndefined();
   });
 
+  // Guards against joins that are sent again, as no report confirms them, and refused for their own first execution.
+  it("counts an order that the instance has begun, so that the order may be sent again", () => {
+    leave(RELEASED_AT, 3);
+    places.addBegunOrder("f0");
+    expect(places.getOrderCount(now, "f0")).toBe(ORDER_COUNT + 1);
+    places.removeAbsence("f0");
+    places.addBegunOrder("f0");
+    expect(places.getOrderCount(now, "f0")).toBeUndefined();
+  });
+
   it("takes no answer for a proof that shows the place, or that came before the leave was confirmed", () => {
     const place = { replicaId: "g-3", epoch: 3 };
     const answer = { born: 0, place: undefined, orderCount: ORDER_COUNT };
