--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -7,11 +7,11 @@
 import { Connections, listen } from "../http";
 import type { Logger, Metrics } from "../metrics";
 import type { ReceivedView } from "../registration";
+import { breakOff, breakOffNow, delimitByClose } from "./answerEnd";
 import { type BodyFailure, BodyReader, getDeclaredBytes } from "./BodyReader";
 import type { BodyReservation } from "./BodyReservation";
 import { CallerTimeouts } from "./CallerTimeouts";
 import type { CallMetadata } from "./Dialect";
-import { delimitByClose } from "./delimitByClose";
 import { dropBody } from "./dropBody";
 import { Exchange, type ExchangeDependencies } from "./Exchange";
 import type { ExchangeRequest } from "./ExchangeRequest";
@@ -89,6 +89,8 @@
   private readonly _callerTimeouts = new CallerTimeouts();
   private readonly _startedAt: number;
   private readonly _running = new Map<Exchange, RunningRequest>();
+  /** Answers whose last bytes have not been sent. */
+  private readonly _responses = new Set<ServerResponse>();
   private _requestCount = 0;
   private _isStopping = false;
   private _refusesRequests = false;
@@ -194,9 +196,10 @@
     await this._connections.drain(maxAcceptMs);
   }
 
-  /** Closes the server and all its connections. */
+  /** Closes the server and all its connections; answers in progress are broken off. */
   stop(): void {
     this._server.close();
+    for (const response of this._responses) if (response.headersSent) breakOffNow(response);
     this._server.closeAllConnections();
   }
 
@@ -219,6 +222,8 @@
     relayed?: RelayedRequest,
   ): Promise<void> {
     this._requestCount += 1;
+    this._responses.add(response);
+    for (const event of ["finish", "close"]) response.once(event, () => this._responses.delete(response));
     const progress: RequestProgress = {
       receivedAt: this._options.clock.getMonotonicMs(),
       relayed,
@@ -456,7 +461,7 @@
     const { mayHaveRun } = exchange;
     exchange.cancel();
     if (response.headersSent) {
-      response.destroy();
+      breakOff(response);
       return;
     }
     const reason = "the request's time has expired";
@@ -469,7 +474,7 @@
   private _refuse(response: ServerResponse, progress: RequestProgress, refusal: GatewayRefusal): void {
     if (response.writableEnded) return;
     const isDisconnected = response.destroyed;
-    if (response.headersSent) response.destroy();
+    if (response.headersSent) breakOff(response);
     else if (!isDisconnected) {
       if (progress.relayed !== undefined)
         addRelayOutcome(response, refusal, progress.exchange?.sentCount ?? 0);
--- a/src/gateway/StreamExchange.ts
+++ b/src/gateway/StreamExchange.ts
@@ -7,8 +7,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AnsweringAttempt } from "./Attempt";
 import type { AttemptRace } from "./AttemptRace";
+import { breakOff, delimitByClose } from "./answerEnd";
 import { createRace } from "./createRace";
-import { delimitByClose } from "./delimitByClose";
 import type { StreamEvent } from "./EventSplitter";
 import type { Exchange } from "./Exchange";
 import { getEndToEndHeaders } from "./headers";
@@ -87,8 +87,7 @@
       race.close();
     }
     if (!this._response.headersSent) throw exchange.createRefusal();
-    // The missing last chunk shows the caller that the answer is incomplete.
-    this._response.destroy();
+    breakOff(this._response);
     return this.getResult(false);
   }
 
--- /dev/null
+++ b/test/gateway/answerEnd.test.ts
@@ -0,0 +1,140 @@
+/** How answers end, as the caller's connection shows it. */
+import { readdirSync, readFileSync } from "node:fs";
+import type { ServerResponse } from "node:http";
+import { connect } from "node:net";
+import { afterEach, describe, expect, it } from "vitest";
+import type { Route } from "../../src/declaration";
+import { waitUntil } from "../support/waitUntil";
+import { GatewayHarness, type Script } from "./GatewayHarness";
+
+const TIMEOUT_MS = 400;
+const EVENT = "id: 1\ndata: 1\n\n";
+const STREAM = { kind: "stream", isResumable: false, maxAttempts: 1, timeoutMs: 5_000 } as const;
+
+type End = "whole" | "reset" | "silent";
+
+/** Sends an event in an answer without a length, then ends it. */
+function sendUnframed(end: End): Script {
+  return (seen, response) => {
+    response.shouldKeepAlive = false;
+    response.useChunkedEncodingByDefault = false;
+    response.writeHead(200, { "x-seal": "s", "x-id": String(seen.headers["x-id"]) });
+    response.write(EVENT, () => {
+      if (end === "whole") response.end();
+      if (end === "reset") setTimeout(() => resetConnection(response), 50);
+    });
+  };
+}
+
+/** Resets a connection, which Node by itself ends in order first. */
+function resetConnection({ socket }: ServerResponse): void {
+  socket!.destroySoon = () => {
+    socket!.destroy();
+  };
+  socket!.resetAndDestroy();
+}
+
+/** Sends an event in chunks, then breaks off. */
+const sendChunked: Script = (seen, response) => {
+  response.writeHead(200, { "x-seal": "s", "x-id": String(seen.headers["x-id"]) });
+  response.write(EVENT, () => setTimeout(() => response.destroy(), 50));
+};
+
+describe("an answer that ends", () => {
+  const harnesses: GatewayHarness[] = [];
+  afterEach(async () => {
+    await Promise.all(harnesses.splice(0).map((harness) => harness.stop()));
+  });
+
+  async function start(scripts: readonly Script[], route: Partial<Route> = {}): Promise<GatewayHarness> {
+    const harness = await GatewayHarness.start(scripts, { ...STREAM, ...route });
+    harnesses.push(harness);
+    return harness;
+  }
+
+  /** Sends a request over a connection of its own. */
+  function call({ port }: GatewayHarness, version = "1.1") {
+    const socket = connect(port, "127.0.0.1");
+    socket.write(
+      `POST /work/1 HTTP/${version}\r\nhost: api.example\r\nx-key: k1\r\nx-id: call-1\r\ncontent-length: 0\r\n\r\n`,
+    );
+    const seen = { text: "", end: "" };
+    socket.on("data", (chunk) => {
+      seen.text += chunk.toString();
+    });
+    socket.once("end", () => {
+      seen.end ||= "in order";
+    });
+    socket.once("error", (cause: NodeJS.ErrnoException) => {
+      seen.end ||= cause.code ?? "";
+    });
+    const ended = new Promise<typeof seen>((resolve) => socket.once("close", () => resolve(seen)));
+    return { seen, ended };
+  }
+
+  async function startRelaying(script: Script, route: Partial<Route> = {}): Promise<GatewayHarness> {
+    const peer = await start([script], route);
+    const cut = await start([sendChunked, sendChunked], route);
+    await cut.addPeers([peer]);
+    cut.endEndpoint(0);
+    cut.endEndpoint(1);
+    return cut;
+  }
+
+  it.each(["stream", "repeatable"] as const)(
+    "without a length is ended in order when its endpoint ended it in order: %s",
+    async (kind) => {
+      const { text, end } = await call(await start([sendUnframed("whole")], { kind })).ended;
+      expect(text).toContain(EVENT);
+      expect(end).toBe("in order");
+    },
+  );
+
+  // Guards against answers without a length that look whole although they were cut.
+  it.each([
+    ["its endpoint resets the connection", () => start([sendUnframed("reset")])],
+    ["its time expires", () => start([sendUnframed("silent")], { timeoutMs: TIMEOUT_MS })],
+    ["another entry's endpoint resets the connection", () => startRelaying(sendUnframed("reset"))],
+    [
+      "its time expires at another entry",
+      () => startRelaying(sendUnframed("silent"), { timeoutMs: TIMEOUT_MS }),
+    ],
+  ])(
+    "without a length resets its connection, and what had been passed on arrives, when %s",
+    async (_name, begin) => {
+      const { text, end } = await call(await begin()).ended;
+      expect(text).toContain(EVENT);
+      expect(end).toBe("ECONNRESET");
+    },
+  );
+
+  it("without a length resets its connection when the entry stops", async () => {
+    const harness = await start([sendUnframed("silent")]);
+    const { seen, ended } = call(harness);
+    await waitUntil("the event has arrived", () => seen.text.includes(EVENT));
+    await harness.stop();
+    harnesses.splice(harnesses.indexOf(harness), 1);
+    expect((await ended).end).toBe("ECONNRESET");
+  });
+
+  it("in chunks at its endpoint resets the connection of a caller that speaks HTTP/1.0", async () => {
+    const { text, end } = await call(await start([sendChunked]), "1.0").ended;
+    expect(text).not.toContain("chunked");
+    expect(end).toBe("ECONNRESET");
+  });
+
+  it("in chunks lacks its last chunk when its endpoint breaks off", async () => {
+    const { text, end } = await call(await start([sendChunked])).ended;
+    expect(text).toContain(EVENT);
+    expect(text).not.toContain("\r\n0\r\n\r\n");
+    expect(end).toBe("in order");
+  });
+
+  it("is ended in one module only", () => {
+    const folder = new URL("../../src/gateway/", import.meta.url);
+    const files = readdirSync(folder).filter((file) =>
+      readFileSync(new URL(file, folder), "utf8").includes("esponse.destroy("),
+    );
+    expect(files).toEqual(["answerEnd.ts"]);
+  });
+});
