--- a/test/platform/PlatformCluster.ts
+++ b/test/platform/PlatformCluster.ts
@@ -24,6 +24,8 @@
 const TEMPLATE = readFileSync("deploy/settings.template", "utf8");
 const FIRST_ENTRY_IP = 1;
 const FIRST_CONTROL_IP = 11;
+/** Entries that fit between the first entry's address and the first control process's; more get another block. */
+const ENTRIES_BEFORE_CONTROLS = FIRST_CONTROL_IP - FIRST_ENTRY_IP;
 const DEFAULT_CONTROLS = 3;
 const DEFAULT_GRACE_S = 4;
 const DEFAULT_BUDGET_EXTRA = 100;
@@ -46,12 +48,17 @@
   readonly reportMs?: number;
   /** Time that a worker takes to join a group, milliseconds. */
   readonly joinMs?: number;
-  /** Number of entries, nine at most; one by default. */
+  /** Number of entries, 250 at most; one by default. */
   readonly entries?: number;
   /** Delay after which a worker that a request crashed is replaced under another id, milliseconds. */
   readonly restartMs?: number;
-  /** Number of control processes, all of them voters; three by default. */
+  /** Number of control processes; three by default. */
   readonly controls?: number;
+  /**
+   * Number of control processes that may lose their disks at the same time, which decides how many vote; by
+   * default nearly half of them, so that all vote.
+   */
+  readonly lossesBorne?: number;
   /** Number of control processes in the seed list of every process, counted from the first; all by default. */
   readonly seeds?: number;
   /** Share of a core that each control process gets from its start; a whole core by default. */
@@ -162,6 +169,25 @@
     return `${getEntryIp(index)}:${this._ports[3]}`;
   }
 
+  /** Marks the first start as over in all settings: processes that start from now on join as replacements. */
+  endFirstStart(): void {
+    for (const { name } of this.controls) {
+      const file = this._getSettingsFile(name);
+      const text = readFileSync(file, "utf8");
+      writeFileSync(file, text.replace("is_first_start = true", "is_first_start = false"));
+    }
+  }
+
+  /** Empties the disk of a control process, which must not be running. */
+  wipeControl(index: number): void {
+    rmSync(this._getDataFolder(this.controls[index]!.name), { recursive: true, force: true });
+  }
+
+  /** Gets the folder with the settings and logs of all processes. */
+  get folder(): string {
+    return this._folder;
+  }
+
   /** Gets the address of the directory at a control process. */
   getDirectory(index: number): string {
     return `${this._controlIps[index]}:${this._ports[2]}`;
@@ -272,10 +298,18 @@
     appendFileSync(join(this._folder, "workers.log"), `${line}\n`);
   }
 
+  private _getSettingsFile(processName: string): string {
+    return join(this._folder, `${processName}.toml`);
+  }
+
+  private _getDataFolder(processName: string): string {
+    return join(this._folder, processName);
+  }
+
   private _createProcess(role: "entry" | "control", ip: string): ProcessHandle {
-    const name = `${role}-${ip.split(".").at(-1)}`;
+    const name = `${role}-${ip.split(".").slice(2).join("-")}`;
     const [rpc, control, directory, front, ready] = this._ports;
-    const dataDir = join(this._folder, name);
+    const dataDir = this._getDataFolder(name);
     mkdirSync(dataDir, { recursive: true });
     const listen =
       role === "entry"
@@ -288,7 +322,9 @@
       internalPorts: [rpc, rpc! + 1],
       seeds: this.controlAddresses.slice(0, this._options.seeds),
       bootstrap: true,
-      faultTolerance: { machines: Math.floor((this._controlIps.length - 1) / 2) },
+      faultTolerance: {
+        machines: this._options.lossesBorne ?? Math.floor((this._controlIps.length - 1) / 2),
+      },
       dataDir,
       heartbeatMs: this._options.reportMs ?? HEARTBEAT_MS,
       listen,
@@ -302,7 +338,7 @@
         ceilingOver: 1.1,
       },
     };
-    const file = join(this._folder, `${name}.toml`);
+    const file = this._getSettingsFile(name);
     // The deployment uses a fixed port for metrics, which may be in use on this machine.
     const text = renderTemplate(TEMPLATE, fields)
       .replace(":9464", `:${this._ports[5]}`)
@@ -315,5 +351,6 @@
 
 /** Gets the IP address of an entry, which clients send as their Host. */
 export function getEntryIp(index: number): string {
-  return `127.0.0.${FIRST_ENTRY_IP + index}`;
+  if (index < ENTRIES_BEFORE_CONTROLS) return `127.0.0.${FIRST_ENTRY_IP + index}`;
+  return `127.0.1.${FIRST_ENTRY_IP + index - ENTRIES_BEFORE_CONTROLS}`;
 }
