Learners ask no more to join; the leader makes them voters itself

What callers saw: CONFIG, no configuration read back in time after two disks were lost and all else lost power; lost voters not replaced within 20 s, since their joins timed out. Cause: each member that does not vote asked the leader to join three times a second, for as long as it ran, though the leader knows from its own messages whether a learner has caught up. In calm each of these calls costs the leader as much as several heartbeats; after a loss they stand in the way of what they wait for. Ruled out: heartbeats of the agreement as the main cost (at half their rate the leader of seven members fell from 100 to 80 ms a second only). Change: the leader's repair step promotes a learner that has caught up and answered as lately as the majority; a process asks only while it is no member, or has heard no leader for two seconds. The series model decides by the same functions.

--- a/src/consensus/ConsensusDriver.ts
+++ b/src/consensus/ConsensusDriver.ts
@@ -20,7 +20,7 @@
 import { MemberId } from "../ids";
 import type { Storage } from "../log";
 import { type CommandResult, StateMachine } from "../state";
-import { getMember, getNextMembership, getTrimmedMembership, type MembershipContext } from "./membership";
+import { getMember, getNextMembership, getRepairedMembership, type MembershipContext } from "./membership";
 import type { RaftNode } from "./RaftNode";
 import type { ConfirmedBarrier, Ready } from "./Ready";
 
@@ -228,12 +228,19 @@
       isUnresponsive: (id) =>
         id !== this.node.id && this.node.getProgress(id)?.isUnresponsive(quorumContactAt) === true,
       isExpired: (id) => this.node.getProgress(id)?.isExpired(quorumContactAt) === true,
+      isReady: (id) => this._isReadyToVote(id, quorumContactAt),
     };
   }
 
-  private _trimMembership(now: number): void {
+  private _isReadyToVote(memberId: string, quorumContactAt: number): boolean {
+    const progress = this.node.getProgress(memberId);
+    if (progress === undefined) return false;
+    return progress.isCaughtUp(this.node.commitIndex) && progress.isPresent(quorumContactAt);
+  }
+
+  private _repairMembership(now: number): void {
     if (!this.isLeader()) return;
-    const next = getTrimmedMembership(this.node.membership, this._getMembershipContext(now));
+    const next = getRepairedMembership(this.node.membership, this._getMembershipContext(now));
     if (next !== undefined) this.node.addMembership(now, next);
   }
 
@@ -245,7 +252,7 @@
     const now = this._clock.getMonotonicMs();
     this._failOnError(() => {
       this.node.tick(now);
-      this._trimMembership(now);
+      this._repairMembership(now);
     });
     this._pump();
   }
--- a/src/consensus/Progress.ts
+++ b/src/consensus/Progress.ts
@@ -26,6 +26,8 @@
  * A learner is removed if it last responded more than this long before the last time a majority responded.
  */
 const EXPIRY_MS = 10_000;
+/** A learner may vote if it responded at most this long before the last time a majority responded. */
+const PRESENT_MS = 200;
 /** A joining member may vote if it lacks at most this many entries. */
 const CAUGHT_UP_ENTRIES = 50;
 
@@ -86,6 +88,11 @@
     return quorumContactAt - this.answeredAt > EXPIRY_MS;
   }
 
+  /** Checks whether the member has responded as lately as the majority. */
+  isPresent(quorumContactAt: number): boolean {
+    return quorumContactAt - this.answeredAt <= PRESENT_MS;
+  }
+
   /** Checks whether the member may vote. A voter that never responded would only weaken the majority. */
   isCaughtUp(commitIndex: number): boolean {
     return this._matchIndex > 0 && this._matchIndex >= commitIndex - CAUGHT_UP_ENTRIES;
--- a/src/consensus/index.ts
+++ b/src/consensus/index.ts
@@ -6,7 +6,7 @@
   getMember,
   getNextMembership,
   getQuorumSize,
-  getTrimmedMembership,
+  getRepairedMembership,
   getVoterCount,
   getVoters,
   isVoter,
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -36,6 +36,8 @@
   readonly isUnresponsive?: (memberId: string) => boolean;
   /** Checks whether a learner has not responded for so long that it is removed and has to join again. */
   readonly isExpired?: (memberId: string) => boolean;
+  /** Checks whether a learner has nearly the whole log and has responded just now, so that it may vote. */
+  readonly isReady?: (memberId: string) => boolean;
 }
 
 /** Limits and member states that decide on a join. */
@@ -50,7 +52,7 @@
  * Each step changes one member, so that any two successive majorities share a voter. The joining member is
  * first added as a learner, and becomes a voter once it has caught up. While there are enough voters, it
  * remains a learner until a voter fails, and then replaces that voter. It becomes a voter before the failed
- * one loses its vote (`getTrimmedMembership`), so that a further failure in between does not meet a smaller
+ * one loses its vote (`getRepairedMembership`), so that a further failure in between does not meet a smaller
  * set of voters.
  * @returns `undefined` if no change is currently possible.
  */
@@ -80,14 +82,28 @@
 /**
  * Gets the membership after the next change that does not depend on a join request. In this order, it removes
  * a member that has joined again under its name after the loss of its disk, removes a learner that has not
- * responded for long, or makes a surplus voter a learner. The surplus voter is a failed one, so that it can
- * follow as soon as it returns, or else the last one that joined.
+ * responded for long, makes a surplus voter a learner, or makes a learner a voter. The surplus voter is a
+ * failed one, so that it can follow as soon as it returns, or else the last one that joined.
  * @returns `undefined` if no change is due.
  */
-export function getTrimmedMembership(
+export function getRepairedMembership(
   current: Membership,
   context: MembershipContext,
 ): Membership | undefined {
+  return getTrimmedMembership(current, context) ?? getExtendedMembership(current, context);
+}
+
+/** Gets the membership with one more voter, preferably one that replaces a voter of its own name. */
+function getExtendedMembership(current: Membership, context: MembershipContext): Membership | undefined {
+  const voterNames = new Set(getVoters(current).map(({ name }) => name));
+  const candidates = current.members.filter(
+    (member) => member.learner && context.isReady?.(member.id) && hasVoterCapacity(current, member, context),
+  );
+  const successor = candidates.find(({ name }) => voterNames.has(name)) ?? candidates[0];
+  return successor === undefined ? undefined : setLearner(current, successor.id, false);
+}
+
+function getTrimmedMembership(current: Membership, context: MembershipContext): Membership | undefined {
   const { members } = current;
   const voters = getVoters(current);
   // Members are listed in the order in which they joined.
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -6,7 +6,7 @@
   ConsensusDriver,
   createMembership,
   DEFAULT_TIMING,
-  isVoter,
+  getMember,
   RaftNode,
   SeededRandom,
   type Transport,
@@ -26,10 +26,10 @@
 const JOIN_TIMEOUT_MS = 2_000;
 const JOIN_INTERVAL_MS = 300;
 /**
- * An election takes less time; a voter that has received no heartbeat of a leader for longer may have been
- * replaced.
+ * An election takes less time; a member that has received no heartbeat of a leader for longer may have been
+ * replaced or removed.
  */
-const VOTER_JOIN_TIMEOUT_MS = 2_000;
+const MEMBER_JOIN_TIMEOUT_MS = 2_000;
 
 /** Gets the id of a bootstrap member, which belongs to the group from its first start. */
 export function getBootstrapMemberId(name: string): MemberId {
@@ -114,6 +114,18 @@
   );
 }
 
+/**
+ * Checks whether a member leads, has received a message of its leader lately, or receives messages of a
+ * majority that is electing a leader.
+ */
+export function hasLeaderOrElection(
+  now: number,
+  node: Pick<RaftNode, "role" | "getLeaderContactAt" | "isElecting">,
+): boolean {
+  const contactAt = node.getLeaderContactAt() ?? Number.NEGATIVE_INFINITY;
+  return node.role === "leader" || now - contactAt <= MEMBER_JOIN_TIMEOUT_MS || node.isElecting(now);
+}
+
 export interface JoinOptions {
   readonly driver: ConsensusDriver;
   /** This member. */
@@ -127,33 +139,34 @@
 }
 
 /**
- * Decides when a member sends a join request.
+ * Decides when a process sends a join request.
  *
- * A voter without a leader is usually taking part in the election of one, so it sends no join request until
- * the election must have finished. Pure.
+ * The leader makes its learners voters without a further request. A member without a leader is usually taking
+ * part in the election of one, so it sends no join request until the election must have finished. Pure.
  */
 export class JoinTimeout {
   private _leaderlessSince: number | undefined;
 
   /**
-   * Checks whether the member must send a join request now.
-   * @param hasLeaderOrElection - Whether the member receives heartbeats of a leader, or messages of a
-   * majority that is electing one.
+   * Checks whether the process must send a join request now.
+   * @param isMember - Whether it is a voter or a learner, according to its log.
+   * @param hasLeaderOrElection - Whether it receives heartbeats of a leader, or messages of a majority that is
+   * electing one.
    */
-  isExpired(now: number, isVoting: boolean, hasLeaderOrElection: boolean): boolean {
-    if (!isVoting) return true;
+  isExpired(now: number, isMember: boolean, hasLeaderOrElection: boolean): boolean {
+    if (!isMember) return true;
     if (hasLeaderOrElection) {
       this._leaderlessSince = undefined;
       return false;
     }
     this._leaderlessSince ??= now;
-    return now - this._leaderlessSince > VOTER_JOIN_TIMEOUT_MS;
+    return now - this._leaderlessSince > MEMBER_JOIN_TIMEOUT_MS;
   }
 }
 
 /**
- * Sends join requests to the leader until this member votes, and again whenever it has received no heartbeat
- * of a leader for longer than an election takes: the leader may have considered this member removed
+ * Sends join requests to the leader until this process is a member, and again whenever it has received no
+ * heartbeat of a leader for longer than an election takes: the leader may have considered this member removed
  * permanently and given its place to another one.
  */
 export function joinMembership(options: JoinOptions): Effect.Effect<never> {
@@ -170,10 +183,10 @@
   const joinTimeout = new JoinTimeout();
   const attempt = Effect.promise(async () => {
     const { node } = driver;
-    const isVoting = isVoter(node.membership, node.id);
+    const isMember = getMember(node.membership, node.id) !== undefined;
     const now = clock.getMonotonicMs();
-    const hasLeaderOrElection = node.leaderId !== "" || node.isElecting(now);
-    if (!joinTimeout.isExpired(now, isVoting, hasLeaderOrElection) || getAddresses().length === 0) return;
+    if (!joinTimeout.isExpired(now, isMember, hasLeaderOrElection(now, node))) return;
+    if (getAddresses().length === 0) return;
     client ??= new LeaderClient(ConsensusService, clientOptions);
     await client
       .call((leader, timeoutMs) => leader.join({ member }, { timeoutMs }), JOIN_TIMEOUT_MS)
--- a/test/consensus/ConsensusModel.ts
+++ b/test/consensus/ConsensusModel.ts
@@ -9,7 +9,7 @@
 import {
   createMembership,
   getNextMembership,
-  getTrimmedMembership,
+  getRepairedMembership,
   getVoters,
   RaftNode,
   SeededRandom,
@@ -400,7 +400,7 @@
       if (next !== undefined) leader.node.addMembership(this._now, next);
       this._pump(leader);
     }
-    const trimmed = getTrimmedMembership(leader.node.membership, {});
+    const trimmed = getRepairedMembership(leader.node.membership, {});
     if (trimmed !== undefined) leader.node.addMembership(this._now, trimmed);
     this._pump(leader);
   }
--- a/test/consensus/FailureSeries.ts
+++ b/test/consensus/FailureSeries.ts
@@ -9,11 +9,11 @@
 import {
   createMembership,
   DEFAULT_TIMING,
+  getMember,
   getNextMembership,
-  getTrimmedMembership,
+  getRepairedMembership,
   getVoterCount,
   getVoters,
-  isVoter,
   type MembershipContext,
   RaftNode,
   SeededRandom,
@@ -29,7 +29,7 @@
   type Snapshot,
   SnapshotSchema,
 } from "../../src/gen/ploverstage/v1/consensus_pb";
-import { JoinTimeout } from "../../src/membership/member";
+import { hasLeaderOrElection, JoinTimeout } from "../../src/membership/member";
 
 /** Failures and changes that the simulation can inject. */
 export const FAILURES = [
@@ -372,7 +372,7 @@
       if (machine.node === undefined || machine.busyUntil > this._now) continue;
       this._receive(machine, machine.node);
       machine.node.tick(this._now);
-      this._trim(machine.node);
+      this._repair(machine.node);
       this._requestJoin(machine, machine.node);
       this._processReady(machine, machine.node);
       this._trackLeadership(machine, machine.node);
@@ -456,9 +456,8 @@
   private _requestJoin(machine: Machine, node: RaftNode): void {
     if (this._now < machine.nextJoinAt) return;
     machine.nextJoinAt = this._now + JOIN_INTERVAL_MS;
-    const isVoting = isVoter(node.membership, node.id);
-    const isElecting = node.leaderId !== "" || node.isElecting(this._now);
-    if (!machine.joinTimeout.isExpired(this._now, isVoting, isElecting)) return;
+    const isMember = getMember(node.membership, node.id) !== undefined;
+    if (!machine.joinTimeout.isExpired(this._now, isMember, hasLeaderOrElection(this._now, node))) return;
     const leader = this._findLeader(machine);
     if (leader?.node === undefined || !leader.node.isEstablished() || leader.busyUntil > this._now) return;
     this._addJoiningMember(leader.node, createMember(machine.name, machine.disk.id));
@@ -503,12 +502,16 @@
       isUnresponsive: (id) =>
         id !== leader.id && leader.getProgress(id)?.isUnresponsive(quorumContactAt) === true,
       isExpired: (id) => leader.getProgress(id)?.isExpired(quorumContactAt) === true,
+      isReady: (id) => {
+        const progress = leader.getProgress(id);
+        return progress?.isCaughtUp(leader.commitIndex) === true && progress.isPresent(quorumContactAt);
+      },
     };
   }
 
-  private _trim(leader: RaftNode): void {
+  private _repair(leader: RaftNode): void {
     if (!leader.isEstablished()) return;
-    const next = getTrimmedMembership(leader.membership, this._getMembershipContext(leader));
+    const next = getRepairedMembership(leader.membership, this._getMembershipContext(leader));
     if (next !== undefined) leader.addMembership(this._now, next);
   }
 
--- a/test/consensus/membership.test.ts
+++ b/test/consensus/membership.test.ts
@@ -2,7 +2,7 @@
 import {
   createMembership,
   getNextMembership,
-  getTrimmedMembership,
+  getRepairedMembership,
   getVoterCount,
   getVoters,
   type JoiningContext,
@@ -28,7 +28,7 @@
 function applyJoin(current: Membership, joiningMember: Member, context: JoiningContext): Membership[] {
   const steps: Membership[] = [];
   for (let now = current; ; ) {
-    const next = getTrimmedMembership(now, context) ?? getNextMembership(now, joiningMember, context);
+    const next = getRepairedMembership(now, context) ?? getNextMembership(now, joiningMember, context);
     if (next === undefined) return steps;
     steps.push(next);
     now = next;
@@ -80,7 +80,7 @@
   it("makes a surplus voter a learner: a failed one, or else the last that joined", () => {
     const four = applyJoin(CURRENT, createMember("d"), { isCaughtUp: true, maxVoters: 4 }).at(-1)!;
     const trim = (leaderId: string, failedId = "") =>
-      getTrimmedMembership(four, { maxVoters: 3, leaderId, isUnresponsive: (id) => id === failedId });
+      getRepairedMembership(four, { maxVoters: 3, leaderId, isUnresponsive: (id) => id === failedId });
     expect(getVoterIds(trim("a.0", "c.0"))).toEqual(["a.0", "b.0", "d.0"]);
     expect(getVoterIds(trim("a.0"))).toEqual(["a.0", "b.0", "c.0"]);
     expect(getVoterIds(trim("d.0"))).toEqual(["a.0", "b.0", "d.0"]);
@@ -94,7 +94,7 @@
       isUnresponsive,
     }).at(-1)!;
     expect(swapped.members.map(({ id, learner }) => [id, learner])).toContainEqual(["b.0", true]);
-    const trimmed = getTrimmedMembership(swapped, {
+    const trimmed = getRepairedMembership(swapped, {
       maxVoters: 3,
       isUnresponsive,
       isExpired: isUnresponsive,
@@ -121,6 +121,23 @@
     ]);
   });
 
+  it("makes a ready learner a voter without a further request, first one that replaces a voter of its name", () => {
+    const learners = [createMember("x", true), createMember("b", true, "1")];
+    const current = createMembership([...CURRENT.members, ...learners]);
+    const isUnresponsive = (id: string) => id === "b.0" || id === "c.0";
+    const repair = (isReady: (id: string) => boolean) =>
+      getVoterIds(getRepairedMembership(current, { maxVoters: 3, isUnresponsive, isReady }) ?? current);
+    expect(repair(() => true)).toEqual(["a.0", "b.0", "c.0", "b.1"]);
+    expect(repair((id) => id === "x.0")).toEqual(["a.0", "b.0", "c.0", "x.0"]);
+    expect(repair(() => false)).toEqual(["a.0", "b.0", "c.0"]);
+  });
+
+  it("keeps a ready learner as a learner while all voters respond", () => {
+    const current = createMembership([...CURRENT.members, createMember("x", true)]);
+    const context = { maxVoters: 3, isUnresponsive: () => false, isReady: () => true };
+    expect(getRepairedMembership(current, context)).toBeUndefined();
+  });
+
   it("computes enough voters to retain a majority after the declared losses", () => {
     expect([0, 1, 2, 3].map(getVoterCount)).toEqual([3, 3, 5, 7]);
     for (const losses of [1, 2, 3, 4]) {
