Series of members: four seeds hold now, two are known red

Since learners are promoted by the leader, 40371, 40457, 41216 and 61301 hold. 40775 does not any more (traced: m0 is lost, the leader after it lasts 1.1 s, all are killed, the next one lasts 1 s and is lost with another: three of five voters are gone before the first lost vote is replaced), and 40222 neither. All seeds stay.

--- a/test/consensus/memberSeries.test.ts
+++ b/test/consensus/memberSeries.test.ts
@@ -85,13 +85,17 @@
 
   it("commit a command within 6 s in series that fail if failed voters keep their votes for five seconds", () => {
     const seeds = [
-      40_011, 40_311, 40_377, 40_513, 40_522, 40_600, 40_613, 40_649, 40_669, 40_687, 40_699, 40_775, 40_878,
-      40_914, 40_945, 41_038, 41_050, 41_206, 41_566, 42_149,
+      40_011, 40_311, 40_377, 40_513, 40_522, 40_600, 40_613, 40_649, 40_669, 40_687, 40_699, 40_878, 40_914,
+      40_945, 41_038, 41_050, 41_206, 41_566, 42_149,
     ];
     expect(getFailed(seeds.map((seed) => runSeries(seed, LOADS[2])))).toEqual([]);
   });
 
-  it("commit a command within 6 s after losses that overlap with a split on slow machines", () => {
+  it("commit a command within 6 s in series that fail if learners become voters only when they ask", () => {
     expect(getFailed([40_371, 40_457, 41_216, 61_301].map((seed) => runSeries(seed, LOADS[2])))).toEqual([]);
   });
+
+  it("commit a command within 6 s after losses that overlap with a split on slow machines", () => {
+    expect(getFailed([40_222, 40_775].map((seed) => runSeries(seed, LOADS[2])))).toEqual([]);
+  });
 });
