Calls wait while a majority elects a leader, and ask nobody meanwhile

What callers saw: CONFIG, no configuration read back in time after two disks were lost and all else lost power; 6.6 s from the start of the processes to a leader. Cause: each read, order and report that found no leader asked every process in turn, seven to ten calls in three seconds each, and all of them refused. On a small share these calls stand before the votes that they wait for. Change: LeaderClient makes no call while the agreement says that a majority elects, and calls the leader within 50 ms of its election. Test: no call during an election (failed before: there was no such thing as waiting).

--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -153,6 +153,7 @@
       clock,
       // The consensus module provides the leader's address.
       getLeaderAddress: () => driver.getLeaderAddress(),
+      isElecting: () => driver.node.isElecting(clock.getMonotonicMs()),
     });
     this.sender = new ReportSender({
       ...options,
--- a/src/rpc/LeaderClient.ts
+++ b/src/rpc/LeaderClient.ts
@@ -27,6 +27,11 @@
   readonly clock: Clock;
   /** Gets the leader's address from another source; empty if it has none. This leader is called first. */
   readonly getLeaderAddress?: () => string;
+  /**
+   * Checks whether certainly no process leads, since a majority is electing a leader. Calls wait meanwhile:
+   * every process would refuse them, and they would delay its votes.
+   */
+  readonly isElecting?: () => boolean;
 }
 
 /** A call to the process that is assumed to be the leader. */
@@ -37,8 +42,9 @@
  * given by `getLeaderAddress` lasts until another process becomes the leader or the whole call times out.
  */
 const ATTEMPT_TIMEOUT_MS = 700;
-/** Interval of the checks for another leader during a call, in milliseconds. */
+/** Interval of the checks for another leader during a call, or for a first one, in milliseconds. */
 const LEADER_CHECK_INTERVAL_MS = 50;
+const ELECTION_REASON = "a leader is being elected";
 
 /** A client for one service of the control leader. */
 export class LeaderClient<S extends DescService> {
@@ -69,6 +75,11 @@
     for (;;) {
       const leftMs = endAt - this._options.clock.getMonotonicMs();
       if (leftMs <= 0) throw new UnreachableControl({ tried: this._options.addresses, reason });
+      if (this._options.isElecting?.() === true) {
+        reason = ELECTION_REASON;
+        await pause(Math.min(LEADER_CHECK_INTERVAL_MS, leftMs));
+        continue;
+      }
       const expectedLeader = this._getExpectedLeader(failedLeader);
       const address = expectedLeader ?? this._nextAddress;
       trace.addAttempt(address);
--- a/test/rpc/LeaderClient.test.ts
+++ b/test/rpc/LeaderClient.test.ts
@@ -11,16 +11,19 @@
   let client: LeaderClient<typeof FleetService>;
   let called: string[];
   let knownLeader: string;
+  let electedAt: number;
 
   beforeEach(() => {
     vi.useFakeTimers({ now: 0 });
     called = [];
     knownLeader = "";
+    electedAt = 0;
     client = new LeaderClient(FleetService, {
       addresses: ADDRESSES,
       transports: new TransportPool(undefined),
       clock: { getMonotonicMs: () => Date.now(), getWallMs: () => Date.now() },
       getLeaderAddress: () => knownLeader,
+      isElecting: () => Date.now() < electedAt,
     });
   });
   afterEach(() => {
@@ -62,6 +65,22 @@
     expect(called.length).toBeLessThan(30);
   });
 
+  // Guards against calls that all processes refuse, which delayed the votes for a leader.
+  it("makes no call during an election, and finds the leader within 100 ms of its end", async () => {
+    electedAt = 900;
+    const foundAt = await findLeader(() => (Date.now() >= electedAt ? ADDRESSES[1] : undefined));
+    expect(foundAt - electedAt).toBeLessThanOrEqual(100);
+    expect(called).toEqual([ADDRESSES[0], ADDRESSES[1]]);
+  });
+
+  it("fails in time if the election lasts longer than the call", async () => {
+    electedAt = Number.POSITIVE_INFINITY;
+    const call = client.call(() => Promise.resolve(1), TOTAL_MS);
+    const [outcome] = await Promise.allSettled([call, vi.advanceTimersByTimeAsync(TOTAL_MS)]);
+    expect(outcome.status === "rejected" && outcome.reason).toBeInstanceOf(UnreachableControl);
+    expect(Date.now()).toBe(TOTAL_MS);
+  });
+
   it("calls the leader given by getLeaderAddress first, and the other processes if it fails", async () => {
     knownLeader = "127.0.0.1:9";
     expect(await findLeader(() => knownLeader)).toBe(0);
