A key in two organisations of one name, and a host that differs by its port, make a declaration invalid

Cause: the check compared names of organisations, so two of one name passed; routes compared hosts with their ports, which the lookup ignores. Test: test/declaration, two cases, both failed before.

--- a/src/declaration/RouteTable.ts
+++ b/src/declaration/RouteTable.ts
@@ -60,6 +60,6 @@
 }
 
 /** Converts a host to lower case and removes the port, because neither case nor port distinguishes routes. */
-function normalizeHost(host: string): string {
+export function normalizeHost(host: string): string {
   return host.toLowerCase().replace(/:\d*$/, "");
 }
--- a/src/declaration/checkDeclaration.ts
+++ b/src/declaration/checkDeclaration.ts
@@ -1,6 +1,7 @@
 /** Validation that applies to declarations of every format. */
 import { InvalidDeclaration } from "../errors";
-import type { Declaration, Route } from "./Declaration";
+import type { Declaration, DeclaredOrganisation, Route } from "./Declaration";
+import { normalizeHost } from "./RouteTable";
 
 /**
  * Checks that the parts of a declaration are valid and consistent.
@@ -11,7 +12,7 @@
   const urls = new Set<string>();
   for (const route of declaration.routes) {
     checkRoute(route, services);
-    const url = `${route.host.toLowerCase()} ${route.pathPrefix}`;
+    const url = `${normalizeHost(route.host)} ${route.pathPrefix}`;
     if (urls.has(url)) fail(`routes.${route.name}`, "another route has the same host and path prefix");
     urls.add(url);
   }
@@ -34,16 +35,19 @@
   if (unknown !== undefined) fail(`${path}.split`, `unknown service ${unknown.service}`);
 }
 
-/** Checks that no two organisations share a key, because a key must identify one organisation. */
+/**
+ * Checks that no two organisations share a key, because a key must identify one organisation. Two of the same
+ * name are two as well.
+ */
 function checkKeys(declaration: Declaration): void {
-  const ownerByKey = new Map<string, string>();
+  const ownerByKey = new Map<string, DeclaredOrganisation>();
   for (const organisation of declaration.organisations ?? []) {
     for (const key of organisation.keys) {
       const owner = ownerByKey.get(key);
-      if (owner !== undefined && owner !== organisation.name) {
-        fail(`organisations.${organisation.name}`, `organisation shares a key with ${owner}`);
+      if (owner !== undefined && owner !== organisation) {
+        fail(`organisations.${organisation.name}`, `organisation shares a key with another ${owner.name}`);
       }
-      ownerByKey.set(key, organisation.name);
+      ownerByKey.set(key, organisation);
     }
   }
 }
--- a/test/declaration/declaration.test.ts
+++ b/test/declaration/declaration.test.ts
@@ -49,8 +49,9 @@
     );
   });
 
-  it("rejects two routes with the same prefix and host, regardless of the case of the host", () => {
+  it("rejects two routes with the same prefix and host, regardless of the case and port of the host", () => {
     expectRefused({ routes: [route, { ...route, name: "again", host: "API.example" }] }, "routes.again");
+    expectRefused({ routes: [route, { ...route, name: "again", host: "api.example:80" }] }, "routes.again");
   });
 
   it("rejects weights with a sum of 0, and a timeout of 0", () => {
@@ -61,6 +62,12 @@
     expectRefused({ routes: [{ ...route, timeoutMs: 0 }] }, "routes.drafts.timeoutMs");
   });
 
+  // Guards against an invalid declaration that is acknowledged and comes into force.
+  it("rejects a key that two organisations of the same name share", () => {
+    const organisation = { name: "atlas", keys: ["k"], priority: 0 };
+    expectRefused({ organisations: [organisation, { ...organisation }] }, "organisations.atlas");
+  });
+
   it("rejects a key that two organisations share", () => {
     const organisations = [
       { name: "atlas", keys: ["k1"], priority: 0 },
