--- a/src/consensus/Progress.ts
+++ b/src/consensus/Progress.ts
@@ -52,6 +52,8 @@
   answeredAt = Number.NEGATIVE_INFINITY;
   /** Whether the member has responded in this term. */
   hasAnswered = false;
+  /** When an append was last sent. */
+  appendedAt = Number.NEGATIVE_INFINITY;
   /** When a snapshot was last sent. The next one is sent only after this one can have arrived. */
   snapshotSentAt = Number.NEGATIVE_INFINITY;
   private _nextIndex: number;
--- a/src/consensus/RaftNode.ts
+++ b/src/consensus/RaftNode.ts
@@ -15,6 +15,7 @@
   HardStateSchema,
   type LogEntry,
   LogEntrySchema,
+  type Member,
   type Membership,
   type Snapshot,
   TransferRequestSchema,
@@ -29,6 +30,9 @@
 import type { ConfirmedBarrier, Ready } from "./Ready";
 import type { Timing } from "./Timing";
 
+/** Heartbeat intervals between two heartbeats to a learner, which takes no part in elections and reads. */
+const LEARNER_HEARTBEATS = 2;
+
 /** The current role of a member. */
 export type Role = "follower" | "preCandidate" | "candidate" | "leader";
 
@@ -553,13 +557,21 @@
     this._appendDueAt = undefined;
     this._heartbeatAt = now + this.timing.heartbeatMs;
     for (const member of this.membership.members) {
-      if (member.id !== this.id) this._sendAppend(now, member.id);
+      if (member.id !== this.id && this._isAppendDue(now, member)) this._sendAppend(now, member.id);
     }
   }
 
+  /** Checks whether a member gets an append now: learners without new entries get every second heartbeat. */
+  private _isAppendDue(now: number, { id, learner }: Member): boolean {
+    const progress = this._progress.get(id);
+    if (!learner || progress === undefined || progress.nextIndex <= this.log.lastIndex) return true;
+    return now - progress.appendedAt >= this.timing.heartbeatMs * LEARNER_HEARTBEATS;
+  }
+
   private _sendAppend(now: number, to: string): void {
     const progress = this._progress.get(to);
     if (progress === undefined) return;
+    progress.appendedAt = now;
     if (this.log.getTerm(progress.nextIndex - 1) === undefined) {
       this._sendSnapshot(now, to, progress);
       return;
