The leader remembers requests to join until it has added the process

What callers saw: CONFIG and slow repair after lost disks: of two control processes that came back empty one became a member 3 s after the start, the other one was not a member 8 s after it, refused all instances' reports meanwhile (59 in one second) and 35 to 41 watches of entries a second. Cause: only one change of the membership is pending at a time, and a request to join that arrives meanwhile changed nothing: the process asked again after its time of 2 s, and the leader's own repair steps took the next free place. Change: JoinQueue, which the driver and the models of the tests share: requests wait at the leader, up to five seconds after the last one, and go before its other steps, since a learner changes no majority.

--- a/src/consensus/ConsensusDriver.ts
+++ b/src/consensus/ConsensusDriver.ts
@@ -20,7 +20,8 @@
 import { MemberId } from "../ids";
 import type { Storage } from "../log";
 import { type CommandResult, StateMachine } from "../state";
-import { getMember, getNextMembership, getRepairedMembership, type MembershipContext } from "./membership";
+import { JoinQueue } from "./JoinQueue";
+import { getMember, getRepairedMembership, isVoter, type MembershipContext } from "./membership";
 import type { RaftNode } from "./RaftNode";
 import type { ConfirmedBarrier, Ready } from "./Ready";
 
@@ -79,6 +80,7 @@
   private readonly _maxVoters: number | undefined;
   private readonly _onFatal: (cause: unknown) => void;
   private readonly _stateListeners: (() => void)[] = [];
+  private readonly _joins = new JoinQueue();
   private _machine: StateMachine;
   private _hardState: HardState;
   private _snapshotIndex: number;
@@ -204,20 +206,18 @@
   }
 
   /**
-   * Performs the next step that makes a joining member a voter.
-   * @returns Whether the joining member is already a voter.
+   * Accepts the request of a process to join: it becomes a learner as soon as no other change is pending, and
+   * a voter when it has caught up and a vote is free.
+   * @returns Whether the process is already a voter.
    * @throws AbsentLeader
    */
   addJoiningMember(joiningMember: Member): boolean {
     if (!this.isLeader()) throw this._createAbsentLeader();
     const now = this._clock.getMonotonicMs();
-    const isCaughtUp = this.node.getProgress(joiningMember.id)?.isCaughtUp(this.node.commitIndex) === true;
-    const context = { ...this._getMembershipContext(now), isCaughtUp };
-    const next = getNextMembership(this.node.membership, joiningMember, context);
-    if (next !== undefined) this.node.addMembership(now, next);
+    this._joins.add(now, joiningMember);
+    this._repairMembership(now);
     this._pump();
-    const member = getMember(this.node.membership, joiningMember.id);
-    return member !== undefined && !member.learner;
+    return isVoter(this.node.membership, joiningMember.id);
   }
 
   private _getMembershipContext(now: number): MembershipContext {
@@ -239,8 +239,14 @@
   }
 
   private _repairMembership(now: number): void {
-    if (!this.isLeader()) return;
-    const next = getRepairedMembership(this.node.membership, this._getMembershipContext(now));
+    if (!this.isLeader()) {
+      this._joins.clear();
+      return;
+    }
+    const { membership } = this.node;
+    const next =
+      this._joins.getNextMembership(now, membership) ??
+      getRepairedMembership(membership, this._getMembershipContext(now));
     if (next !== undefined) this.node.addMembership(now, next);
   }
 
--- a/src/consensus/index.ts
+++ b/src/consensus/index.ts
@@ -1,16 +1,15 @@
 /** The consensus protocol: a core without I/O, and the driver that runs it. */
 export { ConsensusDriver, type ConsensusDriverOptions, type Transport } from "./ConsensusDriver";
+export { JoinQueue } from "./JoinQueue";
 export { MemoryLog } from "./MemoryLog";
 export {
   createMembership,
   getMember,
-  getNextMembership,
   getQuorumSize,
   getRepairedMembership,
   getVoterCount,
   getVoters,
   isVoter,
-  type JoiningContext,
   type MembershipContext,
 } from "./membership";
 export type { Progress } from "./Progress";
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -40,42 +40,14 @@
   readonly isReady?: (memberId: string) => boolean;
 }
 
-/** Limits and member states that decide on a join. */
-export interface JoiningContext extends MembershipContext {
-  /** Whether the joining member has nearly the whole log. */
-  readonly isCaughtUp: boolean;
-}
-
-/**
- * Gets the next membership in the steps that make a joining member a voter.
- *
- * Each step changes one member, so that any two successive majorities share a voter. The joining member is
- * first added as a learner, and becomes a voter once it has caught up. While there are enough voters, it
- * remains a learner until a voter fails, and then replaces that voter. It becomes a voter before the failed
- * one loses its vote (`getRepairedMembership`), so that a further failure in between does not meet a smaller
- * set of voters.
- * @returns `undefined` if no change is currently possible.
- */
-export function getNextMembership(
-  current: Membership,
-  joiningMember: Member,
-  context: JoiningContext,
-): Membership | undefined {
-  const member = getMember(current, joiningMember.id);
-  if (member === undefined)
-    return createMembership([...current.members, { ...joiningMember, learner: true }]);
-  if (!member.learner || !context.isCaughtUp || !hasVoterCapacity(current, member, context)) return undefined;
-  return setLearner(current, joiningMember.id, false);
-}
-
 /**
  * Checks whether a learner may become a voter: there are too few voters, or it replaces a failed voter or
  * one of the same name.
  */
-function hasVoterCapacity(current: Membership, joiningMember: Member, context: MembershipContext): boolean {
+function hasVoterCapacity(current: Membership, learner: Member, context: MembershipContext): boolean {
   const voters = getVoters(current);
   const maxVoters = context.maxVoters ?? Number.POSITIVE_INFINITY;
-  if (voters.length < maxVoters || voters.some((voter) => voter.name === joiningMember.name)) return true;
+  if (voters.length < maxVoters || voters.some((voter) => voter.name === learner.name)) return true;
   return voters.length === maxVoters && voters.some((voter) => context.isUnresponsive?.(voter.id));
 }
 
@@ -84,6 +56,10 @@
  * a member that has joined again under its name after the loss of its disk, removes a learner that has not
  * responded for long, makes a surplus voter a learner, or makes a learner a voter. The surplus voter is a
  * failed one, so that it can follow as soon as it returns, or else the last one that joined.
+ *
+ * Each step changes one member, so that any two successive majorities share a voter. While there are enough
+ * voters, a learner remains one until a voter fails, and then replaces that voter. It becomes a voter before
+ * the failed one loses its vote, so that a further failure in between does not meet a smaller set of voters.
  * @returns `undefined` if no change is due.
  */
 export function getRepairedMembership(
--- a/test/consensus/ConsensusModel.ts
+++ b/test/consensus/ConsensusModel.ts
@@ -8,9 +8,9 @@
 import type { Ready } from "../../src/consensus";
 import {
   createMembership,
-  getNextMembership,
   getRepairedMembership,
   getVoters,
+  JoinQueue,
   RaftNode,
   SeededRandom,
 } from "../../src/consensus";
@@ -391,17 +391,17 @@
   private _join(): void {
     const leader = this._getLeader();
     if (leader?.node === undefined || !leader.node.isEstablished() || leader.isPaused) return;
+    const { node } = leader;
     for (const host of this._hosts) {
-      const member = createMember(host.name, host.incarnation);
-      const progress = leader.node.getProgress(member.id);
-      const isCaughtUp = progress !== undefined && progress.matchIndex >= leader.node.commitIndex;
-      const next = getNextMembership(leader.node.membership, member, { isCaughtUp });
-      if (next !== undefined) leader.node.addMembership(this._now, next);
+      const joins = new JoinQueue();
+      joins.add(this._now, createMember(host.name, host.incarnation));
+      const isReady = (id: string) => (node.getProgress(id)?.matchIndex ?? -1) >= node.commitIndex;
+      const next =
+        joins.getNextMembership(this._now, node.membership) ??
+        getRepairedMembership(node.membership, { isReady });
+      if (next !== undefined) node.addMembership(this._now, next);
       this._pump(leader);
     }
-    const trimmed = getRepairedMembership(leader.node.membership, {});
-    if (trimmed !== undefined) leader.node.addMembership(this._now, trimmed);
-    this._pump(leader);
   }
 
   private _getLeader(): Host | undefined {
--- a/test/consensus/FailureSeries.ts
+++ b/test/consensus/FailureSeries.ts
@@ -10,10 +10,10 @@
   createMembership,
   DEFAULT_TIMING,
   getMember,
-  getNextMembership,
   getRepairedMembership,
   getVoterCount,
   getVoters,
+  JoinQueue,
   type MembershipContext,
   RaftNode,
   SeededRandom,
@@ -68,6 +68,7 @@
   busyUntil: number;
   isLeader: boolean;
   joinTimeout: JoinTimeout;
+  joins: JoinQueue;
   nextJoinAt: number;
   /** Names of the machines configured as seeds when the machine started. */
   seeds: readonly string[];
@@ -321,6 +322,7 @@
       busyUntil: 0,
       isLeader: false,
       joinTimeout: new JoinTimeout(),
+      joins: new JoinQueue(),
       nextJoinAt: 0,
       seeds: [],
     };
@@ -345,6 +347,7 @@
     machine.busyUntil = this._now;
     machine.isLeader = false;
     machine.joinTimeout = new JoinTimeout();
+    machine.joins = new JoinQueue();
     machine.seeds = this.machines.slice(0, BOOTSTRAP_MEMBERS).map(({ name }) => name);
   }
 
@@ -372,7 +375,7 @@
       if (machine.node === undefined || machine.busyUntil > this._now) continue;
       this._receive(machine, machine.node);
       machine.node.tick(this._now);
-      this._repair(machine.node);
+      this._repair(machine, machine.node);
       this._requestJoin(machine, machine.node);
       this._processReady(machine, machine.node);
       this._trackLeadership(machine, machine.node);
@@ -459,7 +462,8 @@
     if (!machine.joinTimeout.isExpired(this._now, isMember, hasLeaderOrElection(this._now, node))) return;
     const leader = this._findLeader(machine);
     if (leader?.node === undefined || !leader.node.isEstablished() || leader.busyUntil > this._now) return;
-    this._addJoiningMember(leader.node, createMember(machine.name, machine.disk.id));
+    leader.joins.add(this._now, createMember(machine.name, machine.disk.id));
+    this._repair(leader, leader.node);
     this._processReady(leader, leader.node);
   }
 
@@ -484,15 +488,6 @@
       .find(({ disk, node }) => leaderIds.includes(disk.id) && node!.isEstablished());
   }
 
-  private _addJoiningMember(leader: RaftNode, joiningMember: Member): void {
-    const isCaughtUp = leader.getProgress(joiningMember.id)?.isCaughtUp(leader.commitIndex) === true;
-    const next = getNextMembership(leader.membership, joiningMember, {
-      ...this._getMembershipContext(leader),
-      isCaughtUp,
-    });
-    if (next !== undefined) leader.addMembership(this._now, next);
-  }
-
   private _getMembershipContext(leader: RaftNode): MembershipContext {
     const quorumContactAt = leader.getQuorumContactAt(this._now);
     return {
@@ -508,9 +503,14 @@
     };
   }
 
-  private _repair(leader: RaftNode): void {
-    if (!leader.isEstablished()) return;
-    const next = getRepairedMembership(leader.membership, this._getMembershipContext(leader));
+  private _repair({ joins }: Machine, leader: RaftNode): void {
+    if (!leader.isEstablished()) {
+      joins.clear();
+      return;
+    }
+    const next =
+      joins.getNextMembership(this._now, leader.membership) ??
+      getRepairedMembership(leader.membership, this._getMembershipContext(leader));
     if (next !== undefined) leader.addMembership(this._now, next);
   }
 
--- a/test/consensus/memberSeries.test.ts
+++ b/test/consensus/memberSeries.test.ts
@@ -92,11 +92,11 @@
   });
 
   it("commit a command within 6 s in series that fail if learners become voters only when they ask", () => {
-    const seeds = [40_222, 40_371, 40_457, 40_775, 41_216, 61_301];
+    const seeds = [40_371, 40_457, 40_771, 40_775, 41_216, 41_359, 61_301];
     expect(getFailed(seeds.map((seed) => runSeries(seed, LOADS[2])))).toEqual([]);
   });
 
   it("commit a command within 6 s after losses that overlap with a split on slow machines", () => {
-    expect(getFailed([40_771, 41_359, 41_430].map((seed) => runSeries(seed, LOADS[2])))).toEqual([]);
+    expect(getFailed([40_222, 41_430].map((seed) => runSeries(seed, LOADS[2])))).toEqual([]);
   });
 });
--- a/test/consensus/membership.test.ts
+++ b/test/consensus/membership.test.ts
@@ -1,11 +1,11 @@
 import { describe, expect, it } from "vitest";
 import {
   createMembership,
-  getNextMembership,
   getRepairedMembership,
   getVoterCount,
   getVoters,
-  type JoiningContext,
+  JoinQueue,
+  type MembershipContext,
 } from "../../src/consensus";
 import type { Member, Membership } from "../../src/gen/ploverstage/v1/consensus_pb";
 
@@ -22,13 +22,20 @@
 
 const CURRENT = createMembership(["a", "b", "c"].map((name) => createMember(name)));
 
-/**
- * Applies membership changes until none is left. The leader trims the membership after each step of the join.
- */
+/** Limits and member states that decide on a join. */
+interface JoiningContext extends MembershipContext {
+  /** Whether the joining member has nearly the whole log and responds. */
+  readonly isCaughtUp: boolean;
+}
+
+/** Applies the membership changes that follow from a join request until none is left. */
 function applyJoin(current: Membership, joiningMember: Member, context: JoiningContext): Membership[] {
   const steps: Membership[] = [];
+  const joins = new JoinQueue();
+  joins.add(0, joiningMember);
+  const isReady = (id: string) => id === joiningMember.id && context.isCaughtUp;
   for (let now = current; ; ) {
-    const next = getRepairedMembership(now, context) ?? getNextMembership(now, joiningMember, context);
+    const next = joins.getNextMembership(0, now) ?? getRepairedMembership(now, { ...context, isReady });
     if (next === undefined) return steps;
     steps.push(next);
     now = next;
@@ -39,7 +46,7 @@
   return getVoters(membership!).map((member) => member.id);
 }
 
-describe("getNextMembership", () => {
+describe("getRepairedMembership", () => {
   it("makes a joining member a voter once it has caught up, if voters are unlimited", () => {
     expect(getVoterIds(applyJoin(CURRENT, createMember("d"), { isCaughtUp: true }).at(-1))).toEqual([
       "a.0",
