--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -3,7 +3,7 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../clock";
 import type { RandomSource } from "../consensus";
-import type { DeclaredOrganisation, Route, RouteTable } from "../declaration";
+import type { Route, RouteTable } from "../declaration";
 import { Connections, listen } from "../http";
 import type { Logger, Metrics } from "../metrics";
 import type { ReceivedView } from "../registration";
@@ -19,6 +19,7 @@
 import { dropHeaders, getEndToEndHeaders } from "./headers";
 import { PlainExchange } from "./PlainExchange";
 import type { CompleteAnswer } from "./PlainSource";
+import { getOrganisation, isAllowedAlike } from "./permissions";
 import type { RequestBody } from "./RequestBody";
 import {
   createRelayAnswerHeaders,
@@ -328,7 +329,7 @@
     }
     const proposed = this._options.getProposedRoutes();
     if (proposed !== undefined && !isAllowedAlike(proposed, incoming, call.key, { route, organisation })) {
-      const reason = `declaration ${proposed.declaration.version}, which may be in force, tells otherwise`;
+      const reason = `declaration ${proposed.declaration.version}, which may be in force, does not allow it`;
       throw this._createRefusalBeforeFirstView("unconfirmed_declaration", reason, progress, call);
     }
     const owner = { organisation: organisation?.name, isRepeatable: mayRepeat(route) };
@@ -562,45 +563,6 @@
   return exchange !== undefined && (exchange.failures.length > 0 || code === "kept_away");
 }
 
-/**
- * Gets the organisation that a key belongs to; "unknown" when the route requires a valid key, `undefined` for
- * anonymous access.
- */
-function getOrganisation(
-  routes: RouteTable,
-  route: Route,
-  key: string | undefined,
-): DeclaredOrganisation | "unknown" | undefined {
-  if (!routes.needsKeys) return undefined;
-  const organisation = key === undefined ? undefined : routes.getOrganisation(key);
-  return organisation !== undefined || route.allowsAnonymous ? organisation : "unknown";
-}
-
-/** A route and the organisation of a request, as a declaration allows them. */
-interface Permission {
-  readonly route: Route;
-  readonly organisation: DeclaredOrganisation | undefined;
-}
-
-/** Checks whether another declaration allows a request for the same organisation and at the same services. */
-function isAllowedAlike(
-  other: RouteTable,
-  { headers, url }: IncomingMessage,
-  key: string | undefined,
-  { route, organisation }: Permission,
-): boolean {
-  const otherRoute = other.getRoute(headers.host ?? "", url ?? "");
-  if (otherRoute === undefined || otherRoute.kind !== route.kind) return false;
-  const otherOrganisation = getOrganisation(other, otherRoute, key);
-  if (otherOrganisation === "unknown" || otherOrganisation?.name !== organisation?.name) return false;
-  const otherServices = getServices(otherRoute);
-  return getServices(route).every((service) => otherServices.includes(service));
-}
-
-function getServices({ split }: Route): string[] {
-  return split.filter(({ weight }) => weight > 0).map(({ service }) => service);
-}
-
 function createFinalRefusal(status: number, code: GatewayRefusal["code"], reason: string): GatewayRefusal {
   return new GatewayRefusal({ status, code, reason, retryAfterMs: undefined });
 }
