--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -135,6 +135,7 @@
     onEvicted: () => metrics.increment("gateway_bodies_evicted", 1),
   });
   let routes: RouteTable | undefined;
+  let proposedRoutes: RouteTable | undefined;
   const ledger = new CrashLedger();
   const crashMonitor = new CrashMonitor({
     ledger,
@@ -165,6 +166,14 @@
     server.updateLimits();
     metrics.gauge("declaration_version", cached.version);
   };
+  const isConfirmed = () => view.isConfirmed && watcher.isCurrent;
+  const getProposedRoutes = () => {
+    const { proposed } = view;
+    if (proposed === undefined || isConfirmed()) return undefined;
+    if (proposed.version !== proposedRoutes?.declaration.version)
+      proposedRoutes = new RouteTable(format.parse(unpackDocument(proposed.document)));
+    return proposedRoutes;
+  };
   const server = new GatewayServer({
     listen: gateway.listen,
     clock,
@@ -196,7 +205,8 @@
       },
     },
     getRoutes: () => routes,
-    isConfirmed: () => view.isConfirmed && watcher.isCurrent,
+    isConfirmed,
+    getProposedRoutes,
     getPublishedView: () => watcher.getReceivedView(clock.getMonotonicMs()),
     onRequest: () => budget.addRequest(clock.getMonotonicMs(), getEntryCount()),
   });
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -46,6 +46,11 @@
    * its view to this entry.
    */
   readonly isConfirmed: () => boolean;
+  /**
+   * Gets the routes of a newer declaration that may be in force; `undefined` without one, and once a leader
+   * has confirmed the declaration.
+   */
+  readonly getProposedRoutes: () => RouteTable | undefined;
   /** Gets which control process last published its view to this entry, and how long ago. */
   readonly getPublishedView: () => ReceivedView;
   /** Called with each accepted request. */
@@ -321,6 +326,11 @@
         call,
       );
     }
+    const proposed = this._options.getProposedRoutes();
+    if (proposed !== undefined && !isAllowedAlike(proposed, incoming, call.key, { route, organisation })) {
+      const reason = `declaration ${proposed.declaration.version}, which may be in force, tells otherwise`;
+      throw this._createRefusalBeforeFirstView("unconfirmed_declaration", reason, progress, call);
+    }
     const owner = { organisation: organisation?.name, isRepeatable: mayRepeat(route) };
     progress.reservation = this._options.dependencies.memory.open(owner);
     const body = await this._readBody(incoming, routes.declaration.limits.bodyBytes, progress.reservation);
@@ -566,6 +576,31 @@
   return organisation !== undefined || route.allowsAnonymous ? organisation : "unknown";
 }
 
+/** A route and the organisation of a request, as a declaration allows them. */
+interface Permission {
+  readonly route: Route;
+  readonly organisation: DeclaredOrganisation | undefined;
+}
+
+/** Checks whether another declaration allows a request for the same organisation and at the same services. */
+function isAllowedAlike(
+  other: RouteTable,
+  { headers, url }: IncomingMessage,
+  key: string | undefined,
+  { route, organisation }: Permission,
+): boolean {
+  const otherRoute = other.getRoute(headers.host ?? "", url ?? "");
+  if (otherRoute === undefined || otherRoute.kind !== route.kind) return false;
+  const otherOrganisation = getOrganisation(other, otherRoute, key);
+  if (otherOrganisation === "unknown" || otherOrganisation?.name !== organisation?.name) return false;
+  const otherServices = getServices(otherRoute);
+  return getServices(route).every((service) => otherServices.includes(service));
+}
+
+function getServices({ split }: Route): string[] {
+  return split.filter(({ weight }) => weight > 0).map(({ service }) => service);
+}
+
 function createFinalRefusal(status: number, code: GatewayRefusal["code"], reason: string): GatewayRefusal {
   return new GatewayRefusal({ status, code, reason, retryAfterMs: undefined });
 }
--- a/src/membership/LeadershipWatch.ts
+++ b/src/membership/LeadershipWatch.ts
@@ -1,5 +1,5 @@
 /** Starts the work of a leader in each term that this process leads, and ends it with the term. */
-import type { ConsensusDriver } from "../consensus";
+import { type ConsensusDriver, isVoter } from "../consensus";
 import type { Logger, Metrics } from "../metrics";
 
 /** The work that a process does while it leads in one term. */
@@ -27,6 +27,7 @@
   private readonly _timer: NodeJS.Timeout;
   private _current: L | undefined;
   private _loggedPosition = "";
+  private _loggedMembers = "";
 
   /**
    * @param options - Driver, factory, logger and metrics.
@@ -88,5 +89,18 @@
     metrics.gauge("consensus_commit_index", driver.node.commitIndex);
     metrics.gauge("consensus_leader", driver.isLeader() ? 1 : 0);
     this._logPosition();
+    this._logMembers();
+  }
+
+  /** Logs changes of the membership in the log of this member, committed or not. */
+  private _logMembers(): void {
+    const { membership } = this._options.driver.node;
+    const ids = membership.members.map(({ id }) => id);
+    const voters = ids.filter((id) => isVoter(membership, id));
+    const members = `${ids.join()} ${voters.join()}`;
+    if (members === this._loggedMembers) return;
+    this._loggedMembers = members;
+    const learners = ids.filter((id) => !voters.includes(id));
+    this._options.logger.info({ event: "members_changed", voters, learners });
   }
 }
--- a/src/registration/FleetRelay.ts
+++ b/src/registration/FleetRelay.ts
@@ -21,6 +21,7 @@
 import type { FleetLeadership } from "./FleetLeadership";
 import { FollowedView } from "./FollowedView";
 import { LeaderContact } from "./LeaderContact";
+import { ProposedDeclaration } from "./ProposedDeclaration";
 import { RelayedView } from "./RelayedView";
 import { ReportRelay } from "./ReportRelay";
 import { ReportSender } from "./ReportSender";
@@ -95,7 +96,9 @@
   private _consensusContactAt = Number.NEGATIVE_INFINITY;
   private readonly _suspicions = new SuspicionQueue(SUSPICION_INTERVAL_MS);
   private readonly _committed: CommittedFacts;
+  private readonly _proposed: ProposedDeclaration;
   private _loggedVersion: number;
+  private _loggedProposal = 0;
   private _isUpdateScheduled = false;
 
   /**
@@ -110,7 +113,8 @@
     // A restarted process applies its whole log again; it does not log a declaration again that it had
     // persisted.
     this._loggedVersion = options.recovered?.declaration?.version ?? 0;
-    const relayed = new RelayedView(this.view, this._committed);
+    this._proposed = new ProposedDeclaration(driver.node);
+    const relayed = new RelayedView(this.view, this._committed, () => this._getProposed());
     this._relayed = relayed;
     this.hub = new ViewHub({
       clock,
@@ -291,6 +295,16 @@
     return true;
   }
 
+  private _getProposed(): Declaration | undefined {
+    const proposed = this._proposed.get();
+    const version = proposed?.version ?? 0;
+    if (version > Math.max(this._loggedProposal, this.view.declaration?.version ?? 0)) {
+      this._loggedProposal = version;
+      this._options.logger.info({ event: "declaration_proposed", version });
+    }
+    return proposed;
+  }
+
   private _logCommittedDeclaration(): void {
     const version = this._committed.declaration?.version ?? 0;
     if (version <= this._loggedVersion) return;
--- a/src/registration/FleetView.ts
+++ b/src/registration/FleetView.ts
@@ -43,6 +43,8 @@
   private _entries: readonly EntryEndpoint[] = [];
   private _controlAddresses: readonly string[] = [];
   private _declaration: Declaration | undefined;
+  private _proposed: Declaration | undefined;
+  private _proposedRevision = 0;
   private _revision = 0;
   private _revisionExceptEntries = 0;
   private _entriesRevision = 0;
@@ -135,6 +137,14 @@
     this._advance();
   }
 
+  /** Sets a newer declaration that may be in force; one that is not newer than the current one is dropped. */
+  setProposed(declaration: Declaration | undefined): void {
+    if (declaration === undefined || declaration.version <= this.declarationVersion) return;
+    if (declaration.version <= (this._proposed?.version ?? 0)) return;
+    this._proposed = declaration;
+    this._proposedRevision = this._advance();
+  }
+
   /** Sets the crash records; watchers keep the records that are removed here. */
   setCrashRecords(records: readonly CrashRecord[]): void {
     const digests = new Set(records.map(({ digest }) => digest));
@@ -181,6 +191,7 @@
       entryCount: hasNewEntries && isEntry ? this._entries.length : 0,
       controlAddresses: this._controlRevision > since ? [...this._controlAddresses] : [],
       crashRecords: this._getCrashRecordsSince(since),
+      proposed: this._proposedRevision > since ? this._proposed : undefined,
     });
   }
 
@@ -191,11 +202,18 @@
    */
   createPendingUpdate(term: number, position: WatchPosition | undefined, knownVersion: number): ViewUpdate {
     const since = position?.revision ?? -1;
-    const { declaration, crashRecords } = this.createUpdate(term, position, knownVersion, true);
+    const { declaration, proposed, crashRecords } = this.createUpdate(term, position, knownVersion, true);
     const removedTargetIds = [...this._endedTargets]
       .filter(([, revision]) => revision > since)
       .map(([id]) => id);
-    return create(ViewUpdateSchema, { term, pending: true, removedTargetIds, declaration, crashRecords });
+    return create(ViewUpdateSchema, {
+      term,
+      pending: true,
+      removedTargetIds,
+      declaration,
+      proposed,
+      crashRecords,
+    });
   }
 
   /** Gets the position of a watcher that has received every change. */
--- a/src/registration/FollowedView.ts
+++ b/src/registration/FollowedView.ts
@@ -22,6 +22,7 @@
   private _peers: readonly EntryEndpoint[] = [];
   private _controlAddresses: readonly string[] = [];
   private _declaration: Declaration | undefined;
+  private _proposed: Declaration | undefined;
   private readonly _crashes = new CrashTable(MAX_CRASH_RECORDS);
   private _term = RECOVERED_TERM;
 
@@ -40,6 +41,12 @@
     return this._declaration;
   }
 
+  /** Gets a newer declaration that may be in force, as long as no leader has confirmed the view. */
+  get proposed(): Declaration | undefined {
+    const isNewer = (this._proposed?.version ?? 0) > (this._declaration?.version ?? 0);
+    return isNewer ? this._proposed : undefined;
+  }
+
   /** Gets the targets to which requests may be sent. */
   getTargets(): Target[] {
     return [...this._targets.values()];
@@ -82,6 +89,7 @@
    */
   apply(update: ViewUpdate): boolean {
     if (update.declaration !== undefined) this.addDeclaration(update.declaration);
+    this._addProposed(update);
     if (update.pending) {
       this._applyCommitted(update);
       return true;
@@ -100,6 +108,13 @@
     return true;
   }
 
+  /** Adds a proposed declaration; the first update of a newer leader decides whether it is in force. */
+  private _addProposed({ term, pending, proposed }: ViewUpdate): void {
+    if (!pending && term > this._term) this._proposed = undefined;
+    if (proposed !== undefined && proposed.version > (this._proposed?.version ?? 0))
+      this._proposed = proposed;
+  }
+
   /** Applies removals and crash records, which hold in every term. */
   private _applyCommitted({ removedTargetIds, crashRecords }: ViewUpdate): void {
     for (const id of removedTargetIds) this._targets.delete(id);
--- a/src/registration/RelayedView.ts
+++ b/src/registration/RelayedView.ts
@@ -5,6 +5,7 @@
  * term has done so.
  */
 import type { ViewUpdate } from "../gen/ploverstage/v1/fleet_pb";
+import type { Declaration } from "../gen/ploverstage/v1/state_pb";
 import type { CommittedFacts } from "./CommittedFacts";
 import { FleetView, type ViewSource } from "./FleetView";
 import { type FollowedView, RECOVERED_TERM } from "./FollowedView";
@@ -13,16 +14,23 @@
 export class RelayedView {
   private readonly _followed: FollowedView;
   private readonly _committed: CommittedFacts | undefined;
+  private readonly _getProposed: () => Declaration | undefined;
   private _source: ViewSource;
 
   /**
    * @param followed - The view that this process received.
    * @param committed - Committed state, which holds whether the leader has published it to this process or
    * not.
+   * @param getProposed - Gets the newest declaration in the log of this process that may be committed.
    */
-  constructor(followed: FollowedView, committed?: CommittedFacts) {
+  constructor(
+    followed: FollowedView,
+    committed?: CommittedFacts,
+    getProposed: () => Declaration | undefined = () => undefined,
+  ) {
     this._followed = followed;
     this._committed = committed;
+    this._getProposed = getProposed;
     this._source = this._createSource();
     this._updateSource();
   }
@@ -70,6 +78,7 @@
     );
     view.setDeclaration(this._followed.declaration);
     view.setDeclaration(this._committed?.declaration);
+    view.setProposed(this._getProposed());
     view.setEndedTargets(this._committed?.getEndedTargetIds() ?? []);
     view.setEntries(this._followed.getEntries());
     view.setControlAddresses(this._followed.getControlAddresses());
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -143,6 +143,10 @@
   peakBodyBytes = 0;
   /** Whether a leader has confirmed the declaration. */
   isConfirmed = true;
+  /** Routes of a newer declaration that may be in force. */
+  proposedRoutes: RouteTable | undefined;
+  /** The declaration in force. */
+  declaration!: Declaration;
   publishedView: ReceivedView = { control: "10.0.0.1:1", term: 2, heartbeatAgeMs: 80 };
   private readonly _servers: Server[] = [];
   private readonly _client = new HttpClient();
@@ -355,6 +359,7 @@
       organisations: [{ name: "atlas", keys: ["k1"], priority: 0 }],
       limits: { headerBytes: 16_384, bodyBytes: maxBodyBytes, headerMs: 300, idleMs: 15_000 },
     };
+    this.declaration = declaration;
     const routes = new RouteTable(declaration);
     this._port = await getFreePort();
     this._gateway = new GatewayServer({
@@ -380,6 +385,7 @@
       },
       getRoutes: () => routes,
       isConfirmed: () => this.isConfirmed,
+      getProposedRoutes: () => this.proposedRoutes,
       getPublishedView: () => this.publishedView,
       onRequest: () => {},
     });
--- a/test/gateway/GatewayServer.test.ts
+++ b/test/gateway/GatewayServer.test.ts
@@ -1,5 +1,6 @@
 import { connect } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
+import { type Declaration, RouteTable } from "../../src/declaration";
 import type { CrashRecord } from "../../src/gen/ploverstage/v1/state_pb";
 import { waitUntil } from "../support/waitUntil";
 import { answer, GatewayHarness, type Script, streamEvents, streamThenStall } from "./GatewayHarness";
@@ -214,6 +215,29 @@
       expect((await harness.call({ headers: { "x-key": "k2" } })).status).toBe(401);
     });
 
+    // Guards against requests served by a declaration that a newer acknowledged one replaces.
+    it("serves only what a newer declaration that may be in force allows as well", async () => {
+      harness = await GatewayHarness.start([answer(200, "ok")], { pathPrefix: "/work/" });
+      const { declaration } = harness;
+      const [route] = declaration.routes;
+      const [organisation] = declaration.organisations!;
+      const changes: Partial<Declaration>[] = [
+        { routes: [] },
+        { routes: [{ ...route!, split: [{ service: "other", weight: 1 }] }] },
+        { organisations: [{ ...organisation!, keys: ["k2"] }] },
+        { organisations: [{ ...organisation!, name: "other" }] },
+      ];
+      for (const change of changes) {
+        harness.proposedRoutes = new RouteTable({ ...declaration, version: 2, ...change });
+        const seen = await harness.call();
+        expect(seen.status).toBe(503);
+        expect(JSON.parse(seen.body)).toMatchObject({ error: { code: "unconfirmed_declaration" } });
+      }
+      expect(harness.requests).toEqual([]);
+      harness.proposedRoutes = new RouteTable({ ...declaration, version: 2 });
+      expect((await harness.call()).status).toBe(200);
+    });
+
     it("logs with each request which view it used, which control process published it and how long ago", async () => {
       harness = await GatewayHarness.start([answer(200, "ok"), answer(200, "ok")]);
       const getLast = () => JSON.parse(harness.logLines.at(-1)!) as Record<string, unknown>;
--- a/test/registration/outdated/SimulatedFleet.ts
+++ b/test/registration/outdated/SimulatedFleet.ts
@@ -6,7 +6,7 @@
 import { create } from "@bufbuild/protobuf";
 import { Code, ConnectError } from "@connectrpc/connect";
 import type { Clock } from "../../../src/clock";
-import { SeededRandom } from "../../../src/consensus";
+import { createMembership, MemoryLog, SeededRandom } from "../../../src/consensus";
 import { EntryEndpointSchema, type WatchRequest } from "../../../src/gen/ploverstage/v1/fleet_pb";
 import { type Declaration, DeclarationSchema } from "../../../src/gen/ploverstage/v1/state_pb";
 import { orderByAffinity } from "../../../src/registration";
@@ -90,6 +90,8 @@
         get term() {
           return consensus.term;
         },
+        commitIndex: 0,
+        log: new MemoryLog(createMembership([])),
         get leaderId() {
           return fleet.isLeaderUp(consensus.leader) ? `c${consensus.leader}:1` : "";
         },
