--- a/review/support-2/Links.mjs
+++ b/review/support-2/Links.mjs
@@ -24,6 +24,11 @@
 
   #accept(client) {
     this.accepted += 1;
+    if (this.isCutFrom?.(client.remoteAddress)) {
+      client.on("error", () => {});
+      client.resetAndDestroy();
+      return;
+    }
     const [ip, port] = this.to.split(":");
     const pair = { client, target: undefined, isSilent: this.#isCut };
     this.#pairs.add(pair);
@@ -60,6 +65,16 @@
     return this.silence();
   }
 
+  /** Resets the open connections from an address, and those that come while `isCutFrom` is true for it. */
+  resetFrom(address) {
+    for (const pair of this.#pairs) {
+      if (pair.client.remoteAddress !== address) continue;
+      pair.client.resetAndDestroy();
+      pair.target?.resetAndDestroy();
+      this.#pairs.delete(pair);
+    }
+  }
+
   /** Ends a cut: new connections are passed on; those of the time of the cut are reset. */
   heal() {
     this.#isCut = false;
--- a/review/support-2/Worker.mjs
+++ b/review/support-2/Worker.mjs
@@ -31,6 +31,7 @@
     await new Promise((resolve) => this.server.listen(0, this.options.ip, resolve));
     this.port = this.server.address().port;
     this.address = `${this.options.ip}:${this.port}`;
+    await this.options.onListening?.(this);
     await this.#beatForever();
   }
 
