--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -30,7 +30,11 @@
 /** "A worker's answer may lack a length and end with its connection." */
 function streamWithoutLength({ id, response }, worker) {
   const { socket } = response;
-  const head = ["HTTP/1.1 200 OK", `X-Ploverstage-Request-Id: ${id}`, `X-Ploverstage-Response-Seal: ${worker}.${id}`];
+  const head = [
+    "HTTP/1.1 200 OK",
+    `X-Ploverstage-Request-Id: ${id}`,
+    `X-Ploverstage-Response-Seal: ${worker}.${id}`,
+  ];
   socket.write(`${[...head, "Content-Type: text/event-stream", "Connection: close"].join("\r\n")}\r\n\r\n`);
   let i = 0;
   const timer = setInterval(() => {
@@ -90,7 +94,8 @@
     if (match === null) return { kind: "broken", status, body: content };
     const size = Number.parseInt(match[1], 16);
     const from = match[0].length;
-    if (size === 0) return { kind: rest.startsWith("0\r\n\r\n") ? "complete" : "broken", status, body: content };
+    if (size === 0)
+      return { kind: rest.startsWith("0\r\n\r\n") ? "complete" : "broken", status, body: content };
     content += rest.slice(from, from + size);
     rest = rest.slice(from + size + 2);
   }
@@ -168,7 +173,9 @@
     if (!answer.body.endsWith("\n\n")) continue;
     wrong += 1;
     const got = (answer.body.match(/\n\n/g) ?? []).length;
-    note(`${result.id} at entry-${result.entry}: 200 and ${got} of ${EVENTS} events, then an end ${result.end}`);
+    note(
+      `${result.id} at entry-${result.entry}: 200 and ${got} of ${EVENTS} events, then an end ${result.end}`,
+    );
   }
   note(`answers: ${JSON.stringify(counts)}`);
   note(`${wrong} of ${calls.length} answers are incomplete and look complete; none may`);
--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -47,7 +47,11 @@
     controls: system.controlAddresses,
     answer: (_run, write) => setTimeout(() => write(200, "ok"), Math.max(WORK_MS, getSilentMs())),
     onListening: async (started) => {
-      const relay = new Relay(`worker-${i}`, `${started.options.ip}:${system.ports.front + 600}`, started.address);
+      const relay = new Relay(
+        `worker-${i}`,
+        `${started.options.ip}:${system.ports.front + 600}`,
+        started.address,
+      );
       await relay.start();
       relays.push(relay);
       started.options.publicAddress = relay.from;
@@ -106,9 +110,8 @@
   for (let i = 0; i < WORKERS; i++) await startWorker(i);
   const agent = new Agent({ keepAlive: true });
   let calls = 0;
-  await waitFor(
-    "all entries serve",
-    async () => (await Promise.all([0, 1, 2].map((i) => call(i, `warm-${calls++}`, agent)))).every((s) => s === 200),
+  await waitFor("all entries serve", async () =>
+    (await Promise.all([0, 1, 2].map((i) => call(i, `warm-${calls++}`, agent)))).every((s) => s === 200),
   );
   await sleep(1_000);
   const cutIp = system.entries[0].ip;
@@ -151,7 +154,9 @@
     const text = [...runs].map(([worker, at]) => `${worker} +${Math.round(at - first)} ms`).join(", ");
     note(`request ${id} began to run on ${runs.size} workers: ${text}; its client got ${answers.get(id)}`);
   }
-  note(`${broken.length} of ${ran.size} requests ran on more than ${MAX_ATTEMPTS} workers; ${ALLOWED} are allowed`);
+  note(
+    `${broken.length} of ${ran.size} requests ran on more than ${MAX_ATTEMPTS} workers; ${ALLOWED} are allowed`,
+  );
   return broken.length > ALLOWED ? 1 : 0;
 }
 
--- a/review/support-2/Links.mjs
+++ b/review/support-2/Links.mjs
@@ -30,7 +30,11 @@
       return;
     }
     const [ip, port] = this.to.split(":");
-    const pair = { client, target: undefined, isSilent: this.#isCut || this.isSilentFrom?.(client.remoteAddress) === true };
+    const pair = {
+      client,
+      target: undefined,
+      isSilent: this.#isCut || this.isSilentFrom?.(client.remoteAddress) === true,
+    };
     this.#pairs.add(pair);
     client.on("error", () => {});
     client.setNoDelay(true);
@@ -111,7 +115,11 @@
   for (const from of nodes) {
     for (const to of nodes) {
       if (from === to || to.role === "entry") continue;
-      const relay = new Relay(`${from.name}>${to.name}`, `${to.ip}:${ports.get(from)}`, `${to.ip}:${ports.get(to)}`);
+      const relay = new Relay(
+        `${from.name}>${to.name}`,
+        `${to.ip}:${ports.get(from)}`,
+        `${to.ip}:${ports.get(to)}`,
+      );
       relay.sourceAddress = from.ip;
       await relay.start();
       relays.push(relay);
--- a/review/support-2/Worker.mjs
+++ b/review/support-2/Worker.mjs
@@ -2,8 +2,9 @@
  * A stand-in for a worker of a plain service, as the pages describe it: it reports to control, turns away
  * requests for another instance, runs each other request once and answers with its seal.
  */
-import { createServer } from "node:http";
+
 import { randomBytes } from "node:crypto";
+import { createServer } from "node:http";
 
 const HEARTBEAT_TIMEOUT_MS = 1_000;
 
@@ -24,7 +25,9 @@
   constructor(options) {
     this.options = { slots: 6, heartbeatMs: 1200, zone: "zone-a", ...options };
     this.id = `i-${randomBytes(5).toString("hex")}`;
-    this.server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => this.#handle(request, response));
+    this.server = createServer({ keepAliveTimeout: 60_000 }, (request, response) =>
+      this.#handle(request, response),
+    );
   }
 
   async start() {
@@ -103,7 +106,16 @@
       response.writeHead(421, { "X-Ploverstage-Request-Id": id, "X-Ploverstage-Not-Executed": "1" }).end();
       return;
     }
-    const run = { id, method, url, from, headers, body: Buffer.concat(chunks), at: performance.now(), response };
+    const run = {
+      id,
+      method,
+      url,
+      from,
+      headers,
+      body: Buffer.concat(chunks),
+      at: performance.now(),
+      response,
+    };
     this.runs.push(run);
     response.once("close", () => {
       run.endedAt = performance.now();
