--- a/review/support-2/System.mjs
+++ b/review/support-2/System.mjs
@@ -54,6 +54,13 @@
   throw new Error(`not within ${limitMs} ms: ${what}`);
 }
 
+/** Processes that run, ended with this one, however it ends. */
+const running = new Set();
+process.once("exit", () => {
+  for (const child of running) child.kill("SIGKILL");
+});
+for (const signal of ["SIGTERM", "SIGINT"]) process.once(signal, () => process.exit(2));
+
 /** One process of the system. */
 class Node {
   constructor(name, role, ip, file, log) {
@@ -69,7 +76,9 @@
     });
     child.stdout.pipe(this.log, { end: false });
     child.stderr.pipe(this.log, { end: false });
+    running.add(child);
     child.once("exit", (code, signal) => {
+      running.delete(child);
       if (this.child === child) this.child = undefined;
       this.exits.push({ code, signal });
     });
