HttpClient: a reset that arrives together with the last bytes is an error, not the end

What callers saw: a worker answered an upload at once with a 200 without a length, sent a part of its body and reset the connection; the caller got the part as a complete answer. No upload is needed: the part and the reset only have to be there before the entry reads its socket (a busy event loop, a processor quota that is used up).

Cause: libuv reports a hang-up that is polled together with a short read as the end of the data, without reading again, so the pending ECONNRESET is never read. The end of the connection is all that marks the end of such an answer.

Ruled out: a check of the peer's name at the end. After an orderly end that is followed by a reset (a server that closes while an upload arrives) the name is gone as well, so whole answers would be refused. A check of errors alone: none is reported.

Change: connections of the client are of a class of their own. After each part of an answer that ends with its connection, reading stops until the next turn of the event loop, so libuv has to read again: the error or the end. Answers with a length or in chunks are read as before. While such an answer arrives, EPIPE of a write is no evidence against it: the kernel reports EPIPE only after an orderly end, and ECONNRESET without one.

All readers use this client: plain answers and streams of the gateway, the relay between entries, service calls and engines of src/entry, JSON calls of control and of the platform.

Handled before, tests kept: orderly ends, a part that ends within an event, framed answers.

--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -9,7 +9,7 @@
 import { type Clock, pause } from "../clock";
 import type { RandomSource } from "../consensus";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
-import type { HttpClient } from "../http";
+import { type HttpClient, isFramed } from "../http";
 import type { MemoryBudget } from "../server";
 import type { AnswerBuffers } from "./AnswerBuffers";
 import {
@@ -32,7 +32,6 @@
   createOutcomeUnknownRefusal,
   type GatewayRefusal,
 } from "./GatewayRefusal";
-import { isFramed } from "./headers";
 import { PeerAttempts } from "./PeerAttempts";
 import { isPeer } from "./PeerPool";
 import { RequestContainment } from "./RequestContainment";
--- a/src/gateway/answerEnd.ts
+++ b/src/gateway/answerEnd.ts
@@ -3,7 +3,7 @@
  * whatever marks the end of the answer.
  */
 import type { ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import { resetConnection } from "../http";
 
 /** Time for the last bytes of an answer to reach the caller before its connection is reset, in milliseconds. */
 const RESET_DELAY_MS = 20;
@@ -68,12 +68,3 @@
 function isCloseDelimited(response: ServerResponse): boolean {
   return closeDelimited.has(response) || response.req.httpVersion === "1.0";
 }
-
-/** Resets a connection. By itself, Node ends a connection in order before it resets it. */
-function resetConnection(socket: Socket): void {
-  if (socket.destroyed) return;
-  socket.destroySoon = () => {
-    socket.destroy();
-  };
-  socket.resetAndDestroy();
-}
--- a/src/gateway/headers.ts
+++ b/src/gateway/headers.ts
@@ -1,5 +1,4 @@
 /** Selects the headers that are passed on between callers and endpoints. */
-import type { IncomingMessage } from "node:http";
 import { RELAY_ANSWER_HEADER, RELAY_REQUEST_HEADER, RELAY_SECRET_HEADER } from "./relay";
 
 /**
@@ -54,12 +53,3 @@
   }
   return names;
 }
-
-/**
- * Checks whether an answer has a length or chunked framing. Otherwise the close of its connection ends it,
- * whether it is complete or cut.
- */
-export function isFramed(incoming: IncomingMessage): boolean {
-  const { headers } = incoming;
-  return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-}
--- a/src/http/HttpClient.ts
+++ b/src/http/HttpClient.ts
@@ -1,6 +1,6 @@
 /** HTTP/1.1 calls whose errors state whether any byte of the request may have reached the server. */
 import {
-  Agent,
+  type Agent,
   type ClientRequest,
   type IncomingHttpHeaders,
   type IncomingMessage,
@@ -8,6 +8,9 @@
 } from "node:http";
 import { connect } from "node:net";
 import { LostAnswer, MalformedAnswer, UnreachableEndpoint } from "../errors";
+import { ClientSocket } from "./ClientSocket";
+import { createAgent } from "./createAgent";
+import { isFramed } from "./isFramed";
 
 /** A body that may be evicted after it has been sent. */
 export interface HttpBody {
@@ -76,7 +79,7 @@
   /** @param options - Limits and the local address of the connections. */
   constructor({ keepAliveMs = KEEP_ALIVE_MS, sourceAddress }: HttpClientOptions = {}) {
     this._sourceAddress = sourceAddress;
-    this._agent = new Agent({ keepAlive: true, timeout: keepAliveMs, scheduling: "lifo" });
+    this._agent = createAgent({ keepAlive: true, timeout: keepAliveMs, scheduling: "lifo" });
   }
 
   /** Closes all pooled connections. */
@@ -125,6 +128,7 @@
       const outgoing = this._createRequest(call);
       const progress = new CallProgress(call, outgoing);
       outgoing.once("response", (answer) => {
+        if (outgoing.socket instanceof ClientSocket) outgoing.socket.setEndsAnswer(!isFramed(answer));
         // A response without a length ends with its connection, so a reset must be passed on as an error.
         outgoing.on("error", (cause) => answer.destroy(cause));
         resolve(answer);
@@ -160,7 +164,7 @@
       method: call.method,
       path: call.path,
       headers: call.headers as IncomingHttpHeaders | string[] | undefined,
-      agent: call.isFresh ? false : this._agent,
+      agent: call.isFresh ? createAgent() : this._agent,
       timeout: call.idleMs,
       signal: call.signal,
     });
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -2,6 +2,7 @@
 export { type ConnectionLimit, Connections } from "./Connections";
 export { getJsonCost } from "./getJsonCost";
 export { type HttpCall, HttpClient, type ProbeOutcome, splitAddress } from "./HttpClient";
+export { isFramed } from "./isFramed";
 export {
   createJson,
   type JsonAnswer,
@@ -10,3 +11,4 @@
   serve,
 } from "./JsonServer";
 export { listen } from "./listen";
+export { resetConnection } from "./resetConnection";
--- a/standin/ServiceStandin.ts
+++ b/standin/ServiceStandin.ts
@@ -1,5 +1,6 @@
 /** A stand-in for a plain service, which echoes its calls and records them. */
 import type { Server } from "node:http";
+import type { Socket } from "node:net";
 import { sendJson, startServer, stopServer } from "./http";
 
 /** An HTTP server that behaves as a plain service. */
@@ -12,6 +13,8 @@
   dropsAnswers = false;
   /** Whether it closes the connection in the middle of an answer. */
   truncatesAnswers = false;
+  /** Answers calls in its place; `undefined` for normal answers. */
+  answerWith: ((socket: Socket) => void) | undefined;
   private _server: Server | undefined;
 
   private constructor(id: string) {
@@ -32,6 +35,10 @@
         response.write("half", () => response.destroy());
         return;
       }
+      if (standin.answerWith !== undefined) {
+        standin.answerWith(response.socket!);
+        return;
+      }
       sendJson(response, 200, { instance: id, method: request.method, path: request.url, body });
     }, port);
     standin._server = server;
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -27,6 +27,7 @@
 import { PrometheusMetrics } from "../../src/metrics";
 import type { ReceivedView } from "../../src/registration";
 import { MemoryBudget } from "../../src/server";
+import { type RawAnswer, sendRawAnswer } from "../../standin/rawAnswer";
 
 /** A request as received by an endpoint. */
 export interface ReceivedRequest {
@@ -40,7 +41,11 @@
 }
 
 /** Behaviour of an endpoint: answers a request. */
-export type Script = (seen: ReceivedRequest, response: ServerResponse) => void;
+export interface Script {
+  (seen: ReceivedRequest, response: ServerResponse): void;
+  /** Whether it answers before it reads the body, of which it then reads no more. */
+  readonly isEarly?: boolean;
+}
 
 /** An answer as received by a caller. */
 export interface ReceivedAnswer {
@@ -301,7 +306,8 @@
     const server = createServer(async (incoming, response) => {
       let body = "";
       try {
-        for await (const chunk of incoming as AsyncIterable<Buffer>) body += chunk.toString();
+        const chunks = script.isEarly === true ? [] : (incoming as AsyncIterable<Buffer>);
+        for await (const chunk of chunks) body += chunk.toString();
       } catch {
         // The gateway or the end of this endpoint has closed the connection, so there is no request to answer.
         return;
@@ -410,6 +416,12 @@
   };
 }
 
+/** Creates a script that sends a raw answer, before it reads the body of the request if it is early. */
+export function answerRaw(raw: RawAnswer, { isEarly = false } = {}): Script {
+  const script = (_seen: ReceivedRequest, response: ServerResponse) => sendRawAnswer(response.socket!, raw);
+  return Object.assign(script, { isEarly });
+}
+
 /** Creates a script that writes events, then completes, breaks off or stalls. */
 export function streamEvents(ids: readonly number[], end: "whole" | "cut" | "cutWithin" | "silent"): Script {
   return (seen, response) => {
--- a/test/gateway/answerEnd.test.ts
+++ b/test/gateway/answerEnd.test.ts
@@ -6,6 +6,7 @@
 import { pause } from "../../src/clock";
 import type { Route } from "../../src/declaration";
 import { endWhole } from "../../src/gateway/answerEnd";
+import { resetConnection } from "../../src/http";
 import { waitUntil } from "../support/waitUntil";
 import { GatewayHarness, type Script } from "./GatewayHarness";
 
@@ -15,7 +16,8 @@
 const EVENT = "id: 1\ndata: 1\n\n";
 const STREAM = { kind: "stream", isResumable: false, maxAttempts: 1, timeoutMs: 5_000 } as const;
 
-type End = "whole" | "reset" | "silent";
+/** A reset comes some time after the last bytes, or together with them. */
+type End = "whole" | "reset" | "resetAtOnce" | "silent";
 
 /** Sends an event in an answer without a length, then ends it. */
 function sendUnframed(end: End): Script {
@@ -25,19 +27,12 @@
     response.writeHead(200, { "x-seal": "s", "x-id": String(seen.headers["x-id"]) });
     response.write(EVENT, () => {
       if (end === "whole") response.end();
-      if (end === "reset") setTimeout(() => resetConnection(response), 50);
+      if (end === "reset") setTimeout(() => resetConnection(response.socket!), 50);
+      if (end === "resetAtOnce") resetConnection(response.socket!);
     });
   };
 }
 
-/** Resets a connection, which Node by itself ends in order first. */
-function resetConnection({ socket }: ServerResponse): void {
-  socket!.destroySoon = () => {
-    socket!.destroy();
-  };
-  socket!.resetAndDestroy();
-}
-
 /** Sends an event in chunks, then breaks off. */
 const sendChunked: Script = (seen, response) => {
   response.writeHead(200, { "x-seal": "s", "x-id": String(seen.headers["x-id"]) });
@@ -97,6 +92,11 @@
   // Guards against answers without a length that look whole although they were cut.
   it.each([
     ["its endpoint resets the connection", () => start([sendUnframed("reset")])],
+    ["its endpoint resets the connection at once", () => start([sendUnframed("resetAtOnce")])],
+    [
+      "another entry's endpoint resets the connection at once",
+      () => startRelaying(sendUnframed("resetAtOnce")),
+    ],
     ["its time expires", () => start([sendUnframed("silent")], { timeoutMs: TIMEOUT_MS })],
     ["another entry's endpoint resets the connection", () => startRelaying(sendUnframed("reset"))],
     [
--- a/test/platform/WorkerStandin.ts
+++ b/test/platform/WorkerStandin.ts
@@ -3,7 +3,7 @@
  * serves requests.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { TcpProxy } from "../support/TcpProxy";
 
 /** Options of a worker. */
@@ -123,6 +123,8 @@
   private _pausedUntil = 0;
   /** What it sends endlessly instead of an answer; `undefined` for normal answers. */
   endless: EndlessKind | undefined;
+  /** Answers requests in its place, before their bodies are read; `undefined` for normal answers. */
+  answerWith: ((socket: Socket) => void) | undefined;
   /** Number of streams in progress. */
   private _streamCount = 0;
   private _endlessCount = 0;
@@ -277,6 +279,11 @@
   }
 
   private async _handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.answerWith !== undefined && request.url?.startsWith("/-/") === false) {
+      this.ran.push(String(request.headers["x-ploverstage-request-id"]));
+      this.answerWith(response.socket!);
+      return;
+    }
     const chunks: Buffer[] = [];
     for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
     const expected = request.headers["x-ploverstage-expect-instance"];
--- a/test/support/ProcessHandle.ts
+++ b/test/support/ProcessHandle.ts
@@ -112,6 +112,11 @@
     return readdirSync(`/proc/${this.pid}/fd`).length;
   }
 
+  /** Checks whether the process has been suspended, which happens a moment after its signal was sent. */
+  get isPaused(): boolean {
+    return /^State:\s*T/m.test(readFileSync(`/proc/${this.pid}/status`, "utf8"));
+  }
+
   private _readStatus(field: string): string | undefined {
     const status = readFileSync(`/proc/${this.pid}/status`, "utf8");
     return new RegExp(`^${field}:\\s*([0-9a-f]+)`, "m").exec(status)?.[1];
--- a/test/system/outcomes.test.ts
+++ b/test/system/outcomes.test.ts
@@ -1,9 +1,11 @@
 import { randomUUID } from "node:crypto";
 import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
 import { EngineStandin } from "../../standin/EngineStandin";
+import type { RawAnswer } from "../../standin/rawAnswer";
 import { Cluster } from "../support/Cluster";
 import { callEntry, createChat, type EntryRequest, parseStream } from "../support/callEntry";
 import { createConfiguration } from "../support/configuration";
+import { sendUnread } from "../support/sendUnread";
 import { waitUntil } from "../support/waitUntil";
 
 const NOT_REPEATABLE = { "ploverstage-repeatable": "no" };
@@ -28,6 +30,7 @@
     }
     cluster.services[0]!.dropsAnswers = false;
     cluster.services[0]!.truncatesAnswers = false;
+    cluster.services[0]!.answerWith = undefined;
   });
 
   function call(request: EntryRequest, entry = 0) {
@@ -288,6 +291,24 @@
     });
   });
 
+  describe("a service call whose answer is broken", () => {
+    async function callBroken(rawAnswer: RawAnswer) {
+      await waitUntil("the service answers", async () => {
+        const answer = await call({ method: "GET", path: "/v1/services/guichet/x" });
+        return answer.status === 200;
+      });
+      cluster.services[0]!.answerWith = (socket) => void sendUnread(cluster.entries[0]!, socket, rawAnswer);
+      return call({ path: "/v1/services/guichet/members", body: "x" });
+    }
+
+    // Guards against a part of a body that callers get as a complete answer.
+    it("is incomplete when the connection is reset together with a part of a body without a length", async () => {
+      const text = `HTTP/1.1 200 OK\r\n\r\n${"p".repeat(1_000)}`;
+      const answer = await callBroken({ text, end: "reset" });
+      expect(answer.isComplete).toBe(false);
+    });
+  });
+
   describe("a deadline", () => {
     const body = createChat("slow", { maxTokens: 50 });
     // A separate request class, so that the short answers of other tests don't affect its estimates.
