HttpClient: an answer whose status or version is none of HTTP/1.x is a failure

What callers saw: a worker answered with the status 000, 001 or 099 and its seal; the caller got a 502 with an internal RangeError, and a sound second worker was never tried, since the answer had been counted as a success. A 101 that nobody had asked for was passed on as the answer, and so was a 600 or 999 where the request may not be repeated, and an answer of HTTP/2.0 or HTTP/0.9. At an engine a status 000 counted as a refusal, which promises that the request did not run.

Cause: the parser of Node takes any three digits and the versions 0.9 to 2.0, and nobody checked what it lets pass before the answer was counted and its head written.

Change: the client checks the head of each answer before anybody reads it. A status that is not from 200 to 599 (informational answers are handled before) or a version that is not 1.x is a MalformedAnswer, and its connection is closed. In the gateway such an attempt counts against the endpoint, as an answer without a seal does: not against the links and not as a crash, because the endpoint answered.

Ruled out: a check in checkAnswer of the gateway alone; service calls, engines and JSON calls read answers as well.

An endpoint that sent such an answer is avoided by the next request.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -1,6 +1,6 @@
 /** One attempt to run a request at an endpoint: how it started, how it ended, and which side ended it. */
 import type { IncomingMessage } from "node:http";
-import { LostAnswer, OversizedAnswer, UnreachableEndpoint } from "../errors";
+import { LostAnswer, MalformedAnswer, OversizedAnswer, UnreachableEndpoint } from "../errors";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
 import type { AttemptState } from "./AttemptState";
 import type { RelayedAnswer } from "./relay";
@@ -95,10 +95,11 @@
   return primaryCause instanceof Error ? primaryCause.message : String(primaryCause);
 }
 
-function hasReason(cause: unknown): cause is LostAnswer | OversizedAnswer | UnreachableEndpoint {
-  return (
-    cause instanceof LostAnswer || cause instanceof OversizedAnswer || cause instanceof UnreachableEndpoint
-  );
+function hasReason(
+  cause: unknown,
+): cause is LostAnswer | MalformedAnswer | OversizedAnswer | UnreachableEndpoint {
+  const kinds = [LostAnswer, MalformedAnswer, OversizedAnswer, UnreachableEndpoint];
+  return kinds.some((kind) => cause instanceof kind);
 }
 
 /** Checks whether the endpoint has started to answer an attempt. */
--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage } from "node:http";
 import { type Clock, pause } from "../clock";
 import type { RandomSource } from "../consensus";
+import { MalformedAnswer } from "../errors";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
 import { type HttpClient, isFramed } from "../http";
 import type { MemoryBudget } from "../server";
@@ -373,6 +374,7 @@
     } catch (cause) {
       end();
       this._runningAttempts.delete(abort);
+      if (cause instanceof MalformedAnswer) this.addActivity(target, running.isNewConnection);
       const failure = this._createFailure(cause, state.phase !== "notSent", abort);
       this._addFailure(running, failure);
       return failure;
@@ -525,11 +527,14 @@
   }
 
   private _createFailure(cause: unknown, wasSent: boolean, abort: AbortController): AttemptFailure {
+    // This entry ends an attempt whose answer is malformed.
+    const wasAnswered = cause instanceof MalformedAnswer;
     return {
       reason: getFailureReason(cause, abort),
       wasNotRun: !wasSent,
       wasSent,
-      wasEndedByEndpoint: wasEndedByEndpoint(abort),
+      wasAnswered,
+      wasEndedByEndpoint: !wasAnswered && wasEndedByEndpoint(abort),
       wasAbandoned: wasAbandoned(abort),
     };
   }
--- a/src/http/HttpClient.ts
+++ b/src/http/HttpClient.ts
@@ -10,6 +10,7 @@
 import { LostAnswer, MalformedAnswer, UnreachableEndpoint } from "../errors";
 import { ClientSocket } from "./ClientSocket";
 import { createAgent } from "./createAgent";
+import { getHeadDefect } from "./getHeadDefect";
 import { isFramed } from "./isFramed";
 
 /** A body that may be evicted after it has been sent. */
@@ -122,12 +123,19 @@
    * Sends a call and waits for the head of the response.
    * @throws UnreachableEndpoint - No byte was sent.
    * @throws LostAnswer - Bytes may have been sent.
+   * @throws MalformedAnswer - The head of the response is invalid.
    */
   send(call: HttpCall): Promise<IncomingMessage> {
     return new Promise((resolve, reject) => {
       const outgoing = this._createRequest(call);
       const progress = new CallProgress(call, outgoing);
       outgoing.once("response", (answer) => {
+        const defect = getHeadDefect(answer);
+        if (defect !== undefined) {
+          reject(new MalformedAnswer({ address: call.address, reason: defect }));
+          outgoing.destroy();
+          return;
+        }
         if (outgoing.socket instanceof ClientSocket) outgoing.socket.setEndsAnswer(!isFramed(answer));
         // A response without a length ends with its connection, so a reset must be passed on as an error.
         outgoing.on("error", (cause) => answer.destroy(cause));
@@ -143,7 +151,7 @@
    * @returns Status and decoded body; the body is `undefined` if empty.
    * @throws UnreachableEndpoint - No byte was sent.
    * @throws LostAnswer - Bytes may have been sent, or the response was incomplete or late.
-   * @throws MalformedAnswer - The body is too long or not valid JSON.
+   * @throws MalformedAnswer - The head is invalid, or the body is too long or not valid JSON.
    */
   async sendJson(call: HttpCall): Promise<{ status: number; body: unknown }> {
     const answer = await this.send(call);
--- a/test/gateway/brokenAnswers.test.ts
+++ b/test/gateway/brokenAnswers.test.ts
@@ -28,11 +28,61 @@
     return harness;
   }
 
+  /** Starts an entry that reaches no endpoint, and one with an endpoint to which it relays its requests. */
+  async function startRelaying(script: Script): Promise<GatewayHarness> {
+    const unreached = answer(200, "unreached");
+    const peer = await start([script], RUNS_ONCE);
+    const harness = await start([unreached, unreached], RUNS_ONCE);
+    await harness.addPeers([peer]);
+    harness.endEndpoint(0);
+    harness.endEndpoint(1);
+    return harness;
+  }
+
   /** Gets which endpoints received the request, in order. */
   function getReceivers({ requests }: GatewayHarness): number[] {
     return requests.map(({ index }) => index);
   }
 
+  /** Checks that nothing of an endpoint's answer reaches callers, and that the answer counts as a failure. */
+  function expectNoAnswer(text: string): void {
+    const broken = answerRaw({ text, end: "inOrder" });
+
+    it("is replaced by another endpoint's where it may be, and the endpoint is avoided", async () => {
+      const harness = await start([broken, answer(200, "whole")], REPEATABLE);
+      for (let i = 0; i < 2; i++) {
+        expect(await harness.call()).toMatchObject({ status: 200, body: "whole", isWhole: true });
+      }
+      expect(getReceivers(harness)).toEqual([0, 1, 1]);
+    });
+
+    it("is not passed on where the request must run once", async () => {
+      const harness = await start([broken, answer(200, "whole")], RUNS_ONCE);
+      const received = await harness.call();
+      expect(received.status).toBe(502);
+      expect(JSON.parse(received.body)).toMatchObject({ error: { code: "answer_lost" } });
+      expect(received.body).not.toContain("RangeError");
+      expect(received.headers["x-seal"]).toBeUndefined();
+      expect(getReceivers(harness)).toEqual([0]);
+    });
+
+    it.each([
+      ["not resumable", STREAM],
+      ["resumable", RESUMABLE],
+    ])("is no stream: %s", async (_name, kind) => {
+      const harness = await start([broken, streamEvents([1], "whole")], kind);
+      const received = await harness.call();
+      if (kind.isResumable) expect(received).toMatchObject({ status: 200, body: EVENT, isWhole: true });
+      else expect(received.status).toBe(502);
+      expect(getReceivers(harness)).toEqual(kind.isResumable ? [0, 1] : [0]);
+    });
+
+    it("is not passed on by the entry to which it was relayed", async () => {
+      const harness = await startRelaying(broken);
+      expect((await harness.call()).status).toBe(502);
+    });
+  }
+
   // Guards against a part of a body that callers get as a complete answer.
   describe("without a length whose connection is reset at once", () => {
     const PART = `HTTP/1.1 200 OK\r\n${SEAL}\r\n${"p".repeat(1_000)}`;
@@ -78,14 +128,8 @@
     );
 
     it("is not passed on by the entry to which it was relayed", async () => {
-      const lost = answer(200, "lost");
-      const peer = await start([answerUnframed(PART, "reset")], RUNS_ONCE);
-      const cut = await start([lost, lost], RUNS_ONCE);
-      await cut.addPeers([peer]);
-      cut.endEndpoint(0);
-      cut.endEndpoint(1);
-      expect((await cut.call()).status).toBe(502);
-      expect(getReceivers(peer)).toEqual([0]);
+      const harness = await startRelaying(answerUnframed(PART, "reset"));
+      expect((await harness.call()).status).toBe(502);
     });
 
     // Guards against whole answers that are taken for broken ones.
@@ -101,4 +145,19 @@
       expect(received).toMatchObject({ status: 200, body: EVENT, isWhole: true });
     });
   });
+
+  // Guards against answers whose status is none of HTTP, which callers get as they are or as an internal error.
+  describe.each([
+    ["000", "HTTP/1.1 000 OK"],
+    ["001", "HTTP/1.1 001 OK"],
+    ["099", "HTTP/1.1 099 OK"],
+    ["101 without a request for it", "HTTP/1.1 101 Switching Protocols"],
+    ["101 with an upgrade", "HTTP/1.1 101 Switching Protocols\r\nupgrade: websocket\r\nconnection: upgrade"],
+    ["600", "HTTP/1.1 600 OK"],
+    ["999", "HTTP/1.1 999 OK"],
+    ["200 of HTTP/2.0", "HTTP/2.0 200 OK"],
+    ["200 of HTTP/0.9", "HTTP/0.9 200 OK"],
+  ])("with the status %s", (_name, head) => {
+    expectNoAnswer(`${head}\r\n${SEAL}content-length: 2\r\n\r\nok`);
+  });
 });
--- a/test/http/HttpClient.test.ts
+++ b/test/http/HttpClient.test.ts
@@ -1,9 +1,10 @@
 import type { IncomingMessage } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
-import { LostAnswer } from "../../src/errors";
+import { LostAnswer, MalformedAnswer } from "../../src/errors";
 import { HttpClient } from "../../src/http";
 import { type RawAnswer, type RawEnd, sendRawAnswer } from "../../standin/rawAnswer";
+import { waitUntil } from "../support/waitUntil";
 
 /** Starts a server that answers every connection with the given raw bytes. */
 async function startRawServer(answer: string, onAnswered: (socket: Socket) => void): Promise<Server> {
@@ -67,6 +68,20 @@
     await expect(readAnswer(server)).rejects.toThrow();
   });
 
+  it.each(["HTTP/1.1 000 OK", "HTTP/1.1 101 OK", "HTTP/1.1 600 OK", "HTTP/2.0 200 OK"])(
+    "fails on a response whose head is invalid, and keeps no connection: %s",
+    async (statusLine) => {
+      let isClosed = false;
+      server = await startRawServer(`${statusLine}\r\nContent-Length: 2\r\n\r\nok`, (socket) =>
+        socket.once("close", () => {
+          isClosed = true;
+        }),
+      );
+      await expect(readAnswer(server)).rejects.toBeInstanceOf(MalformedAnswer);
+      await waitUntil("the connection is closed", () => isClosed);
+    },
+  );
+
   describe("a response that ends with its connection", () => {
     const LARGE_BYTES = 3_000_000;
 
--- a/test/system/brokenAnswers.test.ts
+++ b/test/system/brokenAnswers.test.ts
@@ -1,14 +1,14 @@
 /** What callers of a deployment get when a worker's answer is broken. */
 import type { Socket } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
+import { sendRawAnswer } from "../../standin/rawAnswer";
 import { createConfig } from "../platform/createConfig";
 import { PlatformCluster } from "../platform/PlatformCluster";
-import { sendUnread } from "../support/sendUnread";
+import { resetUnread } from "../support/resetUnread";
 import { waitUntil } from "../support/waitUntil";
 
 const ENGINES = 2;
-const PART = "part";
-const HEAD = "HTTP/1.1 200 OK\r\nx-ploverstage-response-seal: s\r\n\r\n";
+const SEAL = "x-ploverstage-response-seal: s\r\n";
 const REPETITIONS = 5;
 
 describe("a broken answer of a worker", () => {
@@ -47,8 +47,18 @@
     }
   }
 
-  function resetUnread(socket: Socket): void {
-    void sendUnread(cluster.entry, socket, { text: `${HEAD}${PART}`, end: "reset" });
+  /** Checks that a request that must run once fails, and that another worker answers a repeatable one. */
+  async function expectNoAnswer(answerBroken: (socket: Socket) => void, body: string): Promise<void> {
+    answerNext(answerBroken);
+    expect((await cluster.call("/app/x", {}, { body })).status).toBe(502);
+    answerNext(answerBroken);
+    const replaced = await cluster.call("/again/x", {}, { body });
+    expect(replaced).toMatchObject({ status: 200, body: `tenant-a POST /again/x ${body}` });
+  }
+
+  /** Sends a part of an answer and resets the connection while the entry is suspended. */
+  function resetPart(socket: Socket): void {
+    void resetUnread(cluster.entry, socket, `HTTP/1.1 200 OK\r\n${SEAL}\r\npart`);
   }
 
   // Guards against a part of a body that callers get as a complete answer.
@@ -56,14 +66,13 @@
     "without a length that is reset while the entry stands still is no answer: upload %i",
     async (bytes) => {
       await start();
-      const body = "b".repeat(bytes);
-      for (let i = 0; i < REPETITIONS; i++) {
-        answerNext(resetUnread);
-        expect((await cluster.call("/app/x", {}, { body })).status).toBe(502);
-        answerNext(resetUnread);
-        const replaced = await cluster.call("/again/x", {}, { body });
-        expect(replaced).toMatchObject({ status: 200, body: `tenant-a POST /again/x ${body}` });
-      }
+      for (let i = 0; i < REPETITIONS; i++) await expectNoAnswer(resetPart, "b".repeat(bytes));
     },
   );
+
+  it.each([["000"], ["099"], ["101"], ["600"]])("with the status %s is no answer", async (status) => {
+    await start();
+    const text = `HTTP/1.1 ${status} OK\r\n${SEAL}content-length: 2\r\n\r\nok`;
+    await expectNoAnswer((socket) => sendRawAnswer(socket, { text, end: "inOrder" }), "hello");
+  });
 });
--- a/test/system/outcomes.test.ts
+++ b/test/system/outcomes.test.ts
@@ -1,11 +1,12 @@
 import { randomUUID } from "node:crypto";
+import type { Socket } from "node:net";
 import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
 import { EngineStandin } from "../../standin/EngineStandin";
-import type { RawAnswer } from "../../standin/rawAnswer";
+import { sendRawAnswer } from "../../standin/rawAnswer";
 import { Cluster } from "../support/Cluster";
 import { callEntry, createChat, type EntryRequest, parseStream } from "../support/callEntry";
 import { createConfiguration } from "../support/configuration";
-import { sendUnread } from "../support/sendUnread";
+import { resetUnread } from "../support/resetUnread";
 import { waitUntil } from "../support/waitUntil";
 
 const NOT_REPEATABLE = { "ploverstage-repeatable": "no" };
@@ -292,21 +293,28 @@
   });
 
   describe("a service call whose answer is broken", () => {
-    async function callBroken(rawAnswer: RawAnswer) {
+    async function callBroken(answerBroken: (socket: Socket) => void) {
       await waitUntil("the service answers", async () => {
         const answer = await call({ method: "GET", path: "/v1/services/guichet/x" });
         return answer.status === 200;
       });
-      cluster.services[0]!.answerWith = (socket) => void sendUnread(cluster.entries[0]!, socket, rawAnswer);
+      cluster.services[0]!.answerWith = answerBroken;
       return call({ path: "/v1/services/guichet/members", body: "x" });
     }
 
     // Guards against a part of a body that callers get as a complete answer.
     it("is incomplete when the connection is reset together with a part of a body without a length", async () => {
       const text = `HTTP/1.1 200 OK\r\n\r\n${"p".repeat(1_000)}`;
-      const answer = await callBroken({ text, end: "reset" });
+      const answer = await callBroken((socket) => void resetUnread(cluster.entries[0]!, socket, text));
       expect(answer.isComplete).toBe(false);
     });
+
+    it.each(["000", "101", "600"])("has an unknown outcome when its status is %s", async (status) => {
+      const text = `HTTP/1.1 ${status} OK\r\ncontent-length: 2\r\n\r\nok`;
+      const answer = await callBroken((socket) => sendRawAnswer(socket, { text, end: "inOrder" }));
+      expect(answer.status).toBe(502);
+      expect(answer.headers["ploverstage-outcome"]).toBe("unknown");
+    });
   });
 
   describe("a deadline", () => {
