HttpClient: an answer in a transfer coding other than chunked is a failure

What callers saw: a worker answered with `Transfer-Encoding: xchunked`, `gzip`, `chunked, gzip`, `gzip, chunked`, `chunked, chunked` or `identity`; the caller got 200, the field was dropped, and the coded bytes came as the body, with a length or chunks that marked them as complete.

Cause: the parser decodes chunked only and passes on the rest as it is. Transfer-Encoding concerns one connection, so it is dropped, and any value of it counted as framing.

Change: the check of heads takes `chunked` alone, in any case of letters. Clients ask for bodies without an encoding and send no TE, so no worker may use another coding; `identity` is none of HTTP/1.1 any more (RFC 9112, section 7).

Ruled out: taking such answers as ones without a length. An orderly end would still deliver the coded bytes as the worker's body.

Evidence: 33 of the new tests failed before (30 in test/gateway, 2 with real processes, 1 of outcomes) and hold now; `chunked` and `Chunked` are served as before.

--- a/src/http/getHeadDefect.ts
+++ b/src/http/getHeadDefect.ts
@@ -4,14 +4,15 @@
 /** Statuses below are informational, or none at all. */
 const MIN_FINAL_STATUS = 200;
 const MAX_STATUS = 599;
+/** The only transfer coding that the parser decodes. */
+const CHUNKED = "chunked";
 
 /**
- * Gets why the head of an answer is not one of HTTP/1.x, although the parser accepts it; `undefined` if it is
- * valid.
- *
- * Such an answer is broken, whatever its body looks like. Nothing of it may be passed on.
+ * Gets why an answer with this head can't be read or passed on, although the parser accepts it; `undefined` if
+ * it can.
  */
 export function getHeadDefect({
+  headers,
   statusCode = 0,
   httpVersion,
   httpVersionMajor,
@@ -19,5 +20,8 @@
   if (httpVersionMajor !== HTTP_MAJOR_VERSION) return `the version of the answer is HTTP/${httpVersion}`;
   if (statusCode < MIN_FINAL_STATUS || statusCode > MAX_STATUS)
     return `the status of the answer is ${statusCode}`;
+  const coding = headers["transfer-encoding"];
+  if (coding !== undefined && coding.toLowerCase() !== CHUNKED)
+    return "the answer has a transfer coding other than chunked";
   return undefined;
 }
--- a/test/gateway/brokenAnswers.test.ts
+++ b/test/gateway/brokenAnswers.test.ts
@@ -160,4 +160,20 @@
   ])("with the status %s", (_name, head) => {
     expectNoAnswer(`${head}\r\n${SEAL}content-length: 2\r\n\r\nok`);
   });
+
+  const CHUNKED_BODY = "5\r\nhello\r\n0\r\n\r\n";
+
+  // Guards against bodies that callers get still coded, and marked as complete.
+  describe.each(["xchunked", "chunked, gzip", "gzip, chunked", "chunked, chunked", "gzip", "identity"])(
+    "with the transfer coding %s",
+    (coding) => {
+      expectNoAnswer(`HTTP/1.1 200 OK\r\n${SEAL}transfer-encoding: ${coding}\r\n\r\n${CHUNKED_BODY}`);
+    },
+  );
+
+  it.each(["chunked", "Chunked"])("differs from one with the transfer coding %s", async (coding) => {
+    const text = `HTTP/1.1 200 OK\r\n${SEAL}transfer-encoding: ${coding}\r\n\r\n${CHUNKED_BODY}`;
+    const harness = await start([answerRaw({ text, end: "inOrder" })], RUNS_ONCE);
+    expect(await harness.call()).toMatchObject({ status: 200, body: "hello", isWhole: true });
+  });
 });
--- a/test/system/brokenAnswers.test.ts
+++ b/test/system/brokenAnswers.test.ts
@@ -75,4 +75,10 @@
     const text = `HTTP/1.1 ${status} OK\r\n${SEAL}content-length: 2\r\n\r\nok`;
     await expectNoAnswer((socket) => sendRawAnswer(socket, { text, end: "inOrder" }), "hello");
   });
+
+  it.each(["xchunked", "gzip"])("with the transfer coding %s is no answer", async (coding) => {
+    await start();
+    const text = `HTTP/1.1 200 OK\r\n${SEAL}transfer-encoding: ${coding}\r\n\r\n5\r\nhello\r\n0\r\n\r\n`;
+    await expectNoAnswer((socket) => sendRawAnswer(socket, { text, end: "inOrder" }), "hello");
+  });
 });
--- a/test/system/outcomes.test.ts
+++ b/test/system/outcomes.test.ts
@@ -309,8 +309,13 @@
       expect(answer.isComplete).toBe(false);
     });
 
-    it.each(["000", "101", "600"])("has an unknown outcome when its status is %s", async (status) => {
-      const text = `HTTP/1.1 ${status} OK\r\ncontent-length: 2\r\n\r\nok`;
+    it.each([
+      ["the status 000", "000 OK\r\ncontent-length: 2"],
+      ["the status 101", "101 OK\r\ncontent-length: 2"],
+      ["the status 600", "600 OK\r\ncontent-length: 2"],
+      ["the transfer coding xchunked", "200 OK\r\ntransfer-encoding: xchunked"],
+    ])("has an unknown outcome with %s", async (_name, head) => {
+      const text = `HTTP/1.1 ${head}\r\n\r\nok`;
       const answer = await callBroken((socket) => sendRawAnswer(socket, { text, end: "inOrder" }));
       expect(answer.status).toBe(502);
       expect(answer.headers["ploverstage-outcome"]).toBe("unknown");
