Tests: heads that the parser refuses, and the other readers of broken answers

A blank, a tab or a control byte in the name of a field, a blank before its colon, a line that begins with a blank, without a colon or with an empty name reaches no caller: in the head, in an informational answer before it and in a trailer. With real processes too (three cases).

Engines and orders read answers by the same client.

--- a/standin/rawAnswer.ts
+++ b/standin/rawAnswer.ts
@@ -7,14 +7,14 @@
 
 /** An answer as its bytes. */
 export interface RawAnswer {
-  /** The head and the body. */
+  /** The head and the body; each character is one byte. */
   readonly text: string;
   readonly end: RawEnd;
 }
 
 /** Writes a raw answer and ends its connection. */
 export function sendRawAnswer(socket: Socket, { text, end }: RawAnswer): void {
-  socket.write(text, () => {
+  socket.write(text, "latin1", () => {
     if (end === "reset") resetConnection(socket);
     else socket.end(() => end === "inOrderThenReset" && resetConnection(socket));
   });
--- a/test/gateway/brokenAnswers.test.ts
+++ b/test/gateway/brokenAnswers.test.ts
@@ -176,4 +176,34 @@
     const harness = await start([answerRaw({ text, end: "inOrder" })], RUNS_ONCE);
     expect(await harness.call()).toMatchObject({ status: 200, body: "hello", isWhole: true });
   });
+
+  // Guards against heads and trailers that break the grammar of HTTP and reach callers all the same.
+  describe.each([
+    ["a blank in a name", "x-bro ken: 1"],
+    ["a tab in a name", "x-bro\tken: 1"],
+    ["the byte 0x00 in a name", "x-bro\u0000ken: 1"],
+    ["the byte 0x01 in a name", "x-bro\u0001ken: 1"],
+    ["the byte 0x7f in a name", "x-bro\u007fken: 1"],
+    ["the byte 0x85 in a name", "x-bro\u0085ken: 1"],
+    ["a blank before the colon of the length", "content-length : 2"],
+    ["a line that begins with a blank", " x-broken: 1"],
+    ["a name without a colon", "x-broken"],
+    ["an empty name", ": 1"],
+  ])("with %s", (_name, line) => {
+    describe("in its head", () => {
+      expectNoAnswer(`HTTP/1.1 200 OK\r\n${line}\r\n${SEAL}content-length: 2\r\n\r\nok`);
+    });
+
+    describe("in an informational answer before it", () => {
+      const informational = `HTTP/1.1 103 Early Hints\r\n${line}\r\n\r\n`;
+      expectNoAnswer(`${informational}HTTP/1.1 200 OK\r\n${SEAL}content-length: 2\r\n\r\nok`);
+    });
+
+    it("in its trailer is not passed on", async () => {
+      const head = `HTTP/1.1 200 OK\r\n${SEAL}transfer-encoding: chunked\r\n\r\n`;
+      const text = `${head}2\r\nok\r\n0\r\n${line}\r\n\r\n`;
+      const harness = await start([answerRaw({ text, end: "inOrder" })], RUNS_ONCE);
+      expect((await harness.call()).status).toBe(502);
+    });
+  });
 });
--- a/test/platform/PlatformOrders.test.ts
+++ b/test/platform/PlatformOrders.test.ts
@@ -4,6 +4,7 @@
 import { PlatformOrders } from "../../platform/PlatformOrders";
 import { HttpClient } from "../../src/http";
 import type { InstanceOrder, OrderReceiver } from "../../src/registration";
+import { type RawAnswer, sendRawAnswer } from "../../standin/rawAnswer";
 
 const FENCE = 7;
 const TIMEOUT_MS = 500;
@@ -15,15 +16,19 @@
   let orders: PlatformOrders;
   let received: unknown[];
   let answer: { status: number; body: string };
+  /** Sent in place of the answer. */
+  let raw: RawAnswer | undefined;
 
   beforeEach(async () => {
     received = [];
+    raw = undefined;
     answer = { status: 202, body: "" };
     server = createServer(async (request, response) => {
       const chunks: Buffer[] = [];
       for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
       if (request.method === "POST") received.push(JSON.parse(Buffer.concat(chunks).toString()));
-      response.writeHead(answer.status).end(answer.body);
+      if (raw !== undefined) sendRawAnswer(response.socket!, raw);
+      else response.writeHead(answer.status).end(answer.body);
     });
     await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
     const { port } = server.address() as AddressInfo;
@@ -82,4 +87,13 @@
     answer = { status: 200, body };
     expect(await orders.askStatus(receiver, TIMEOUT_MS)).toBeUndefined();
   });
+
+  // Guards against an order that counts as begun although its answer is broken.
+  it.each<[string, RawAnswer]>([
+    ["that is reset right after its head", { text: "HTTP/1.1 202 Accepted\r\n\r\n", end: "reset" }],
+    ["with the status 000", { text: "HTTP/1.1 000 OK\r\ncontent-length: 0\r\n\r\n", end: "inOrder" }],
+  ])("does not know the outcome of an order after an answer %s", async (_name, broken) => {
+    raw = broken;
+    expect(await orders.send(receiver, { kind: "stage", model: "M" }, FENCE)).toBe("unanswered");
+  });
 });
--- a/test/system/brokenAnswers.test.ts
+++ b/test/system/brokenAnswers.test.ts
@@ -81,4 +81,14 @@
     const text = `HTTP/1.1 200 OK\r\n${SEAL}transfer-encoding: ${coding}\r\n\r\n5\r\nhello\r\n0\r\n\r\n`;
     await expectNoAnswer((socket) => sendRawAnswer(socket, { text, end: "inOrder" }), "hello");
   });
+
+  it.each([
+    ["a blank", "x-bro ken: 1"],
+    ["a control byte", "x-bro\u0001ken: 1"],
+    ["a blank before its colon", "x-broken : 1"],
+  ])("with %s in the name of a field is no answer", async (_name, line) => {
+    await start();
+    const text = `HTTP/1.1 200 OK\r\n${line}\r\n${SEAL}content-length: 2\r\n\r\nok`;
+    await expectNoAnswer((socket) => sendRawAnswer(socket, { text, end: "inOrder" }), "hello");
+  });
 });
