HttpClient: the mark of an answer that ends with its connection ends with the call

A 204, a 304 or an answer to HEAD has no length and leaves its connection open, so the mark stayed until the next answer on it: an EPIPE of the next request would have been ignored, and found by reading instead. By reading of the code, no caller saw it. The mark is taken back when the call is over.

--- a/src/http/HttpClient.ts
+++ b/src/http/HttpClient.ts
@@ -136,7 +136,7 @@
           outgoing.destroy();
           return;
         }
-        if (outgoing.socket instanceof ClientSocket) outgoing.socket.setEndsAnswer(!isFramed(answer));
+        if (!isFramed(answer)) markEndOfAnswer(outgoing);
         // A response without a length ends with its connection, so a reset must be passed on as an error.
         outgoing.on("error", (cause) => answer.destroy(cause));
         resolve(answer);
@@ -251,6 +251,14 @@
   }
 }
 
+/** Lets the end of the connection end the answer of a call, until the call is over. */
+function markEndOfAnswer(outgoing: ClientRequest): void {
+  const { socket } = outgoing;
+  if (!(socket instanceof ClientSocket)) return;
+  socket.setEndsAnswer(true);
+  outgoing.once("close", () => socket.setEndsAnswer(false));
+}
+
 /** Splits an address of the form host:port. */
 export function splitAddress(address: string): { host: string; port: number } {
   const colon = address.lastIndexOf(":");
