--- a/test/gateway/brokenAnswers.test.ts
+++ b/test/gateway/brokenAnswers.test.ts
@@ -48,7 +48,7 @@
   function expectNoAnswer(text: string): void {
     const broken = answerRaw({ text, end: "inOrder" });
 
-    it("is replaced by another endpoint's where it may be, and the endpoint is avoided", async () => {
+    it("is replaced by another endpoint's answer to a repeatable request, and the endpoint is avoided", async () => {
       const harness = await start([broken, answer(200, "whole")], REPEATABLE);
       for (let i = 0; i < 2; i++) {
         expect(await harness.call()).toMatchObject({ status: 200, body: "whole", isWhole: true });
@@ -56,7 +56,7 @@
       expect(getReceivers(harness)).toEqual([0, 1, 1]);
     });
 
-    it("is not passed on where the request must run once", async () => {
+    it("is not passed on if the request must run once", async () => {
       const harness = await start([broken, answer(200, "whole")], RUNS_ONCE);
       const received = await harness.call();
       expect(received.status).toBe(502);
@@ -69,7 +69,7 @@
     it.each([
       ["not resumable", STREAM],
       ["resumable", RESUMABLE],
-    ])("is no stream: %s", async (_name, kind) => {
+    ])("is not passed on as a stream: %s", async (_name, kind) => {
       const harness = await start([broken, streamEvents([1], "whole")], kind);
       const received = await harness.call();
       if (kind.isResumable) expect(received).toMatchObject({ status: 200, body: EVENT, isWhole: true });
@@ -93,27 +93,33 @@
       return answerRaw({ text, end }, { isEarly: true });
     }
 
-    it.each(UPLOADS)("is replaced by another endpoint's where it may be: upload %i", async (bytes) => {
-      const harness = await start([answerUnframed(PART, "reset"), answer(200, "whole")], REPEATABLE);
-      const received = await harness.call({ body: "b".repeat(bytes) });
-      expect(received).toMatchObject({ status: 200, body: "whole", isWhole: true });
-      expect(getReceivers(harness)).toEqual([0, 1]);
-    });
+    it.each(UPLOADS)(
+      "is replaced by another endpoint's answer to a repeatable request: upload of %i bytes",
+      async (bytes) => {
+        const harness = await start([answerUnframed(PART, "reset"), answer(200, "whole")], REPEATABLE);
+        const received = await harness.call({ body: "b".repeat(bytes) });
+        expect(received).toMatchObject({ status: 200, body: "whole", isWhole: true });
+        expect(getReceivers(harness)).toEqual([0, 1]);
+      },
+    );
 
-    it.each(UPLOADS)("is not passed on where the request must run once: upload %i", async (bytes) => {
+    it.each(UPLOADS)("is not passed on if the request must run once: upload of %i bytes", async (bytes) => {
       const harness = await start([answerUnframed(PART, "reset"), answer(200, "whole")], RUNS_ONCE);
       const received = await harness.call({ body: "b".repeat(bytes) });
       expect(received.status).toBe(502);
       expect(getReceivers(harness)).toEqual([0]);
     });
 
-    it.each(UPLOADS)("is no complete stream: upload %i", async (bytes) => {
-      const harness = await start([answerUnframed(PART, "reset")], STREAM);
-      expect((await harness.call({ body: "b".repeat(bytes) })).status).toBe(502);
-    });
+    it.each(UPLOADS)(
+      "is not passed on as a stream without a complete event: upload of %i bytes",
+      async (bytes) => {
+        const harness = await start([answerUnframed(PART, "reset")], STREAM);
+        expect((await harness.call({ body: "b".repeat(bytes) })).status).toBe(502);
+      },
+    );
 
     it.each(UPLOADS.flatMap((bytes) => ["", "id: 2\nda"].map((rest) => [bytes, rest] as const)))(
-      "is resumed after its last event: upload %i",
+      "is resumed after its last complete event as a stream: upload of %i bytes, rest %j",
       async (bytes, rest) => {
         const part = `${STREAM_HEAD}${EVENT}${rest}`;
         const harness = await start(
@@ -139,14 +145,14 @@
           UPLOADS.map((bytes) => [kind.kind, end, bytes, kind] as const),
         ),
       ),
-    )("differs from one that ends in order: %s, %s, upload %i", async (_name, end, bytes, kind) => {
+    )("differs from one that ends in order: %s, %s, upload of %i bytes", async (_name, end, bytes, kind) => {
       const harness = await start([answerUnframed(STREAM_HEAD + EVENT, end)], kind);
       const received = await harness.call({ body: "b".repeat(bytes) });
       expect(received).toMatchObject({ status: 200, body: EVENT, isWhole: true });
     });
   });
 
-  // Guards against answers whose status is none of HTTP, which callers get as they are or as an internal error.
+  // Guards against invalid statuses that callers get unchanged or as an internal error.
   describe.each([
     ["000", "HTTP/1.1 000 OK"],
     ["001", "HTTP/1.1 001 OK"],
@@ -163,7 +169,7 @@
 
   const CHUNKED_BODY = "5\r\nhello\r\n0\r\n\r\n";
 
-  // Guards against bodies that callers get still coded, and marked as complete.
+  // Guards against encoded bodies that callers get as complete plain ones.
   describe.each(["xchunked", "chunked, gzip", "gzip, chunked", "chunked, chunked", "gzip", "identity"])(
     "with the transfer coding %s",
     (coding) => {
@@ -177,7 +183,7 @@
     expect(await harness.call()).toMatchObject({ status: 200, body: "hello", isWhole: true });
   });
 
-  // Guards against heads and trailers that break the grammar of HTTP and reach callers all the same.
+  // Guards against invalid header fields that reach callers.
   describe.each([
     ["a blank in a name", "x-bro ken: 1"],
     ["a tab in a name", "x-bro\tken: 1"],
--- a/test/system/brokenAnswers.test.ts
+++ b/test/system/brokenAnswers.test.ts
@@ -63,20 +63,20 @@
 
   // Guards against a part of a body that callers get as a complete answer.
   it.each([5, 200_000, 4_000_000])(
-    "without a length that is reset while the entry stands still is no answer: upload %i",
+    "without a length that is reset while the entry is suspended reaches no caller: upload of %i bytes",
     async (bytes) => {
       await start();
       for (let i = 0; i < REPETITIONS; i++) await expectNoAnswer(resetPart, "b".repeat(bytes));
     },
   );
 
-  it.each([["000"], ["099"], ["101"], ["600"]])("with the status %s is no answer", async (status) => {
+  it.each(["000", "099", "101", "600"])("with the status %s reaches no caller", async (status) => {
     await start();
     const text = `HTTP/1.1 ${status} OK\r\n${SEAL}content-length: 2\r\n\r\nok`;
     await expectNoAnswer((socket) => sendRawAnswer(socket, { text, end: "inOrder" }), "hello");
   });
 
-  it.each(["xchunked", "gzip"])("with the transfer coding %s is no answer", async (coding) => {
+  it.each(["xchunked", "gzip"])("with the transfer coding %s reaches no caller", async (coding) => {
     await start();
     const text = `HTTP/1.1 200 OK\r\n${SEAL}transfer-encoding: ${coding}\r\n\r\n5\r\nhello\r\n0\r\n\r\n`;
     await expectNoAnswer((socket) => sendRawAnswer(socket, { text, end: "inOrder" }), "hello");
@@ -86,7 +86,7 @@
     ["a blank", "x-bro ken: 1"],
     ["a control byte", "x-bro\u0001ken: 1"],
     ["a blank before its colon", "x-broken : 1"],
-  ])("with %s in the name of a field is no answer", async (_name, line) => {
+  ])("with %s in the name of a field reaches no caller", async (_name, line) => {
     await start();
     const text = `HTTP/1.1 200 OK\r\n${line}\r\n${SEAL}content-length: 2\r\n\r\nok`;
     await expectNoAnswer((socket) => sendRawAnswer(socket, { text, end: "inOrder" }), "hello");
