--- a/test/engine/FrameReader.test.ts
+++ b/test/engine/FrameReader.test.ts
@@ -2,23 +2,9 @@
 import { PassThrough } from "node:stream";
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import { FrameReader, type Generation } from "../../src/engine";
+import { FrameReader } from "../../src/engine";
 import { ForeignAnswer, LostAnswer, MalformedAnswer } from "../../src/errors";
-import { ReplicaId, RequestId } from "../../src/ids";
-
-const GENERATION: Generation = {
-  requestId: RequestId("r"),
-  replicaId: ReplicaId("g-1"),
-  epoch: 3,
-  model: "m",
-  adapter: "",
-  prompt: "p",
-  prefixDigests: [],
-  maxTokens: 10,
-  priority: 0,
-  temperature: undefined,
-  stop: [],
-};
+import { GENERATION } from "./generation";
 
 function createLine(offset: number, change: object = {}): string {
   const frame = { request_id: "r", epoch: 3, offset, tokens: 1, text: `t${offset} `, ...change };
--- a/test/engine/HttpEngine.test.ts
+++ b/test/engine/HttpEngine.test.ts
@@ -1,27 +1,14 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { type Generation, HttpEngine } from "../../src/engine";
+import { HttpEngine } from "../../src/engine";
 import { LostAnswer, MalformedAnswer, RefusedOrder } from "../../src/errors";
 import { HttpClient } from "../../src/http";
-import { ReplicaId, RequestId } from "../../src/ids";
+import { RequestId } from "../../src/ids";
 import { type RawAnswer, sendRawAnswer } from "../../standin/rawAnswer";
+import { GENERATION } from "./generation";
 
 const TIMEOUT_MS = 2_000;
-const GENERATION: Generation = {
-  requestId: RequestId("r"),
-  replicaId: ReplicaId("g-1"),
-  epoch: 3,
-  model: "m",
-  adapter: "",
-  prompt: "p",
-  prefixDigests: [],
-  maxTokens: 10,
-  priority: 0,
-  temperature: undefined,
-  stop: [],
-};
-
 describe("HttpEngine", () => {
   let server: Server;
   let answer: RawAnswer;
