--- a/test/engine/HttpEngine.test.ts
+++ b/test/engine/HttpEngine.test.ts
@@ -9,6 +9,7 @@
 import { GENERATION } from "./generation";
 
 const TIMEOUT_MS = 2_000;
+
 describe("HttpEngine", () => {
   let server: Server;
   let answer: RawAnswer;
