PlatformOrders: an instance that answers a probe with a malformed answer is present

What was wrong: since the client refuses heads that are none of HTTP/1.x, a probe that was answered with a status of 000 or 600 counted as silence, so control could doubt an instance that answers. No caller saw it; found when the change was read again.

Cause: the probe took every error but a refused connection for silence, though any answer proves that an instance is present. A body that is not JSON was the same fault, older.

The status of an instance stays unknown after such an answer, and so does the outcome of an order.

--- a/test/platform/PlatformOrders.test.ts
+++ b/test/platform/PlatformOrders.test.ts
@@ -96,4 +96,15 @@
     raw = broken;
     expect(await orders.send(receiver, { kind: "stage", model: "M" }, FENCE)).toBe("unanswered");
   });
+
+  // Guards against an instance that is taken for lost although it answers.
+  it.each([
+    ["the status 000", "HTTP/1.1 000 OK\r\ncontent-length: 2\r\n\r\n{}"],
+    ["the status 600", "HTTP/1.1 600 OK\r\ncontent-length: 2\r\n\r\n{}"],
+    ["a body that is not JSON", "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{"],
+  ])("takes an instance for present that answers a probe with %s", async (_name, text) => {
+    raw = { text, end: "inOrder" };
+    expect(await orders.probe(receiver, TIMEOUT_MS)).toBe("present");
+    expect(await orders.askStatus(receiver, TIMEOUT_MS)).toBeUndefined();
+  });
 });
