Answers without a length at their endpoint go out with a length or in chunks

Large plain answers did the same: a part of 16 MB looked whole to a caller that reads late.

Cause: such answers were passed on without a length, so that only the close of the connection marked their end. A living entry resets the connection of a broken one, but the kernel closes the connections of a killed process in order.

Change: plain answers, which the entry holds whole, always carry their length, towards callers of HTTP/1.0 too. Streams go out in chunks. Callers that receive no chunks keep the reset. Answers without a body keep their endpoint's length: a HEAD got content-length 0 before.

Why it works: the end is now marked by bytes that a killed process can't have sent.

Tests replaced, each by one as strict: the broken answers of answerEnd (no last chunk, and the same six with the reset for callers of HTTP/1.0), 'adds no length to an answer without one' of GatewayServer and relaying (the length or the chunks are there, so that a part can't look whole). answerEnd moves to src/server, for the entry for models.

--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -12,12 +12,13 @@
   BodyReader,
   type BodyReading,
   type BodyReservation,
+  breakOff,
+  breakOffNow,
   createHttpServer,
   dropBody,
   getDeclaredBytes,
   type RequestBody,
 } from "../server";
-import { breakOff, breakOffNow, delimitByClose } from "./answerEnd";
 import { CallerTimeouts } from "./CallerTimeouts";
 import type { CallMetadata } from "./Dialect";
 import { Exchange, type ExchangeDependencies } from "./Exchange";
@@ -72,6 +73,9 @@
 const IDLE_TIMEOUT_MARGIN_MS = 1_000;
 const FRAMING_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
 
+/** No Content and Not Modified. */
+const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 /** State of a partially processed request. */
 interface RequestProgress {
   readonly receivedAt: number;
@@ -462,10 +466,8 @@
 
   private _sendAnswer(response: ServerResponse, progress: RequestProgress, answer: CompleteAnswer): void {
     if (response.headersSent || response.destroyed) return;
-    const headers = dropHeaders(getEndToEndHeaders(answer.headers), FRAMING_HEADERS);
     const { exchange, relayed } = progress;
-    if (answer.isFramed || relayed !== undefined) headers.push("Content-Length", String(answer.body.length));
-    else delimitByClose(response);
+    const headers = createAnswerHeaders(answer, response);
     if (relayed !== undefined)
       headers.push(...createRelayAnswerHeaders(exchange?.sentCount ?? 0, answer.isFramed));
     response.writeHead(answer.status, headers);
@@ -606,6 +608,21 @@
   );
 }
 
+/**
+ * Creates the headers of a complete answer. Its length is always declared, so that a part of it never looks
+ * complete. An answer without a body keeps the length that its endpoint declared.
+ */
+function createAnswerHeaders({ status, headers, body }: CompleteAnswer, { req }: ServerResponse): string[] {
+  const endToEnd = getEndToEndHeaders(headers);
+  if (!hasBody(status, req.method)) return endToEnd;
+  return [...dropHeaders(endToEnd, FRAMING_HEADERS), "Content-Length", String(body.length)];
+}
+
+/** Checks whether an answer has a body (RFC 9110, section 6.4.1). */
+function hasBody(status: number, method: string | undefined): boolean {
+  return method !== "HEAD" && !BODYLESS_STATUSES.has(status);
+}
+
 /** The unread rest of a refused body must not be parsed as the next request. */
 function endsConnection({ status, code }: GatewayRefusal): boolean {
   return status === 400 || status === 413 || code === "slow_body";
--- a/src/gateway/PlainSource.ts
+++ b/src/gateway/PlainSource.ts
@@ -22,8 +22,8 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
   /**
-   * Whether the answer has a length or chunked framing; otherwise only the close of its connection marks its
-   * end.
+   * Whether the endpoint's answer has a length or chunked framing; otherwise only the close of its connection
+   * marked its end.
    */
   readonly isFramed: boolean;
 }
--- a/src/gateway/StreamExchange.ts
+++ b/src/gateway/StreamExchange.ts
@@ -5,9 +5,9 @@
  * or stalls is resumed at another endpoint after the last event that was passed on, within the same answer.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { breakOff, endWhole } from "../server";
 import type { AnsweringAttempt } from "./Attempt";
 import type { AttemptRace } from "./AttemptRace";
-import { breakOff, delimitByClose, endWhole } from "./answerEnd";
 import { createRace } from "./createRace";
 import type { StreamEvent } from "./EventSplitter";
 import type { Exchange } from "./Exchange";
@@ -34,8 +34,8 @@
   private _lastEventAt: number | undefined;
   private _longestGapMs = 0;
   private _eventCount = 0;
-  /** Whether the caller's answer is close-delimited, because the endpoint's answer was. */
-  private _isCloseDelimited = false;
+  /** Whether the answer whose head the caller received had neither a length nor chunks at its endpoint. */
+  private _startedUnframed = false;
   private _admission: StreamAdmission | undefined;
 
   /**
@@ -95,7 +95,7 @@
     return {
       lastEventId: this._lastEventId,
       hasSentHead: this._response.headersSent,
-      isCloseDelimited: this._isCloseDelimited,
+      startedUnframed: this._startedUnframed,
       hasHedge,
     };
   }
@@ -125,10 +125,9 @@
 
   private _writeHead({ incoming, isFramed }: AnsweringAttempt): void {
     if (this._response.headersSent) return;
-    this._isCloseDelimited = !isFramed;
+    this._startedUnframed = !isFramed;
     const { request, sentCount } = this._exchange;
     const relayHeaders = request.isRelayed ? createRelayAnswerHeaders(sentCount, isFramed) : [];
-    if (!isFramed && !request.isRelayed) delimitByClose(this._response);
     this._response.writeHead(incoming.statusCode ?? 0, [...getStreamHeaders(incoming), ...relayHeaders]);
   }
 
--- a/src/gateway/StreamSource.ts
+++ b/src/gateway/StreamSource.ts
@@ -34,8 +34,8 @@
   readonly lastEventId: string | undefined;
   /** Whether the head of an answer has been sent to the caller. */
   readonly hasSentHead: boolean;
-  /** Whether the caller's answer is close-delimited. */
-  readonly isCloseDelimited: boolean;
+  /** Whether the answer whose head the caller received had neither a length nor chunks at its endpoint. */
+  readonly startedUnframed: boolean;
   /** Whether another attempt is in progress and may still succeed. */
   readonly hasHedge: boolean;
 }
@@ -161,9 +161,9 @@
   private _complete(attempt: AnsweringAttempt): StreamPart {
     const { isFramed } = attempt;
     const remainder = this._splitter.takeRemainder();
-    const { hasSentHead, isCloseDelimited } = this._getProgress();
+    const { hasSentHead, startedUnframed } = this._getProgress();
     const hasEvents = this._endStream !== undefined || hasSentHead;
-    const canEnd = isFramed || isCloseDelimited || !hasSentHead;
+    const canEnd = isFramed || startedUnframed || !hasSentHead;
     // A close-delimited answer may have been cut, which looks the same as its end.
     if (!canEnd || (!isFramed && (remainder.length > 0 || !hasEvents))) {
       throw new LostAnswer({
--- a/src/gateway/answerEnd.ts
+++ b/src/server/answerEnd.ts
@@ -1,6 +1,10 @@
 /**
- * The two ways in which an answer ends: whole, or broken off. A broken answer never looks whole to its caller,
- * whatever marks the end of the answer.
+ * The two ways in which an answer ends: whole, or broken off. A broken answer never looks whole to its caller.
+ *
+ * A length or a last chunk marks the end of a whole answer, so an answer is also visibly broken when this process
+ * is killed and the operating system closes its connections in order. Callers that speak another version than
+ * HTTP/1.1 receive no chunks; where an answer to them has no length, the close of its connection marks its end,
+ * and a broken one has its connection reset.
  */
 import type { ServerResponse } from "node:http";
 import { resetConnection } from "../http";
@@ -10,21 +14,6 @@
 /** Maximum time that the last bytes may wait for a caller that reads slowly, in milliseconds. */
 const MAX_FLUSH_MS = 200;
 
-/** Answers whose end is only marked by the close of their connection. */
-const closeDelimited = new WeakSet<ServerResponse>();
-
-/**
- * Makes an answer close-delimited.
- *
- * An endpoint's answer without a length may have been cut, which the gateway can't detect. Adding a length
- * would mark it as complete.
- */
-export function delimitByClose(response: ServerResponse): void {
-  closeDelimited.add(response);
-  response.shouldKeepAlive = false;
-  response.useChunkedEncodingByDefault = false;
-}
-
 /** Ends an answer as whole. Resolves once its last bytes have been sent, or its caller has disconnected. */
 export function endWhole(response: ServerResponse): Promise<void> {
   if (response.destroyed) return Promise.resolve();
@@ -41,7 +30,7 @@
  */
 export function breakOff(response: ServerResponse): void {
   const { socket } = response;
-  if (socket === null || !isCloseDelimited(response)) {
+  if (socket === null || receivesChunks(response)) {
     response.destroy();
     return;
   }
@@ -60,11 +49,11 @@
 /** Breaks an answer off without waiting for its last bytes, because the process stops. */
 export function breakOffNow(response: ServerResponse): void {
   const { socket } = response;
-  if (socket !== null && isCloseDelimited(response)) resetConnection(socket);
-  else response.destroy();
+  if (socket === null || receivesChunks(response)) response.destroy();
+  else resetConnection(socket);
 }
 
-/** Callers that speak HTTP/1.0 receive no chunks. */
-function isCloseDelimited(response: ServerResponse): boolean {
-  return closeDelimited.has(response) || response.req.httpVersion === "1.0";
+/** Checks whether an answer without a length is sent in chunks. */
+function receivesChunks({ req }: ServerResponse): boolean {
+  return req.httpVersion === "1.1";
 }
--- a/test/gateway/GatewayServer.test.ts
+++ b/test/gateway/GatewayServer.test.ts
@@ -265,7 +265,8 @@
       });
     });
 
-    it("adds no length to an answer without one, because it may have been cut", async () => {
+    // Guards against a part of an answer that looks whole when the entry is killed.
+    it("adds its length to a plain answer without one, and sends a stream without one in chunks", async () => {
       const unframed: Script = (seen, response) => {
         response.shouldKeepAlive = false;
         response.useChunkedEncodingByDefault = false;
@@ -274,12 +275,20 @@
       };
       harness = await GatewayHarness.start([unframed]);
       const seen = await harness.call();
-      expect(seen.body).toBe("some");
-      expect(seen.headers).not.toHaveProperty("content-length");
+      expect(seen).toMatchObject({ body: "some", isWhole: true });
+      expect(seen.headers["content-length"]).toBe("4");
       expect(seen.headers).not.toHaveProperty("transfer-encoding");
       await harness.stop();
-      harness = await GatewayHarness.start([unframed], { kind: "stream" });
-      expect((await harness.call()).headers).not.toHaveProperty("transfer-encoding");
+      const events: Script = (received, response) => {
+        response.shouldKeepAlive = false;
+        response.useChunkedEncodingByDefault = false;
+        response.writeHead(200, { "x-seal": "s", "x-id": String(received.headers["x-id"]) });
+        response.end("id: 1\ndata: 1\n\n");
+      };
+      harness = await GatewayHarness.start([events], { kind: "stream" });
+      const stream = await harness.call();
+      expect(stream).toMatchObject({ body: "id: 1\ndata: 1\n\n", isWhole: true });
+      expect(stream.headers["transfer-encoding"]).toBe("chunked");
     });
 
     it("resumes a stream without a length that ends before its first event, and passes no end on", async () => {
--- a/test/gateway/answerEnd.test.ts
+++ b/test/gateway/answerEnd.test.ts
@@ -5,8 +5,8 @@
 import { afterEach, describe, expect, it } from "vitest";
 import { pause } from "../../src/clock";
 import type { Route } from "../../src/declaration";
-import { endWhole } from "../../src/gateway/answerEnd";
 import { resetConnection } from "../../src/http";
+import { endWhole } from "../../src/server";
 import { waitUntil } from "../support/waitUntil";
 import { GatewayHarness, type Script } from "./GatewayHarness";
 
@@ -14,8 +14,13 @@
 /** More than a connection takes from a caller that reads nothing. */
 const LARGE_BYTES = 32 * 1_024 * 1_024;
 const EVENT = "id: 1\ndata: 1\n\n";
+const LAST_CHUNK = "\r\n0\r\n\r\n";
+const VERSIONS = ["1.0", "1.1"] as const;
 const STREAM = { kind: "stream", isResumable: false, maxAttempts: 1, timeoutMs: 5_000 } as const;
 
+/** The folders of the sources whose code answers callers. */
+const ANSWERING_FOLDERS = ["gateway", "server"];
+
 /** A reset comes some time after the last bytes, or together with them. */
 type End = "whole" | "reset" | "resetAtOnce" | "silent";
 
@@ -80,17 +85,33 @@
     return cut;
   }
 
-  it.each(["stream", "repeatable"] as const)(
-    "without a length is ended in order when its endpoint ended it in order: %s",
-    async (kind) => {
-      const { text, end } = await call(await start([sendUnframed("whole")], { kind })).ended;
-      expect(text).toContain(EVENT);
+  // Guards against answers whose end is marked by nothing but the close of their connection.
+  it("without a length at its endpoint is sent in chunks with a last one when it is a stream", async () => {
+    const { text } = await call(await start([sendUnframed("whole")])).ended;
+    expect(text.toLowerCase()).toContain("\r\ntransfer-encoding: chunked\r\n");
+    expect(text).toContain(EVENT);
+    expect(text.endsWith(LAST_CHUNK)).toBe(true);
+  });
+
+  it.each(VERSIONS)(
+    "without a length at its endpoint is sent with one when it is plain: HTTP/%s",
+    async (version) => {
+      const harness = await start([sendUnframed("whole")], { kind: "repeatable" });
+      const { text, end } = await call(harness, version).ended;
+      expect(text.toLowerCase()).toContain(`\r\ncontent-length: ${EVENT.length}\r\n`);
+      expect(text.endsWith(EVENT)).toBe(true);
       expect(end).toBe("in order");
     },
   );
 
-  // Guards against answers without a length that look whole although they were cut.
-  it.each([
+  it("without a length is ended in order when it is a stream to a caller that speaks HTTP/1.0", async () => {
+    const { text, end } = await call(await start([sendUnframed("whole")]), "1.0").ended;
+    expect(text).not.toContain("chunked");
+    expect(text.endsWith(EVENT)).toBe(true);
+    expect(end).toBe("in order");
+  });
+
+  const BREAKS: readonly (readonly [string, () => Promise<GatewayHarness>])[] = [
     ["its endpoint resets the connection", () => start([sendUnframed("reset")])],
     ["its endpoint resets the connection at once", () => start([sendUnframed("resetAtOnce")])],
     [
@@ -103,24 +124,58 @@
       "its time expires at another entry",
       () => startRelaying(sendUnframed("silent"), { timeoutMs: TIMEOUT_MS }),
     ],
-  ])(
-    "without a length resets its connection, and what had been passed on arrives, when %s",
+  ];
+
+  // Guards against answers without a length that look whole although they were cut.
+  it.each(BREAKS)(
+    "without a length lacks its last chunk, and what had been passed on arrives, when %s",
     async (_name, begin) => {
-      const { text, end } = await call(await begin()).ended;
+      const { text } = await call(await begin()).ended;
+      expect(text.toLowerCase()).toContain("\r\ntransfer-encoding: chunked\r\n");
+      expect(text).toContain(EVENT);
+      expect(text).not.toContain(LAST_CHUNK);
+    },
+  );
+
+  it.each(BREAKS)(
+    "without a length resets the connection of a caller that speaks HTTP/1.0, and what had been passed on arrives, when %s",
+    async (_name, begin) => {
+      const { text, end } = await call(await begin(), "1.0").ended;
+      expect(text).not.toContain("chunked");
       expect(text).toContain(EVENT);
       expect(end).toBe("ECONNRESET");
     },
   );
 
-  it("without a length resets its connection when the entry stops", async () => {
+  it.each(VERSIONS)("without a length looks broken when the entry stops: HTTP/%s", async (version) => {
     const harness = await start([sendUnframed("silent")]);
-    const { seen, ended } = call(harness);
+    const { seen, ended } = call(harness, version);
     await waitUntil("the event has arrived", () => seen.text.includes(EVENT));
     await harness.stop();
     harnesses.splice(harnesses.indexOf(harness), 1);
-    expect((await ended).end).toBe("ECONNRESET");
+    const { text, end } = await ended;
+    if (version === "1.0") expect(end).toBe("ECONNRESET");
+    else expect(text.toLowerCase()).toContain("\r\ntransfer-encoding: chunked\r\n");
+    expect(text).not.toContain(LAST_CHUNK);
   });
 
+  // Guards against the length of an absent body, which would be taken for that of the body.
+  it.each([
+    ["a status without one", "POST", 204, {}, undefined],
+    ["a request of its head", "HEAD", 200, { "content-length": "12" }, "12"],
+  ] as const)(
+    "without a body keeps its endpoint's length: %s",
+    async (_name, method, status, headers, length) => {
+      const script: Script = (seen, response) => {
+        response.writeHead(status, { "x-seal": "s", "x-id": String(seen.headers["x-id"]), ...headers }).end();
+      };
+      const harness = await start([script], { kind: "repeatable" });
+      const seen = await harness.call({ method, body: "" });
+      expect(seen).toMatchObject({ status, isWhole: true });
+      expect(seen.headers["content-length"]).toBe(length);
+    },
+  );
+
   it("in chunks at its endpoint resets the connection of a caller that speaks HTTP/1.0", async () => {
     const { text, end } = await call(await start([sendChunked]), "1.0").ended;
     expect(text).not.toContain("chunked");
@@ -130,7 +185,7 @@
   it("in chunks lacks its last chunk when its endpoint breaks off", async () => {
     const { text, end } = await call(await start([sendChunked])).ended;
     expect(text).toContain(EVENT);
-    expect(text).not.toContain("\r\n0\r\n\r\n");
+    expect(text).not.toContain(LAST_CHUNK);
     expect(end).toBe("in order");
   });
 
@@ -159,10 +214,17 @@
   );
 
   it("is ended in one module only", () => {
-    const folder = new URL("../../src/gateway/", import.meta.url);
-    const files = readdirSync(folder).filter((file) =>
-      readFileSync(new URL(file, folder), "utf8").includes("esponse.destroy("),
-    );
-    expect(files).toEqual(["answerEnd.ts"]);
+    const files = ANSWERING_FOLDERS.flatMap((folder) => findFiles(folder, "esponse.destroy("));
+    expect(files).toEqual(["server/answerEnd.ts"]);
   });
 });
+
+/** Finds the files of a folder of sources that contain a text. */
+function findFiles(folder: string, text: string): string[] {
+  const url = new URL(`../../src/${folder}/`, import.meta.url);
+  const names = readdirSync(url, { recursive: true, encoding: "utf8" }).filter((name) =>
+    name.endsWith(".ts"),
+  );
+  const files = names.filter((name) => readFileSync(new URL(name, url), "utf8").includes(text));
+  return files.map((name) => `${folder}/${name}`);
+}
--- a/test/gateway/relaying.test.ts
+++ b/test/gateway/relaying.test.ts
@@ -127,7 +127,8 @@
     expect(second.requests.at(-1)!.headers["last-event-id"]).toBe("2");
   });
 
-  it("adds no length to a relayed answer without one, because it may have been cut", async () => {
+  // Guards against a part of an answer that looks whole when an entry that passes it on is killed.
+  it("adds its length to a relayed answer without one", async () => {
     const unframed: Script = (seen, response) => {
       response.shouldKeepAlive = false;
       response.useChunkedEncodingByDefault = false;
@@ -136,8 +137,8 @@
     };
     const { cut } = await startPair(unframed);
     const result = await cut.call();
-    expect(result).toMatchObject({ status: 200, body: "some" });
-    expect(result.headers).not.toHaveProperty("content-length");
+    expect(result).toMatchObject({ status: 200, body: "some", isWhole: true });
+    expect(result.headers["content-length"]).toBe("4");
     expect(result.headers).not.toHaveProperty("transfer-encoding");
   });
 
--- /dev/null
+++ b/test/system/killedEntry.test.ts
@@ -0,0 +1,131 @@
+/** What callers see of answers in progress when an entry that passes them on is killed. */
+import type { Socket } from "node:net";
+import { afterEach, describe, expect, it } from "vitest";
+import { createConfig } from "../platform/createConfig";
+import { getEntryIp, PlatformCluster } from "../platform/PlatformCluster";
+import { RawCall, type RawRequest } from "../support/RawCall";
+import { waitUntil } from "../support/waitUntil";
+
+const HEAD = "HTTP/1.1 200 OK\r\nx-ploverstage-response-seal: s\r\nconnection: close\r\n\r\n";
+const EVENT_COUNT = 10;
+const EVENT_INTERVAL_MS = 50;
+/** More than the buffers of a connection hold for a caller that reads nothing. */
+const LARGE_BYTES = 16 * 1_024 * 1_024;
+const CALLS = 8;
+
+describe("an answer that its worker sends without a length or chunks", () => {
+  let cluster: PlatformCluster;
+  const calls: RawCall[] = [];
+  afterEach(async () => {
+    for (const call of calls.splice(0)) call.close();
+    await cluster.stop();
+  });
+
+  /** Starts entries, each of which is a host with routes for plain answers and for streams. */
+  async function start(entries: number): Promise<void> {
+    cluster = await PlatformCluster.start(0, { entries, hasWorkerRelays: true });
+    await cluster.addWorker("app-1", "app", "");
+    const app = createConfig(1).routes.find(({ name }) => name === "r-app")!;
+    const streaming = { routeType: "streaming", targetGapMs: 300, resumable: false };
+    const routes = Array.from({ length: entries }, (_, i) => [
+      { ...app, name: `r-app-${i}`, host: getEntryIp(i) },
+      { ...app, ...streaming, name: `r-live-${i}`, host: getEntryIp(i), pathPrefix: "/live/" },
+    ]).flat();
+    await waitUntil(
+      "the configuration is accepted",
+      async () => (await cluster.putConfig(0, createConfig(3, { routes }))) === 200,
+    );
+    for (let entry = 0; entry < entries; entry++) {
+      await waitUntil("the entry serves", async () => {
+        return (await cluster.call("/app/x", {}, { entry })).status === 200;
+      });
+    }
+  }
+
+  function answerAll(answer: (socket: Socket) => void): void {
+    for (const worker of cluster.workers) worker.answerWith = answer;
+  }
+
+  /** Sends requests to an entry, each on a connection of its own. */
+  function begin(entry: number, request: Omit<RawRequest, "id">, count = CALLS): RawCall[] {
+    const begun = Array.from(
+      { length: count },
+      (_, i) => new RawCall(cluster.getEntryAddress(entry), { ...request, id: `call-${i}` }),
+    );
+    calls.push(...begun);
+    return begun;
+  }
+
+  /** Kills an entry while calls are being answered, and checks that each of their answers looks broken. */
+  async function expectBrokenAfterKill(entry: number, begun: readonly RawCall[]): Promise<void> {
+    await waitUntil("all have begun", () => begun.every(({ hasBegun }) => hasBegun));
+    await cluster.entries[entry]!.kill();
+    for (const call of begun) call.readOn();
+    await Promise.all(begun.map(({ ended }) => ended));
+    const seen = begun.map(({ status, isComplete }) => ({ status, isComplete }));
+    expect(seen).toEqual(begun.map(() => ({ status: 200, isComplete: false })));
+  }
+
+  // Guards against streams that look complete with pieces missing.
+  it("looks broken when its entry is killed: streams", async () => {
+    await start(1);
+    answerAll(sendEvents);
+    const begun = begin(0, { path: "/live/x" });
+    await expectBrokenAfterKill(0, begun);
+  });
+
+  // Guards against large answers that look complete although their callers have not received all of them.
+  it.each(["1.0", "1.1"])(
+    "looks broken when its entry is killed: plain answers, HTTP/%s",
+    async (version) => {
+      await start(1);
+      answerAll(sendLarge);
+      const begun = begin(0, { path: "/app/x", version, readsLate: true }, CALLS / 2);
+      await expectBrokenAfterKill(0, begun);
+    },
+  );
+
+  // Guards against streams that look complete because the next entry takes the end of a killed one for theirs.
+  it.each([
+    ["the entry that runs it", 1],
+    ["the entry that relays it", 0],
+  ])("looks broken when %s is killed", async (_name, killed) => {
+    await start(2);
+    for (const worker of cluster.workers) worker.relay!.block([getEntryIp(0)], "reset");
+    await waitUntil("the entry relays", async () => (await cluster.call("/app/x")).status === 200);
+    answerAll(sendEvents);
+    const begun = begin(0, { path: "/live/x" });
+    await expectBrokenAfterKill(killed, begun);
+  });
+
+  it("looks complete when nothing is killed", async () => {
+    await start(1);
+    answerAll(sendEvents);
+    const begun = begin(0, { path: "/live/x" });
+    await waitUntil("all are complete", () => begun.every(({ isComplete }) => isComplete));
+    for (const { text } of begun) expect(text).toContain(createEvent(EVENT_COUNT));
+    for (const { text } of begun) expect(text.match(/^id: /gm)).toHaveLength(EVENT_COUNT);
+  });
+});
+
+function createEvent(id: number): string {
+  return `id: ${id}\ndata: ${id}\n\n`;
+}
+
+/** Sends events one at a time, then ends the connection in order. */
+function sendEvents(socket: Socket): void {
+  socket.write(HEAD);
+  let id = 0;
+  const timer = setInterval(() => {
+    id += 1;
+    if (socket.destroyed || id === EVENT_COUNT) clearInterval(timer);
+    if (socket.destroyed) return;
+    socket.write(createEvent(id));
+    if (id === EVENT_COUNT) socket.end();
+  }, EVENT_INTERVAL_MS);
+}
+
+function sendLarge(socket: Socket): void {
+  socket.write(HEAD);
+  socket.end("b".repeat(LARGE_BYTES));
+}
