An answer without a length whose endpoint ends with it counts as cut

What callers would see: since answers always go out with a length or in chunks, a part of an answer whose worker was killed in the middle of it, marked as whole. A killed process closes its connections in order; before, the answer ended at its caller in the same way.

Cause: without a length or chunks nothing in an answer tells its end from its worker's.

What is known at that moment: the end of an event (used already); whether the endpoint is still a target (one that leaves as planned announces it first); whether its port still accepts connections. Control's list is no help, it lags by seconds. So the entry opens a connection to the endpoint when such an answer ends. A target that refuses it has ended without an announcement: the attempt has failed, a repeatable request goes elsewhere, a stream is resumed or broken off, a request that runs once gets a 502. It costs one connection an answer without a length, and its time before the end.

Ruled out: a connection that hangs (an answer that is ready goes out); an endpoint that is no target any more (a planned end may stop to listen while answers are under way); the relay (the entry that runs the request checks).

Five of the six new tests fail without it (checkEnd not called), the sixth guards the planned end. isFramed now says that an answer without a body needs no mark of its end; a 204 on a stream's route was a lost answer before.

Open: an endpoint that restarts at its address within the time of one connection, and one that ends in order between two events without ending its process.

--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -366,7 +366,7 @@
         state,
         incoming,
         startedAt,
-        isFramed: relayed?.isFramed ?? isFramed(incoming),
+        isFramed: relayed?.isFramed ?? isFramed(incoming, this.request.method),
         relayed,
         end,
         abort,
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -4,7 +4,7 @@
 import type { Clock } from "../clock";
 import type { RandomSource } from "../consensus";
 import type { Route, RouteTable } from "../declaration";
-import { Connections, listen } from "../http";
+import { Connections, hasBody, listen } from "../http";
 import type { Logger, Metrics } from "../metrics";
 import type { ReceivedView } from "../registration";
 import {
@@ -73,9 +73,6 @@
 const IDLE_TIMEOUT_MARGIN_MS = 1_000;
 const FRAMING_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
 
-/** No Content and Not Modified. */
-const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /** State of a partially processed request. */
 interface RequestProgress {
   readonly receivedAt: number;
@@ -614,15 +611,10 @@
  */
 function createAnswerHeaders({ status, headers, body }: CompleteAnswer, { req }: ServerResponse): string[] {
   const endToEnd = getEndToEndHeaders(headers);
-  if (!hasBody(status, req.method)) return endToEnd;
+  if (!hasBody(req.method, status)) return endToEnd;
   return [...dropHeaders(endToEnd, FRAMING_HEADERS), "Content-Length", String(body.length)];
 }
 
-/** Checks whether an answer has a body (RFC 9110, section 6.4.1). */
-function hasBody(status: number, method: string | undefined): boolean {
-  return method !== "HEAD" && !BODYLESS_STATUSES.has(status);
-}
-
 /** The unread rest of a refused body must not be parsed as the next request. */
 function endsConnection({ status, code }: GatewayRefusal): boolean {
   return status === 400 || status === 413 || code === "slow_body";
--- a/src/gateway/PlainSource.ts
+++ b/src/gateway/PlainSource.ts
@@ -12,6 +12,7 @@
 } from "./Attempt";
 import type { AnswerSource } from "./AttemptRace";
 import { checkAnswer } from "./checkAnswer";
+import { checkEnd } from "./checkEnd";
 import type { Exchange } from "./Exchange";
 import { mayRepeat } from "./timeouts";
 
@@ -74,6 +75,8 @@
     const { incoming } = attempt;
     try {
       const body = await this._readBody(incoming);
+      await checkEnd(this._exchange, attempt);
+      this._abort.signal.throwIfAborted();
       this._exchange.addSuccessfulAttempt(attempt);
       return {
         status: incoming.statusCode ?? 0,
--- a/src/gateway/StreamSource.ts
+++ b/src/gateway/StreamSource.ts
@@ -17,6 +17,7 @@
 import type { AnswerSource } from "./AttemptRace";
 import type { BufferedAnswer } from "./BufferedAnswer";
 import { checkAnswer } from "./checkAnswer";
+import { checkEnd } from "./checkEnd";
 import { EventSplitter, type StreamEvent } from "./EventSplitter";
 import type { Exchange } from "./Exchange";
 import { mayRepeat } from "./timeouts";
@@ -158,7 +159,7 @@
     this._buffered.close();
   }
 
-  private _complete(attempt: AnsweringAttempt): StreamPart {
+  private async _complete(attempt: AnsweringAttempt): Promise<StreamPart> {
     const { isFramed } = attempt;
     const remainder = this._splitter.takeRemainder();
     const { hasSentHead, startedUnframed } = this._getProgress();
@@ -171,6 +172,8 @@
         reason: "connection closed without marking the end of the answer",
       });
     }
+    await checkEnd(this._exchange, attempt);
+    this._abort.signal.throwIfAborted();
     this._close();
     this._exchange.addSuccessfulAttempt(attempt);
     return {
--- a/src/http/HttpClient.ts
+++ b/src/http/HttpClient.ts
@@ -136,7 +136,7 @@
           outgoing.destroy();
           return;
         }
-        if (!isFramed(answer)) markEndOfAnswer(outgoing);
+        if (!isFramed(answer, call.method)) markEndOfAnswer(outgoing);
         // A response without a length ends with its connection, so a reset must be passed on as an error.
         outgoing.on("error", (cause) => answer.destroy(cause));
         resolve(answer);
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -2,6 +2,7 @@
 export { type ConnectionLimit, Connections } from "./Connections";
 export { getJsonCost } from "./getJsonCost";
 export { type HttpCall, HttpClient, type ProbeOutcome, splitAddress } from "./HttpClient";
+export { hasBody } from "./hasBody";
 export { isConnectionRefused } from "./isConnectionRefused";
 export { isFramed } from "./isFramed";
 export {
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -277,6 +277,11 @@
     }
   }
 
+  /** Removes an endpoint from the view of the gateway, as when it has announced that it leaves. */
+  removeTarget(id: string): void {
+    this._pool.setTargets(this._pool.getTargets().filter((target) => target.id !== id));
+  }
+
   /** Ends an endpoint like a crash: its connections are reset and its port refuses new ones. */
   endEndpoint(index: number): void {
     const server = this._servers[index]!;
--- a/test/gateway/brokenAnswers.test.ts
+++ b/test/gateway/brokenAnswers.test.ts
@@ -154,6 +154,69 @@
     });
   });
 
+  // Guards against a part of an answer that looks whole because its endpoint's process ended in the middle of it.
+  describe("without a length whose endpoint ends with it", () => {
+    const HEAD = `HTTP/1.1 200 OK\r\n${SEAL}connection: close\r\n\r\n`;
+    /** The endpoint that ends. */
+    const ENDING = 0;
+
+    /** Starts two endpoints: one that ends in order with a part of its answer, and one that answers. */
+    async function startEnding(
+      other: Script,
+      kind: Kind,
+      beforeEnd: (harness: GatewayHarness) => void = () => {},
+    ): Promise<GatewayHarness> {
+      const ending: Script = (_seen, response) => {
+        response.socket!.write(HEAD + EVENT, () => {
+          beforeEnd(harness);
+          harness.endEndpoint(ENDING);
+        });
+      };
+      const harness = await start([ending, other], kind);
+      return harness;
+    }
+
+    it("is replaced by another endpoint's answer to a repeatable request", async () => {
+      const harness = await startEnding(answer(200, "whole"), REPEATABLE);
+      expect(await harness.call()).toMatchObject({ status: 200, body: "whole", isWhole: true });
+      expect(getReceivers(harness)).toEqual([0, 1]);
+    });
+
+    it("is not passed on if the request must run once", async () => {
+      const harness = await startEnding(answer(200, "whole"), RUNS_ONCE);
+      expect((await harness.call()).status).toBe(502);
+      expect(getReceivers(harness)).toEqual([0]);
+    });
+
+    it("is resumed after its last event as a stream", async () => {
+      const harness = await startEnding(streamEvents([2, 3], "whole"), RESUMABLE);
+      const body = [1, 2, 3].map((id) => `id: ${id}\ndata: ${id}\n\n`).join("");
+      expect(await harness.call()).toMatchObject({ status: 200, body, isWhole: true });
+    });
+
+    it("looks broken as a stream that is not resumable", async () => {
+      const harness = await startEnding(answer(200, "whole"), STREAM);
+      expect(await harness.call()).toMatchObject({ status: 200, body: EVENT, isWhole: false });
+    });
+
+    it("is not passed on by the entry to which it was relayed", async () => {
+      const peer = await startEnding(answer(200, "whole"), RUNS_ONCE);
+      const cut = await start([answer(200, "own"), answer(200, "own")], RUNS_ONCE);
+      await cut.addPeers([peer]);
+      cut.endEndpoint(0);
+      cut.endEndpoint(1);
+      expect((await cut.call()).status).toBe(502);
+    });
+
+    // Guards against whole answers of endpoints that leave as planned being taken for broken ones.
+    it("is passed on when the endpoint had announced its end", async () => {
+      const harness = await startEnding(answer(200, "whole"), RUNS_ONCE, (leaving) =>
+        leaving.removeTarget(leaving.targets[ENDING]!.id),
+      );
+      expect(await harness.call()).toMatchObject({ status: 200, body: EVENT, isWhole: true });
+    });
+  });
+
   // Guards against invalid statuses that callers get unchanged or as an internal error.
   describe.each([
     ["000", "HTTP/1.1 000 OK"],
