An entry that sends data is not avoided because one relayed request is idle

What callers saw: refusals at once ('no target') at an entry that reaches no endpoint, while both other entries served.

Cause: a relayed request that has been idle for too long was put down to the entry that runs it, and no request was relayed to that entry for half a second. The silence is that of one endpoint behind it.

Ruled out: the other entries (their logs hold no refusal).

Change: as for endpoints, an idle request counts against an entry only when nothing else has arrived from it meanwhile. An entry that is frozen or cut off is avoided as before.

--- a/src/gateway/DestinationChooser.ts
+++ b/src/gateway/DestinationChooser.ts
@@ -111,6 +111,16 @@
     return this._options.peers.startRequest(peer.id);
   }
 
+  /** Records that data arrived from a peer. */
+  addPeerActivity(now: number, { id }: Target): void {
+    this._options.peers.addActivity(now, id);
+  }
+
+  /** Records that a relayed request has been idle. */
+  addPeerIdle(now: number, peer: Target, idleMs: number): void {
+    this._options.peers.addIdle(now, peer, idleMs);
+  }
+
   /** Records that a peer failed, or refused a request that did not run. */
   addPeerFailure(now: number, peer: Target): void {
     this._options.peers.addFailure(now, peer);
--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -270,10 +270,14 @@
 
   /** Records that data arrived from the target of an attempt. */
   addActivity(target: Target, isNewConnection: boolean): void {
-    if (isPeer(target)) return;
+    const { pool, destinations } = this.dependencies;
     const now = this.getNow();
-    this.dependencies.pool.addActivity(now, target.id);
-    this.dependencies.destinations.addAnswer(now, target, isNewConnection);
+    if (isPeer(target)) {
+      destinations.addPeerActivity(now, target);
+      return;
+    }
+    pool.addActivity(now, target.id);
+    destinations.addAnswer(now, target, isNewConnection);
   }
 
   /** Checks whether the route and the remaining time allow one more attempt. */
@@ -300,16 +304,17 @@
 
   /**
    * Chooses the target of a hedge for an idle attempt; takes a retry from the budget.
+   * @param idleMs - How long the attempt has been idle.
    * @returns `undefined` when the request may not be sent again, or no other target is likely to answer
    * sooner.
    */
-  takeHedgeTarget(idle: Target): Target | undefined {
+  takeHedgeTarget(idle: Target, idleMs: number): Target | undefined {
     if (this.isCancelled || this._isWithdrawn || this.containment.isTrial) return undefined;
     if (!mayRepeat(this.request.route) || !this.hasAttemptsLeft()) return undefined;
     const now = this.getNow();
     const target = this.chooseTarget();
     if (target === undefined || this.dependencies.pool.isSuspected(now, target.id)) return undefined;
-    this._reportSuspicion(now, idle);
+    this._reportSuspicion(now, idle, idleMs);
     return this._mayRepeatAt(target) ? target : undefined;
   }
 
@@ -456,11 +461,11 @@
   /**
    * Reports an idle target once. The attempt may still succeed, but other requests avoid the target at once.
    */
-  private _reportSuspicion(now: number, target: Target): void {
+  private _reportSuspicion(now: number, target: Target, idleMs: number): void {
     if (this._suspectedTargetIds.has(target.id)) return;
     this._suspectedTargetIds.add(target.id);
     if (isPeer(target)) {
-      this.dependencies.destinations.addPeerFailure(now, target);
+      this.dependencies.destinations.addPeerIdle(now, target, idleMs);
       return;
     }
     this.dependencies.pool.addFailure(now, target.id);
--- a/src/gateway/PeerPool.ts
+++ b/src/gateway/PeerPool.ts
@@ -19,6 +19,8 @@
   inFlight: number;
   /** Until when the peer is avoided, by service. */
   readonly avoidedUntil: Map<string, number>;
+  /** When data for any request last arrived from the peer. */
+  lastActivityAt: number;
 }
 
 /** How long a peer is avoided after it failed or refused a request that did not run. */
@@ -26,6 +28,7 @@
 /** Random part of a load, smaller than one request. */
 const TIE_BREAK = 1e-3;
 const ID_PREFIX = "peer:";
+const NEVER = Number.NEGATIVE_INFINITY;
 
 /** Checks whether a target is another entry. */
 export function isPeer({ id }: Target): boolean {
@@ -54,7 +57,13 @@
     for (const endpoint of endpoints) {
       const existing = this._peers.get(getPeerId(endpoint));
       if (existing !== undefined) existing.endpoint = endpoint;
-      else this._peers.set(getPeerId(endpoint), { endpoint, inFlight: 0, avoidedUntil: new Map() });
+      else
+        this._peers.set(getPeerId(endpoint), {
+          endpoint,
+          inFlight: 0,
+          avoidedUntil: new Map(),
+          lastActivityAt: NEVER,
+        });
     }
   }
 
@@ -85,6 +94,21 @@
     };
   }
 
+  /** Records that data arrived from a peer. */
+  addActivity(now: number, id: string): void {
+    const peer = this._peers.get(id);
+    if (peer !== undefined) peer.lastActivityAt = now;
+  }
+
+  /**
+   * Records that a relayed request has been idle. A peer that sent data for other requests meanwhile works: the
+   * request waits at one of its endpoints.
+   */
+  addIdle(now: number, peer: Target, idleMs: number): void {
+    const lastActivityAt = this._peers.get(peer.id)?.lastActivityAt ?? NEVER;
+    if (lastActivityAt <= now - idleMs) this.addFailure(now, peer);
+  }
+
   /** Records that a peer failed, or refused a request that did not run. */
   addFailure(now: number, { id, service }: Target): void {
     this._peers.get(id)?.avoidedUntil.set(service, now + AVOIDANCE_MS);
--- a/src/gateway/createRace.ts
+++ b/src/gateway/createRace.ts
@@ -26,7 +26,7 @@
     },
     openHedge: (idle, idleMs) => {
       if (!exchange.isIdleTooLong(idle.target, idleMs, getIdleTimeoutMs())) return undefined;
-      const target = exchange.takeHedgeTarget(idle.target);
+      const target = exchange.takeHedgeTarget(idle.target, idleMs);
       return target === undefined ? undefined : open(target);
     },
   });
--- a/test/gateway/Exchange.test.ts
+++ b/test/gateway/Exchange.test.ts
@@ -10,6 +10,7 @@
 import { createBody } from "./createBody";
 
 const TIMEOUT_MS = 1_000;
+const IDLE_MS = 300;
 
 /** Creates an exchange over two targets, with an unlimited retry budget. */
 function createExchange(kind: "repeatable" | "notRepeatable"): { exchange: Exchange; idle: Target } {
@@ -39,17 +40,17 @@
 describe("Exchange", () => {
   it("hedges only a repeatable request", () => {
     const { exchange, idle } = createExchange("repeatable");
-    expect(exchange.takeHedgeTarget(idle)).toBeDefined();
+    expect(exchange.takeHedgeTarget(idle, IDLE_MS)).toBeDefined();
     const once = createExchange("notRepeatable");
-    expect(once.exchange.takeHedgeTarget(once.idle)).toBeUndefined();
+    expect(once.exchange.takeHedgeTarget(once.idle, IDLE_MS)).toBeUndefined();
   });
 
   it("does not hedge a request that was cancelled or withdrawn", () => {
     const cancelled = createExchange("repeatable");
     cancelled.exchange.cancel();
-    expect(cancelled.exchange.takeHedgeTarget(cancelled.idle)).toBeUndefined();
+    expect(cancelled.exchange.takeHedgeTarget(cancelled.idle, IDLE_MS)).toBeUndefined();
     const withdrawn = createExchange("repeatable");
     withdrawn.exchange.withdraw();
-    expect(withdrawn.exchange.takeHedgeTarget(withdrawn.idle)).toBeUndefined();
+    expect(withdrawn.exchange.takeHedgeTarget(withdrawn.idle, IDLE_MS)).toBeUndefined();
   });
 });
