What another entry was granted counts until it tells that it used less

Cause: a relayed attempt counted as one until the head of its answer, whatever the other entry had been granted. So while that entry sent the request to a second endpoint, the first one granted the attempt that it took for left to a third entry. The same on related paths: the head of a resumable stream tells only what was sent until then (six events from six endpoints where three are allowed, in the new test); an attempt that is still being connected counted as none.

Ruled out: the entries that run the request (each keeps to its grant); the retry budget (it is taken).

Change: AttemptState holds the grant. It is taken from the start of the attempt; none is when nothing was sent; the head of an answer sets what is taken to what it tells, except for a stream that may be resumed. One attempt is kept while a further entry may be asked, because what a silent or ended entry was granted stays taken. An entry that may not repeat a request is not waited for longer before another one is asked. A request counts as a repeat while another attempt may still be sent.

request_ended tells attempts_taken, so that a refusal for want of attempts can be told from one for want of targets.

--- a/src/gateway/DestinationChooser.ts
+++ b/src/gateway/DestinationChooser.ts
@@ -106,6 +106,11 @@
     this._reportChange(now, service);
   }
 
+  /** Checks whether there is a peer that may be chosen for a request. */
+  hasPeer(now: number, request: PeerRequest): boolean {
+    return this._options.peers.choosePeer(now, request) !== undefined;
+  }
+
   /** Records that a request is relayed to a peer. Returns a function that records its end. */
   startRelay(peer: Target): () => void {
     return this._options.peers.startRequest(peer.id);
--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -22,7 +22,14 @@
   wasAbandoned,
   wasEndedByEndpoint,
 } from "./Attempt";
-import { AttemptState, countSent, mayHaveRun } from "./AttemptState";
+import {
+  type AttemptGrant,
+  AttemptState,
+  countSent,
+  countTaken,
+  mayHaveRun,
+  ONE_ATTEMPT,
+} from "./AttemptState";
 import type { CrashMonitor } from "./CrashMonitor";
 import type { DestinationChooser } from "./DestinationChooser";
 import type { Dialect } from "./Dialect";
@@ -74,7 +81,7 @@
 const IN_TIME_SHARE = 0.8;
 /** Idle time after which a request at a stalled endpoint is sent to another one. */
 const STALLED_TIMEOUT_MS = 100;
-/** Additional idle time before a request that was relayed is relayed to another peer. */
+/** Additional idle time before a request that a peer may repeat itself is relayed to another one. */
 const PEER_IDLE_MARGIN_MS = 300;
 const MIN_FAILURE_STATUS = 300;
 /** An attempt is not started with less time left than this. */
@@ -156,6 +163,11 @@
     return countSent(this._attempts);
   }
 
+  /** Gets how many of the attempts that the route allows are taken, also by other entries. */
+  get takenCount(): number {
+    return countTaken(this._attempts);
+  }
+
   /** Gets whether an endpoint may have begun to run the request, as far as all attempts until now tell. */
   get mayHaveRun(): boolean {
     return mayHaveRun(this._attempts);
@@ -283,7 +295,7 @@
   /** Checks whether the route and the remaining time allow one more attempt. */
   hasAttemptsLeft(): boolean {
     const { route, body } = this.request;
-    return body.isHeld && this.sentCount < route.maxAttempts && this.getRemainingMs() > MIN_REMAINING_MS;
+    return body.isHeld && this.takenCount < route.maxAttempts && this.getRemainingMs() > MIN_REMAINING_MS;
   }
 
   /**
@@ -293,8 +305,7 @@
   isIdleTooLong(target: Target, idleMs: number, timeoutMs: number): boolean {
     const { pool, onSuspicion } = this.dependencies;
     const now = this.getNow();
-    // The peer itself sends the request to another endpoint when one is idle.
-    if (isPeer(target)) return idleMs >= timeoutMs + PEER_IDLE_MARGIN_MS;
+    if (isPeer(target)) return idleMs >= timeoutMs + this._getPeerMarginMs(target);
     if (pool.isStalled(now, target.id)) {
       onSuspicion(target, false);
       if (idleMs >= STALLED_TIMEOUT_MS) return true;
@@ -302,6 +313,15 @@
     return isIdleTooLong(idleMs, now - pool.getLastActivityAt(target.id), timeoutMs);
   }
 
+  /** A peer that may repeat a request sends it to another endpoint itself when one is idle. */
+  private _getPeerMarginMs(peer: Target): number {
+    return this._getRunning(peer)?.state.mayBeRepeated === true ? PEER_IDLE_MARGIN_MS : 0;
+  }
+
+  private _getRunning({ id }: Target): RunningAttempt | undefined {
+    return [...this._runningAttempts.values()].find(({ target }) => target.id === id);
+  }
+
   /**
    * Chooses the target of a hedge for an idle attempt; takes a retry from the budget.
    * @param idleMs - How long the attempt has been idle.
@@ -348,24 +368,28 @@
     abort: AbortController,
   ): Promise<AnsweringAttempt | AttemptFailure> {
     const startedAt = this.getNow();
-    const state = new AttemptState();
+    this._triedTargetIds.add(target.id);
+    const grant = isPeer(target)
+      ? this.peers.createGrant(startedAt, this.takenCount, this._triedTargetIds)
+      : ONE_ATTEMPT;
+    const headers = this._createHeaders(target, grant, lastEventId);
+    const state = new AttemptState(grant);
     this._attempts.push(state);
     const running: RunningAttempt = { target, startedAt, state, isNewConnection: true };
     this._runningAttempts.set(abort, running);
     this._crashProbe = undefined;
-    this._triedTargetIds.add(target.id);
     const { pool, destinations } = this.dependencies;
     const end = isPeer(target) ? destinations.startRelay(target) : pool.startRequest(target.id);
     destinations.addAttempt(startedAt, target);
     try {
-      const incoming = await this._sendRequest(target, lastEventId, abort, (isNewConnection) => {
+      const incoming = await this._sendRequest(target, headers, abort, (isNewConnection) => {
         state.setSent();
         running.isNewConnection = isNewConnection;
         if (isNewConnection && !isPeer(target)) destinations.addConnection(this.getNow(), target);
       });
       this.addActivity(target, running.isNewConnection);
       const relayed = isPeer(target) ? this.peers.readAnswer(target, incoming) : undefined;
-      state.setAnswered(relayed?.sent ?? 1);
+      state.setAnswered(relayed?.sent ?? 1, relayed !== undefined && relayed.outcome !== "answered");
       return {
         target,
         state,
@@ -469,7 +493,7 @@
       return;
     }
     this.dependencies.pool.addFailure(now, target.id);
-    const running = [...this._runningAttempts.values()].find((attempt) => attempt.target === target);
+    const running = this._getRunning(target);
     if (running !== undefined) this._addLinkFailure(now, running);
     this._suspect(target, false);
   }
@@ -490,31 +514,40 @@
     });
   }
 
-  private _sendRequest(
-    target: Target,
-    lastEventId: string | undefined,
-    abort: AbortController,
-    beforeSend: (isNewConnection: boolean) => void,
-  ): Promise<IncomingMessage> {
+  private _createHeaders(target: Target, grant: AttemptGrant, lastEventId: string | undefined): string[] {
     const { request, dependencies } = this;
-    const leftMs = this.getRemainingMs();
     const headers = isPeer(target)
-      ? this.peers.createHeaders(this.getNow(), this.sentCount, lastEventId)
+      ? this.peers.createHeaders(this.getNow(), grant, this.takenCount > 0, lastEventId)
       : dependencies.dialect.createHeaders(request.headers, {
-          leftMs,
+          leftMs: this.getRemainingMs(),
           instanceId: target.instanceId,
           organisation: request.organisation,
           lastEventId,
           canMeetObjective: this._canMeetObjective(lastEventId),
         });
-    const hasBody = request.body.length > 0 || !isBodyless(request.method);
-    if (hasBody) headers.push("Content-Length", String(request.body.length));
+    if (this._hasBody) headers.push("Content-Length", String(request.body.length));
+    return headers;
+  }
+
+  private get _hasBody(): boolean {
+    const { body, method } = this.request;
+    return body.length > 0 || !isBodyless(method);
+  }
+
+  private _sendRequest(
+    target: Target,
+    headers: readonly string[],
+    abort: AbortController,
+    beforeSend: (isNewConnection: boolean) => void,
+  ): Promise<IncomingMessage> {
+    const { request, dependencies } = this;
+    const leftMs = this.getRemainingMs();
     return dependencies.client.send({
       method: request.method,
       address: target.address,
       path: request.path,
       headers,
-      body: hasBody ? request.body : undefined,
+      body: this._hasBody ? request.body : undefined,
       connectMs: Math.min(CONNECT_TIMEOUT_MS, leftMs),
       idleMs: Math.max(1, Math.ceil(leftMs)),
       signal: abort.signal,
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -554,6 +554,8 @@
       code,
       took_ms: tookMs,
       sent: exchange?.sentCount ?? 0,
+      // Shows why a request was not sent again: other entries may use attempts without telling at once.
+      attempts_taken: exchange?.takenCount ?? 0,
       // Shows whether a refusal may say that the request did not run.
       may_have_run: exchange?.mayHaveRun ?? false,
       relayed: progress.relayed === undefined ? undefined : true,
--- a/src/gateway/PeerAttempts.ts
+++ b/src/gateway/PeerAttempts.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import type { Target } from "../gen/ploverstage/v1/fleet_pb";
 import type { AttemptFailure } from "./Attempt";
+import type { AttemptGrant } from "./AttemptState";
 import type { DestinationChooser } from "./DestinationChooser";
 import type { ExchangeRequest } from "./ExchangeRequest";
 import type { GatewayRefusal } from "./GatewayRefusal";
@@ -12,6 +13,7 @@
   type RelayedAnswer,
   readRelayedAnswer,
 } from "./relay";
+import { mayRepeat } from "./timeouts";
 
 export interface PeerAttemptsOptions {
   readonly request: ExchangeRequest;
@@ -59,20 +61,42 @@
     this._servedBy = address;
   }
 
+  /**
+   * Decides what the next peer may do with the request. While a further peer may be asked, one attempt is kept
+   * for it: what a peer that does not answer was granted stays taken, because it may have used it.
+   * @param takenCount - Number of attempts of the route that are taken.
+   * @param triedIds - Peers that have been chosen, including this one.
+   */
+  createGrant(now: number, takenCount: number, triedIds: ReadonlySet<string>): AttemptGrant {
+    const { request, destinations } = this._options;
+    const { service, call, route } = request;
+    const left = Math.max(0, route.maxAttempts - takenCount);
+    const hasOther = destinations.hasPeer(now, { service, model: call.model, excluded: triedIds });
+    return {
+      attempts: left > 1 && mayRepeat(route) && hasOther ? left - 1 : left,
+      mayResume: route.kind === "stream" && route.isResumable,
+    };
+  }
+
   /**
    * Creates the headers of the request: those of the caller and the state of the exchange.
-   * @param sentCount - Number of endpoints that may have received the request before.
+   * @param isRepeat - Whether endpoints may have received the request before, or still may.
    * @param lastEventId - Id of the event after which a stream continues.
    */
-  createHeaders(now: number, sentCount: number, lastEventId: string | undefined): string[] {
+  createHeaders(
+    now: number,
+    { attempts }: AttemptGrant,
+    isRepeat: boolean,
+    lastEventId: string | undefined,
+  ): string[] {
     const { request, secret } = this._options;
     const relayed = formatRelay({
       leftMs: Math.max(0, request.deadlineAt - now),
       ageMs: now - request.firstRequestedAt,
-      attempts: Math.max(0, request.route.maxAttempts - sentCount),
+      attempts,
       ...(lastEventId === undefined ? {} : { lastEventId }),
       isCounted: this._isCounted,
-      isRepeat: sentCount > 0 || request.isRepeat,
+      isRepeat: isRepeat || request.isRepeat,
     });
     const secretHeaders = secret === undefined ? [] : [RELAY_SECRET_HEADER, secret];
     return [...request.headers, RELAY_REQUEST_HEADER, relayed, ...secretHeaders];
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -277,6 +277,11 @@
     }
   }
 
+  /** Ends the server for relayed requests, with its connections, like the end of the process. */
+  stopRelay(): void {
+    this._relayServer?.stop();
+  }
+
   /** Removes an endpoint from the view of the gateway, as when it has announced that it leaves. */
   removeTarget(id: string): void {
     this._pool.setTargets(this._pool.getTargets().filter((target) => target.id !== id));
--- a/test/gateway/relaying.test.ts
+++ b/test/gateway/relaying.test.ts
@@ -1,6 +1,7 @@
 /** Requests that an entry without links to endpoints relays to another entry. */
 import { request } from "node:http";
 import { afterEach, describe, expect, it } from "vitest";
+import { pause } from "../../src/clock";
 import { RELAY_ANSWER_HEADER, RELAY_REQUEST_HEADER } from "../../src/gateway/relay";
 import { waitUntil } from "../support/waitUntil";
 import { answer, GatewayHarness, type Script, streamEvents } from "./GatewayHarness";
@@ -183,6 +184,86 @@
     expect(peers.flatMap(({ requests }) => requests).length).toBeLessThanOrEqual(2);
   });
 
+  /** Gets how many endpoints of entries have received a request. */
+  function countReceivers(entries: readonly GatewayHarness[], id: string): number {
+    const received = entries.map(({ requests }) => requests.filter(({ headers }) => headers["x-id"] === id));
+    return received
+      .flatMap((requests) => new Set(requests.map(({ index }) => index)).size)
+      .reduce((a, b) => a + b);
+  }
+
+  // Guards against requests that run at more endpoints than their route allows, because an entry that relays one once
+  // more does not count what the first entry may still do with it.
+  it.each([2, 3])(
+    "sends a request to %i endpoints at most, though all of them are silent",
+    async (maxAttempts) => {
+      const route = { objectiveMs: 50, timeoutMs: 2_500, maxAttempts };
+      const peers = await Promise.all([1, 2, 3].map(() => start([HOLD, HOLD, HOLD, HOLD], route)));
+      const cut = await startCut(peers, route);
+      expect((await cut.call()).status).toBe(504);
+      expect(countReceivers(peers, "call-1")).toBe(maxAttempts);
+    },
+  );
+
+  it.each([2, 3])(
+    "sends a stream to %i endpoints at most, though each falls silent after an event",
+    async (maxAttempts) => {
+      const route = { ...STREAM_ROUTE, objectiveMs: 50, gapObjectiveMs: 50, timeoutMs: 4_000, maxAttempts };
+      const goOn: Script = (seen, response) => {
+        const id = Number(seen.headers["last-event-id"] ?? 0) + 1;
+        streamEvents([id], "silent")(seen, response);
+      };
+      const peers = await Promise.all([1, 2, 3].map(() => start([goOn, goOn, goOn, goOn], route)));
+      const cut = await startCut(peers, route);
+      const { isWhole, body } = await cut.call();
+      expect({ isWhole, events: body.match(/^id: /gm)?.length }).toEqual({
+        isWhole: false,
+        events: maxAttempts,
+      });
+      expect(countReceivers(peers, "call-1")).toBe(maxAttempts);
+    },
+    10_000,
+  );
+
+  // Guards against requests that are refused because an entry that ended holds all their attempts.
+  it.each(["ends", "is silent"])("is answered by a second entry when the first one %s", async (how) => {
+    const route = { objectiveMs: 50, maxAttempts: 2 };
+    const first = await start([HOLD, HOLD], route);
+    const second = await start([answer(200, "second")], route);
+    const cut = await startCut([first, second], route);
+    let pending = cut.call();
+    // Which entry is chosen first is random; one of a few requests starts at the first one.
+    await waitUntil("a request waits at the first entry", async () => {
+      if (first.requests.length > 0) return true;
+      if ((await Promise.race([pending, pause(PROBE_MS)])) !== undefined) pending = cut.call();
+      return false;
+    });
+    if (how === "ends") first.stopRelay();
+    expect(await pending).toMatchObject({ status: 200, body: "second" });
+  });
+
+  // Guards against requests that are refused because all other entries are avoided for the silence of an endpoint.
+  it("still relays requests to entries that answer them while others wait at silent endpoints", async () => {
+    const route = { objectiveMs: 50, maxAttempts: 2, timeoutMs: 1_500 };
+    const script: Script = (seen, response) => {
+      if (String(seen.headers["x-id"]).startsWith("slow")) return;
+      answer(200, "ok")(seen, response);
+    };
+    const peers = [await start([script], route), await start([script], route)];
+    const cut = await startCut(peers, route);
+    const slow = ["slow-1", "slow-2"].map((id) => cut.call({ headers: { "x-id": id } }));
+    const statuses: number[] = [];
+    for (let i = 0; i < 40; i++) {
+      statuses.push((await cut.call({ headers: { "x-id": `quick-${i}` } })).status);
+      await pause(20);
+    }
+    await Promise.all(slow);
+    expect(peers.every(({ requests }) => requests.some(({ headers }) => headers["x-id"] === "slow-1"))).toBe(
+      true,
+    );
+    expect(statuses.filter((status) => status !== 200)).toEqual([]);
+  });
+
   it("records no crash of endpoints that it lost together", async () => {
     const cut = await start([HOLD, HOLD], { maxAttempts: 1 });
     // The second endpoint of a harness is avoided at first.
