An entry without retries left is not avoided for requests that are sent for the first time

What callers saw: refusals at once ('no target') at an entry that reaches no endpoint, while both other entries served.

Cause: an entry that refuses a relayed repeat because the budget of retries is empty answered 'no_target, not run', and the first entry took that for an entry that has no endpoints and avoided it for half a second.

Change: such a refusal has a code of its own (no_retry) and doesn't count against the entry. Other refusals that a request did not run still do.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -58,6 +58,8 @@
    * endpoint.
    */
   readonly wasAbandoned?: boolean;
+  /** Whether another entry refused the request only because its budget of retries is exhausted. */
+  readonly lacksRetry?: boolean;
 };
 
 /**
--- a/src/gateway/Exchange.ts
+++ b/src/gateway/Exchange.ts
@@ -444,6 +444,10 @@
       );
     }
     if (this.isBlocked) return createBlockedRefusal(this.containment.isConfirmedCause);
+    if (last === undefined && this._denial === "noRepeat") {
+      const reason = "the budget of retries is exhausted";
+      return createNotRunRefusal("no_retry", reason, this._getRetryAfterMs());
+    }
     if (last === undefined) {
       const { service, call } = this.request;
       const targetName = call.model === "" ? service : `${service}/${call.model}`;
--- a/src/gateway/GatewayRefusal.ts
+++ b/src/gateway/GatewayRefusal.ts
@@ -15,6 +15,7 @@
   | "malformed_request"
   | "stopping"
   | "no_target"
+  | "no_retry"
   | "overloaded"
   | "kept_away"
   | "endpoint_unreachable"
@@ -62,6 +63,12 @@
   });
 }
 
+/** Checks whether another entry refused a relayed request only because its budget of retries is exhausted. */
+export function isLackOfRetries({ code }: RelayedAnswer): boolean {
+  const lackCode: GatewayRefusalCode = "no_retry";
+  return code === lackCode;
+}
+
 /** Gets how a refusal is described to the entry that relayed the request. */
 export function getRelayOutcome({ code, retryAfterMs, status }: GatewayRefusal): RelayedAnswer["outcome"] {
   if (FINAL_CODES.includes(code)) return "refused";
--- a/src/gateway/PeerAttempts.ts
+++ b/src/gateway/PeerAttempts.ts
@@ -117,8 +117,9 @@
     }
   }
 
-  /** Records a failed attempt. */
+  /** Records a failed attempt. A peer without retries left still runs requests that are sent for the first time. */
   addFailure(now: number, peer: Target, failure: AttemptFailure): void {
+    if (failure.lacksRetry === true) return;
     const hasHead = this._answeredIds.has(peer.id);
     const hasRefusedOnce = failure.wasNotRun && this._refusal === undefined;
     if (!hasHead || hasRefusedOnce) this._options.destinations.addPeerFailure(now, peer);
--- a/src/gateway/checkAnswer.ts
+++ b/src/gateway/checkAnswer.ts
@@ -1,7 +1,7 @@
 /** Decides from the head of an answer whether it may be passed on. */
 import type { AnsweringAttempt, AttemptFailure } from "./Attempt";
 import type { Exchange } from "./Exchange";
-import { createPeerRefusal } from "./GatewayRefusal";
+import { createPeerRefusal, isLackOfRetries } from "./GatewayRefusal";
 import type { RelayedAnswer } from "./relay";
 
 /** Gets why an answer may not be passed on; `undefined` when it may. */
@@ -27,10 +27,9 @@
 ): AttemptFailure | undefined {
   if (relayed.outcome === "answered") return undefined;
   if (relayed.outcome === "refused") exchange.peers.setRefusal(createPeerRefusal(status, relayed));
-  return createFailure(
-    `another entry answered ${status}: ${relayed.reason ?? relayed.outcome}`,
-    relayed.outcome !== "unknown",
-  );
+  const reason = `another entry answered ${status}: ${relayed.reason ?? relayed.outcome}`;
+  const failure = createFailure(reason, relayed.outcome !== "unknown");
+  return { ...failure, lacksRetry: isLackOfRetries(relayed) };
 }
 
 function createFailure(reason: string, wasNotRun: boolean): AttemptFailure {
