--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -4,7 +4,7 @@
 import type { Clock } from "../clock";
 import type { RandomSource } from "../consensus";
 import type { Route, RouteTable } from "../declaration";
-import { Connections, hasBody, listen } from "../http";
+import { Connections, listen } from "../http";
 import type { Logger, Metrics } from "../metrics";
 import type { ReceivedView } from "../registration";
 import {
@@ -20,24 +20,20 @@
   type RequestBody,
 } from "../server";
 import { CallerTimeouts } from "./CallerTimeouts";
+import { createAnswerHeaders } from "./createAnswerHeaders";
 import type { CallMetadata } from "./Dialect";
 import { Exchange, type ExchangeDependencies } from "./Exchange";
 import type { ExchangeRequest } from "./ExchangeRequest";
-import { createNotRunRefusal, GatewayRefusal, getRelayOutcome } from "./GatewayRefusal";
-import { dropHeaders, getEndToEndHeaders } from "./headers";
+import { createNotRunRefusal, GatewayRefusal } from "./GatewayRefusal";
+import { dropHeaders, FRAMING_HEADERS, getEndToEndHeaders } from "./headers";
 import { PlainExchange } from "./PlainExchange";
 import type { CompleteAnswer } from "./PlainSource";
 import { getOrganisation, isAllowedAlike } from "./permissions";
-import {
-  createRelayAnswerHeaders,
-  formatRelay,
-  RELAY_ANSWER_HEADER,
-  type RelayedRequest,
-  toHeaderText,
-} from "./relay";
+import { createRelayAnswerHeaders, type RelayedRequest } from "./relay";
 import { getFirstViewRetryAfterMs } from "./retryAfter";
 import { StreamExchange } from "./StreamExchange";
 import { mayRepeat } from "./timeouts";
+import { addRelayOutcome, refuseMalformed, writeRefusal } from "./writeRefusal";
 
 export interface GatewayServerOptions {
   /** host:port */
@@ -71,7 +67,6 @@
 const STOPPING_RETRY_MS = 50;
 /** Callers reuse a connection up to the declared time, so the server closes it a little later. */
 const IDLE_TIMEOUT_MARGIN_MS = 1_000;
-const FRAMING_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
 
 /** State of a partially processed request. */
 interface RequestProgress {
@@ -595,60 +590,3 @@
   if (cause instanceof GatewayRefusal) return cause;
   return createFinalRefusal(502, "answer_lost", String(cause));
 }
-
-/** Tells the entry that relayed a request how it was refused. */
-function addRelayOutcome(response: ServerResponse, refusal: GatewayRefusal, sent: number): void {
-  const { code, reason, retryAfterMs } = refusal;
-  const outcome = getRelayOutcome(refusal);
-  const answer = { outcome, sent, isFramed: true, code, reason: toHeaderText(reason) };
-  response.setHeader(
-    RELAY_ANSWER_HEADER,
-    formatRelay(retryAfterMs === undefined ? answer : { ...answer, retryAfterMs }),
-  );
-}
-
-/**
- * Creates the headers of a complete answer. Its length is always declared, so that a part of it never looks
- * complete. An answer without a body keeps the length that its endpoint declared.
- */
-function createAnswerHeaders({ status, headers, body }: CompleteAnswer, { req }: ServerResponse): string[] {
-  const endToEnd = getEndToEndHeaders(headers);
-  if (!hasBody(req.method, status)) return endToEnd;
-  return [...dropHeaders(endToEnd, FRAMING_HEADERS), "Content-Length", String(body.length)];
-}
-
-/** The unread rest of a refused body must not be parsed as the next request. */
-function endsConnection({ status, code }: GatewayRefusal): boolean {
-  return status === 400 || status === 413 || code === "slow_body";
-}
-
-function writeRefusal(response: ServerResponse, refusal: GatewayRefusal): void {
-  const body = JSON.stringify({ error: { code: refusal.code, message: refusal.reason } });
-  response.setHeader("Content-Type", "application/json");
-  response.setHeader("Content-Length", Buffer.byteLength(body));
-  if (refusal.retryAfterMs !== undefined) {
-    response.setHeader("Retry-After", (refusal.retryAfterMs / 1_000).toString());
-  }
-  if (endsConnection(refusal)) response.setHeader("Connection", "close");
-  response.writeHead(refusal.status);
-  response.end(body);
-}
-
-/** Answers to malformed requests, by the parser's error code. */
-const MALFORMED_ANSWERS: Readonly<Record<string, string>> = {
-  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
-  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
-};
-
-/**
- * Answers a request that can't be parsed and closes the connection, because the start of the next request is
- * unknown.
- */
-function refuseMalformed(socket: Socket, errorCode: string | undefined): void {
-  if (!socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const answer = MALFORMED_ANSWERS[errorCode ?? ""] ?? "400 Bad Request";
-  socket.end(`HTTP/1.1 ${answer}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-}
--- a/src/gateway/StreamExchange.ts
+++ b/src/gateway/StreamExchange.ts
@@ -11,7 +11,7 @@
 import { createRace } from "./createRace";
 import type { StreamEvent } from "./EventSplitter";
 import type { Exchange } from "./Exchange";
-import { getEndToEndHeaders } from "./headers";
+import { dropHeaders, FRAMING_HEADERS, getEndToEndHeaders } from "./headers";
 import { createRelayAnswerHeaders } from "./relay";
 import type { StreamAdmission } from "./StreamGate";
 import { type StreamPart, type StreamProgress, StreamSource } from "./StreamSource";
@@ -155,10 +155,5 @@
  * from the first endpoint's.
  */
 function getStreamHeaders(incoming: IncomingMessage): string[] {
-  const headers = getEndToEndHeaders(incoming.rawHeaders);
-  const result: string[] = [];
-  for (let i = 0; i + 1 < headers.length; i += 2) {
-    if (headers[i]!.toLowerCase() !== "content-length") result.push(headers[i]!, headers[i + 1]!);
-  }
-  return result;
+  return dropHeaders(getEndToEndHeaders(incoming.rawHeaders), FRAMING_HEADERS);
 }
--- a/src/gateway/headers.ts
+++ b/src/gateway/headers.ts
@@ -21,6 +21,9 @@
   RELAY_SECRET_HEADER,
 ]);
 
+/** Headers with the length of a body, which the gateway sets itself. */
+export const FRAMING_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
+
 /**
  * Gets the end-to-end headers, alternating names and values.
  * @param raw - As received.
