--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -101,7 +101,8 @@
 /** The memory that a gateway uses for itself. */
 export const OWN_BYTES = 100_000_000;
 
-const BASE_ROUTE: Route = {
+/** The route of a gateway, unless a test changes it. */
+export const BASE_ROUTE: Route = {
   name: "route",
   host: "api.example",
   pathPrefix: "/",
--- a/test/gateway/permissions.test.ts
+++ b/test/gateway/permissions.test.ts
@@ -1,21 +1,9 @@
 import { describe, expect, it } from "vitest";
 import { type Declaration, type Route, RouteTable } from "../../src/declaration";
 import { getOrganisation, isAllowedAlike } from "../../src/gateway/permissions";
+import { BASE_ROUTE } from "./GatewayHarness";
 
-const OPEN: Route = {
-  name: "open",
-  host: "api.example",
-  pathPrefix: "/open/",
-  kind: "repeatable",
-  isResumable: false,
-  timeoutMs: 2_000,
-  objectiveMs: 200,
-  gapObjectiveMs: 200,
-  priority: 0,
-  split: [{ service: "service", weight: 1 }],
-  maxAttempts: 2,
-  allowsAnonymous: true,
-};
+const OPEN: Route = { ...BASE_ROUTE, name: "open", pathPrefix: "/open/", allowsAnonymous: true };
 const CLOSED: Route = { ...OPEN, name: "closed", pathPrefix: "/closed/", allowsAnonymous: false };
 const ATLAS = { name: "atlas", keys: ["k1"], priority: 0 };
 
