answerEnd belongs to src/http: no import cycle

A move without a change of behaviour; the check that answers are destroyed in one module covers src/http too.

--- a/src/entry/AnswerWriter.ts
+++ b/src/entry/AnswerWriter.ts
@@ -7,7 +7,7 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import type { Frame } from "../engine";
-import { breakOff } from "../server";
+import { breakOff } from "../http";
 import type { Refusal } from "./Refusal";
 import type { ModelCall } from "./requests";
 
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -4,7 +4,7 @@
 import type { Clock } from "../clock";
 import type { RandomSource } from "../consensus";
 import type { Route, RouteTable } from "../declaration";
-import { Connections, listen } from "../http";
+import { breakOff, breakOffNow, Connections, listen } from "../http";
 import type { Logger, Metrics } from "../metrics";
 import type { ReceivedView } from "../registration";
 import {
@@ -12,8 +12,6 @@
   BodyReader,
   type BodyReading,
   type BodyReservation,
-  breakOff,
-  breakOffNow,
   createHttpServer,
   dropBody,
   getDeclaredBytes,
--- a/src/gateway/StreamExchange.ts
+++ b/src/gateway/StreamExchange.ts
@@ -5,7 +5,7 @@
  * or stalls is resumed at another endpoint after the last event that was passed on, within the same answer.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { breakOff, endWhole } from "../server";
+import { breakOff, endWhole } from "../http";
 import type { AnsweringAttempt } from "./Attempt";
 import type { AttemptRace } from "./AttemptRace";
 import { createRace } from "./createRace";
--- a/src/server/answerEnd.ts
+++ b/src/http/answerEnd.ts
@@ -8,7 +8,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { resetConnection } from "../http";
+import { resetConnection } from "./resetConnection";
 
 /** Time for the last bytes of an answer to reach the caller before its connection is reset, in milliseconds. */
 const RESET_DELAY_MS = 20;
--- a/src/server/index.ts
+++ b/src/server/index.ts
@@ -1,5 +1,4 @@
 /** HTTP servers whose clients may send anything: what is read, held and kept open is bounded. */
-export { breakOff, breakOffNow, endWhole } from "./answerEnd";
 export { BodyBlocks } from "./BodyBlocks";
 export { type BodyFailure, BodyReader, type BodyReading, getDeclaredBytes } from "./BodyReader";
 export { type BodyOwner, BodyReservation, type BodyRoom } from "./BodyReservation";
--- a/test/gateway/answerEnd.test.ts
+++ b/test/gateway/answerEnd.test.ts
@@ -5,8 +5,7 @@
 import { afterEach, describe, expect, it } from "vitest";
 import { pause } from "../../src/clock";
 import type { Route } from "../../src/declaration";
-import { resetConnection } from "../../src/http";
-import { endWhole } from "../../src/server";
+import { endWhole, resetConnection } from "../../src/http";
 import { waitUntil } from "../support/waitUntil";
 import { GatewayHarness, type Script } from "./GatewayHarness";
 
@@ -19,7 +18,7 @@
 const STREAM = { kind: "stream", isResumable: false, maxAttempts: 1, timeoutMs: 5_000 } as const;
 
 /** The folders of the sources whose code answers callers. */
-const ANSWERING_FOLDERS = ["entry", "gateway", "server"];
+const ANSWERING_FOLDERS = ["entry", "gateway", "http", "server"];
 
 /** A reset comes some time after the last bytes, or together with them. */
 type End = "whole" | "reset" | "resetAtOnce" | "silent";
@@ -215,7 +214,7 @@
 
   it("is ended in one module only", () => {
     const files = ANSWERING_FOLDERS.flatMap((folder) => findFiles(folder, "esponse.destroy("));
-    expect(files).toEqual(["server/answerEnd.ts"]);
+    expect(files).toEqual(["http/answerEnd.ts"]);
   });
 });
 
