Tests of killed entries: the streams wait for the kill

Their workers sent all events within half a second, so a slow machine could have completed them before the kill. They now send half of them and keep the connection open.

--- a/test/system/killedEntry.test.ts
+++ b/test/system/killedEntry.test.ts
@@ -8,7 +8,6 @@
 
 const HEAD = "HTTP/1.1 200 OK\r\nx-ploverstage-response-seal: s\r\nconnection: close\r\n\r\n";
 const EVENT_COUNT = 10;
-const EVENT_INTERVAL_MS = 50;
 /** More than the buffers of a connection hold for a caller that reads nothing. */
 const LARGE_BYTES = 16 * 1_024 * 1_024;
 const CALLS = 8;
@@ -69,7 +68,7 @@
   // Guards against streams that look complete with pieces missing.
   it("looks broken when its entry is killed: streams", async () => {
     await start(1);
-    answerAll(sendEvents);
+    answerAll(sendFirstEvents);
     const begun = begin(0, { path: "/live/x" });
     await expectBrokenAfterKill(0, begun);
   });
@@ -93,7 +92,7 @@
     await start(2);
     for (const worker of cluster.workers) worker.relay!.block([getEntryIp(0)], "reset");
     await waitUntil("the entry relays", async () => (await cluster.call("/app/x")).status === 200);
-    answerAll(sendEvents);
+    answerAll(sendFirstEvents);
     const begun = begin(0, { path: "/live/x" });
     await expectBrokenAfterKill(killed, begun);
   });
@@ -112,17 +111,18 @@
   return `id: ${id}\ndata: ${id}\n\n`;
 }
 
-/** Sends events one at a time, then ends the connection in order. */
+function createEvents(count: number): string {
+  return Array.from({ length: count }, (_, i) => createEvent(i + 1)).join("");
+}
+
+/** Sends the first events of a stream and keeps the connection open. */
+function sendFirstEvents(socket: Socket): void {
+  socket.write(HEAD + createEvents(EVENT_COUNT / 2));
+}
+
+/** Sends all events of a stream, then ends the connection in order. */
 function sendEvents(socket: Socket): void {
-  socket.write(HEAD);
-  let id = 0;
-  const timer = setInterval(() => {
-    id += 1;
-    if (socket.destroyed || id === EVENT_COUNT) clearInterval(timer);
-    if (socket.destroyed) return;
-    socket.write(createEvent(id));
-    if (id === EVENT_COUNT) socket.end();
-  }, EVENT_INTERVAL_MS);
+  socket.end(HEAD + createEvents(EVENT_COUNT));
 }
 
 function sendLarge(socket: Socket): void {
