--- a/src/entry/AnswerWriter.ts
+++ b/src/entry/AnswerWriter.ts
@@ -7,6 +7,7 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import type { Frame } from "../engine";
+import { breakOff } from "../server";
 import type { Refusal } from "./Refusal";
 import type { ModelCall } from "./requests";
 
@@ -129,8 +130,8 @@
 
   finish(usage: Usage): void {
     const isChat = this._call.form === "chat";
-    const text = this._text.join("");
-    const content = isChat ? { message: { role: "assistant", content: text } } : { text };
+    const generated = this._text.join("");
+    const content = isChat ? { message: { role: "assistant", content: generated } } : { text: generated };
     const body = {
       id: this._requestId,
       object: isChat ? "chat.completion" : "text_completion",
@@ -139,13 +140,15 @@
       choices: [{ index: 0, ...content, finish_reason: this._finishReason }],
       usage: JSON.parse(toUsageJson(usage)),
     };
+    const text = JSON.stringify(body);
     this._response.writeHead(200, {
       "content-type": "application/json",
+      "content-length": Buffer.byteLength(text),
       [ANSWER_HEADER.requestId]: this._requestId,
       [ANSWER_HEADER.replica]: this._replicaId,
       [ANSWER_HEADER.outcome]: "done",
     });
-    this._response.end(JSON.stringify(body));
+    this._response.end(text);
   }
 
   reset(): void {
@@ -179,11 +182,12 @@
     },
   });
   if (response.headersSent) {
-    response.write(`data: ${body}\n\n`, () => response.destroy());
+    response.write(`data: ${body}\n\n`, () => void breakOff(response));
     return;
   }
   const headers: Record<string, string> = {
     "content-type": "application/json",
+    "content-length": String(Buffer.byteLength(body)),
     [ANSWER_HEADER.requestId]: requestId,
     [ANSWER_HEADER.outcome]: refusal.outcome,
     [ANSWER_HEADER.code]: refusal.code,
--- a/src/entry/EntryServer.ts
+++ b/src/entry/EntryServer.ts
@@ -313,8 +313,13 @@
 }
 
 function sendJson(response: ServerResponse, body: object): void {
-  response.writeHead(200, { "content-type": "application/json", "cache-control": "no-store" });
-  response.end(JSON.stringify(body));
+  const text = JSON.stringify(body);
+  response.writeHead(200, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(text),
+    "cache-control": "no-store",
+  });
+  response.end(text);
 }
 
 function toRefusal(cause: unknown): Refusal {
--- a/src/entry/filters/ServiceDispatch.ts
+++ b/src/entry/filters/ServiceDispatch.ts
@@ -10,9 +10,10 @@
 import type { RandomSource } from "../../consensus";
 import { LostAnswer } from "../../errors";
 import type { ServiceEndpoint } from "../../gen/ploverstage/v1/control_pb";
-import type { HttpClient } from "../../http";
+import { checkServerRuns, type HttpClient, isFramed } from "../../http";
 import type { EntryLease } from "../../leases";
 import { type Candidate, EndpointPool, LeastWorkPlacement, RetryBudget, type Work } from "../../routing";
+import { breakOff, endWhole } from "../../server";
 import { ANSWER_HEADER } from "../AnswerWriter";
 import type { Claims } from "../Claims";
 import type { ActiveConfiguration, ClusterView } from "../ClusterView";
@@ -144,11 +145,45 @@
       beforeSend: () => this._throwIfNotAllowed(request, route),
     });
     route.work.addProgress(this._options.clock.getMonotonicMs(), 0);
-    await relayAnswer(answer, response, request, route.endpoint);
+    response.writeHead(answer.statusCode ?? 502, createAnswerHeaders(answer, request, route.endpoint));
+    await this._relayAnswer(answer, response, call.method, route.endpoint);
     this._finish(request, route.work);
     return answer.statusCode ?? 0;
   }
 
+  /**
+   * Forwards the body of an answer as it arrives. If the answer is cut, its copy to the caller is cut too and
+   * never ends like a complete one.
+   */
+  private async _relayAnswer(
+    answer: IncomingMessage,
+    response: ServerResponse,
+    method: string,
+    endpoint: ServiceEndpoint,
+  ): Promise<void> {
+    try {
+      await pipeline(answer, response, { end: false });
+      if (!isFramed(answer, method)) await this._checkEnd(endpoint);
+      await endWhole(response);
+    } catch (cause) {
+      await breakOff(response);
+      throw cause instanceof LostAnswer
+        ? cause
+        : new LostAnswer({ address: endpoint.address, reason: String(cause) });
+    }
+  }
+
+  /**
+   * Checks that the endpoint of an answer without a length still runs, unless it had announced its end.
+   * @throws LostAnswer - When it has ended, so that the answer may have been cut.
+   */
+  private async _checkEnd({ service, instanceId, address }: ServiceEndpoint): Promise<void> {
+    const { client, view } = this._options;
+    const current = view.getServiceEndpoints(service);
+    if (!current.some((endpoint) => endpoint.instanceId === instanceId)) return;
+    await checkServerRuns(client, address);
+  }
+
   private _finish(request: ServiceRequest, work: Work): void {
     const now = this._options.clock.getMonotonicMs();
     work.end(now, "answered");
@@ -245,28 +280,17 @@
   return Object.fromEntries(Object.entries(headers).filter(([name]) => !removed.has(name)));
 }
 
-/**
- * Forwards an answer as it arrives. If the answer is cut, its copy to the caller is cut too and never ends
- * like a complete one.
- */
-async function relayAnswer(
-  answer: IncomingMessage,
-  response: ServerResponse,
+/** Creates the head of an answer from the one of its endpoint. */
+function createAnswerHeaders(
+  { headers: received }: IncomingMessage,
   request: ServiceRequest,
   endpoint: ServiceEndpoint,
-): Promise<void> {
-  const headers = removeHopByHopHeaders(answer.headers);
-  const length = answer.headers["content-length"];
+): IncomingHttpHeaders {
+  const headers = removeHopByHopHeaders(received);
+  const length = received["content-length"];
   if (length !== undefined) headers["content-length"] = length;
-  response.writeHead(answer.statusCode ?? 502, {
-    ...headers,
-    [ANSWER_HEADER.requestId]: request.id,
-    [ANSWER_HEADER.replica]: endpoint.instanceId,
-    [ANSWER_HEADER.outcome]: "done",
-  });
-  try {
-    await pipeline(answer, response);
-  } catch (cause) {
-    throw new LostAnswer({ address: endpoint.address, reason: String(cause) });
-  }
+  headers[ANSWER_HEADER.requestId] = request.id;
+  headers[ANSWER_HEADER.replica] = endpoint.instanceId;
+  headers[ANSWER_HEADER.outcome] = "done";
+  return headers;
 }
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -494,7 +494,7 @@
     const { mayHaveRun } = exchange;
     exchange.cancel();
     if (response.headersSent) {
-      breakOff(response);
+      void breakOff(response);
       return;
     }
     const reason = "the request's time has expired";
@@ -507,7 +507,7 @@
   private _refuse(response: ServerResponse, progress: RequestProgress, refusal: GatewayRefusal): void {
     if (response.writableEnded) return;
     const isDisconnected = response.destroyed;
-    if (response.headersSent) breakOff(response);
+    if (response.headersSent) void breakOff(response);
     else if (!isDisconnected) {
       if (progress.relayed !== undefined)
         addRelayOutcome(response, refusal, progress.exchange?.sentCount ?? 0);
--- a/src/gateway/StreamExchange.ts
+++ b/src/gateway/StreamExchange.ts
@@ -87,7 +87,7 @@
       race.close();
     }
     if (!this._response.headersSent) throw exchange.createRefusal();
-    breakOff(this._response);
+    void breakOff(this._response);
     return this.getResult(false);
   }
 
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,5 +1,6 @@
 /** HTTP/1.1 client for endpoints and the platform, and a JSON server. */
 export { type ConnectionLimit, Connections } from "./Connections";
+export { checkServerRuns } from "./checkServerRuns";
 export { getJsonCost } from "./getJsonCost";
 export { type HttpCall, HttpClient, type ProbeOutcome, splitAddress } from "./HttpClient";
 export { hasBody } from "./hasBody";
--- a/src/server/answerEnd.ts
+++ b/src/server/answerEnd.ts
@@ -7,6 +7,7 @@
  * and a broken one has its connection reset.
  */
 import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { resetConnection } from "../http";
 
 /** Time for the last bytes of an answer to reach the caller before its connection is reset, in milliseconds. */
@@ -26,14 +27,20 @@
 
 /**
  * Ends an answer of which the caller has received only a part. A missing last chunk or a missing part of the
- * declared length shows that to the caller; without either, the connection is reset.
+ * declared length shows that to the caller; without either, the connection is reset. Resolves once the connection
+ * is closed.
  */
-export function breakOff(response: ServerResponse): void {
+export function breakOff(response: ServerResponse): Promise<void> {
+  if (response.destroyed) return Promise.resolve();
+  const closed = new Promise<void>((resolve) => response.once("close", resolve));
   const { socket } = response;
-  if (socket === null || receivesChunks(response)) {
-    response.destroy();
-    return;
-  }
+  if (socket === null || receivesChunks(response)) response.destroy();
+  else resetAfterLastBytes(socket);
+  return closed;
+}
+
+/** Resets a connection once the bytes written to it have been sent, and have had time to arrive. */
+function resetAfterLastBytes(socket: Socket): void {
   const reset = () => setTimeout(() => resetConnection(socket), RESET_DELAY_MS);
   if (socket.writableLength === 0) {
     reset();
--- /dev/null
+++ b/test/system/endedService.test.ts
@@ -0,0 +1,65 @@
+/** Answers of a service that ends, or that breaks off, before it has sent all of them. */
+import type { Socket } from "node:net";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { resetConnection } from "../../src/http";
+import { Cluster } from "../support/Cluster";
+import { callEntry } from "../support/callEntry";
+import { createConfiguration } from "../support/configuration";
+import { RawCall } from "../support/RawCall";
+import { waitUntil } from "../support/waitUntil";
+
+const PATH = "/v1/services/guichet/members";
+const ORGANISATION = { "ploverstage-organisation": "alpha", connection: "close" };
+const PART = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart";
+
+describe("an answer without a length", () => {
+  let cluster: Cluster;
+  beforeEach(async () => {
+    cluster = await Cluster.start({ engines: 1, services: 1, entries: 1 });
+    await cluster.apply(createConfiguration({ replicas: 1, size: 1 }));
+    await waitUntil("the service answers", async () => {
+      const answer = await callEntry(cluster.entryAddresses[0]!, { method: "GET", path: PATH });
+      return answer.status === 200;
+    });
+  });
+  afterEach(() => cluster.stop());
+
+  /** Sends a call whose answer a function writes. */
+  function call(version: string, answerWith: (socket: Socket) => void): Promise<RawCall> {
+    cluster.services[0]!.answerWith = answerWith;
+    const headers = { ...ORGANISATION, "ploverstage-repeatable": "no" };
+    return new RawCall(cluster.entryAddresses[0]!, { path: PATH, id: "call-1", headers, version }).ended;
+  }
+
+  // Guards against a part of an answer that looks whole because its service's process ended in the middle of it.
+  it.each(["1.0", "1.1"])("looks broken when its service ends with it: HTTP/%s", async (version) => {
+    const answer = await call(version, (socket) => {
+      socket.write(PART, () => void cluster.services[0]!.stop());
+    });
+    expect(answer.text).toContain("part");
+    expect(answer.isComplete).toBe(false);
+  });
+
+  // Guards against callers that take the orderly end of a broken answer for the end of a whole one.
+  it("looks broken to a caller that speaks HTTP/1.0 when its service resets the connection", async () => {
+    const answer = await call("1.0", (socket) => {
+      socket.write(PART, () => resetConnection(socket));
+    });
+    expect(answer.isComplete).toBe(false);
+  });
+
+  it.each(["1.0", "1.1"])("looks complete when its service ends it and runs on: HTTP/%s", async (version) => {
+    const answer = await call(version, (socket) => {
+      socket.end(PART);
+    });
+    expect(answer.text).toContain("part");
+    expect(answer.isComplete).toBe(true);
+  });
+
+  it.each(["1.0", "1.1"])("of the entry itself has a length: HTTP/%s", async (version) => {
+    const addresses = new RawCall(cluster.entryAddresses[0]!, { path: "/v1/none", id: "call-1", version });
+    await waitUntil("the refusal has arrived", () => addresses.isComplete);
+    expect(addresses.text.toLowerCase()).toContain("\r\ncontent-length: ");
+    addresses.close();
+  });
+});
