--- a/src/gateway/permissions.ts
+++ b/src/gateway/permissions.ts
@@ -10,8 +10,9 @@
 }
 
 /**
- * Gets the organisation that a key belongs to; "unknown" when the route requires a valid key, `undefined` for
- * anonymous access.
+ * Gets the organisation that a key belongs to; `undefined` for anonymous access, "unknown" when the declaration
+ * does not hold the key, or when there is none and the route requires one. A key that was sent has to be held on
+ * every route: one that was removed no longer works anywhere.
  */
 export function getOrganisation(
   routes: RouteTable,
@@ -19,8 +20,9 @@
   key: string | undefined,
 ): DeclaredOrganisation | "unknown" | undefined {
   if (!routes.needsKeys) return undefined;
-  const organisation = key === undefined ? undefined : routes.getOrganisation(key);
-  return organisation !== undefined || route.allowsAnonymous ? organisation : "unknown";
+  // A header without a value carries no key.
+  if (key === undefined || key === "") return route.allowsAnonymous ? undefined : "unknown";
+  return routes.getOrganisation(key) ?? "unknown";
 }
 
 /** Checks whether another declaration allows a request for the same organisation and at the same services. */
--- a/test/gateway/GatewayServer.test.ts
+++ b/test/gateway/GatewayServer.test.ts
@@ -215,6 +215,38 @@
       expect((await harness.call({ headers: { "x-key": "k2" } })).status).toBe(401);
     });
 
+    // Guards against requests that run with a key that was taken away, as if they had none.
+    it("refuses a key that is not held on a route for anonymous callers too", async () => {
+      harness = await GatewayHarness.start([answer(200, "ok")], { allowsAnonymous: true });
+      const callWith = async (key: string[]) =>
+        (await harness.call({ headers: { "x-key": key, "x-id": `key-${key}` } })).status;
+      expect(await callWith(["k1"])).toBe(200);
+      expect(await callWith([])).toBe(200);
+      expect(await callWith([""])).toBe(200);
+      expect(await callWith(["k2"])).toBe(401);
+      expect(harness.requests.map(({ headers }) => headers["x-organisation"])).toEqual([
+        "atlas",
+        undefined,
+        undefined,
+      ]);
+    });
+
+    // Guards against a final refusal by an entry that does not know yet that the key was added.
+    it("refuses a key on a route for anonymous callers only for now while another declaration may be in force", async () => {
+      harness = await GatewayHarness.start([answer(200, "ok")], { allowsAnonymous: true });
+      const { declaration } = harness;
+      harness.isConfirmed = false;
+      harness.proposedRoutes = new RouteTable({
+        ...declaration,
+        version: 2,
+        organisations: [{ ...declaration.organisations![0]!, keys: ["k1", "k2"] }],
+      });
+      const seen = await harness.call({ headers: { "x-key": "k2" } });
+      expect(seen.status).toBe(503);
+      expect(Number(seen.headers["retry-after"])).toBeGreaterThan(0);
+      expect(harness.requests).toEqual([]);
+    });
+
     // Guards against requests served by a declaration that a newer acknowledged one replaces.
     it("serves only what a newer declaration that may be in force allows as well", async () => {
       harness = await GatewayHarness.start([answer(200, "ok")], { pathPrefix: "/work/" });
