Log how each answer ended towards its caller

request_ended of an answer that began carries framing, closes and ended_by; answer_not_received names a plain answer that its caller did not take. An answer that began and has no such line was in progress when its entry was killed.

--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -20,6 +20,7 @@
 import { CallerTimeouts } from "./CallerTimeouts";
 import { createAnswerHeaders } from "./createAnswerHeaders";
 import type { CallMetadata } from "./Dialect";
+import { describeEnd } from "./describeEnd";
 import { Exchange, type ExchangeDependencies } from "./Exchange";
 import type { ExchangeRequest } from "./ExchangeRequest";
 import { createNotRunRefusal, GatewayRefusal } from "./GatewayRefusal";
@@ -29,7 +30,7 @@
 import { getOrganisation, isAllowedAlike } from "./permissions";
 import { createRelayAnswerHeaders, type RelayedRequest } from "./relay";
 import { getFirstViewRetryAfterMs } from "./retryAfter";
-import { StreamExchange } from "./StreamExchange";
+import { StreamExchange, type StreamResult } from "./StreamExchange";
 import { mayRepeat } from "./timeouts";
 import { addRelayOutcome, refuseMalformed, writeRefusal } from "./writeRefusal";
 
@@ -447,8 +448,9 @@
   ): Promise<void> {
     const stream = new StreamExchange(exchange, response);
     const result = await stream.run();
-    if (result.isWhole) this._log(progress, "done", { ...result });
-    else this._log(progress, "cut", { ...result }, getCutCode(exchange));
+    if (result.isWhole)
+      this._log(progress, "done", { ...result, ...describeEnd(response, false, undefined) });
+    else this._logCut(progress, response, result, getCutCode(exchange));
     if (result.firstEventMs === undefined) return;
     this._options.metrics.timing("gateway_first_event_ms", result.firstEventMs);
     this._options.metrics.timing("gateway_gap_ms", result.longestGapMs);
@@ -461,25 +463,42 @@
     if (relayed !== undefined)
       headers.push(...createRelayAnswerHeaders(exchange?.sentCount ?? 0, answer.isFramed));
     response.writeHead(answer.status, headers);
-    this._countUntilSent(response, answer.body.length);
+    this._countUntilSent(response, progress.call, answer.body.length);
     if (response.destroyed) {
       this._log(progress, "cut", { status: answer.status }, "no_memory");
       return;
     }
     response.end(answer.body);
-    this._log(progress, "done", { status: answer.status });
+    this._log(progress, "done", { status: answer.status, ...describeEnd(response, true, undefined) });
+  }
+
+  private _logCut(
+    progress: RequestProgress,
+    response: ServerResponse,
+    result: StreamResult,
+    code: ReturnType<typeof getCutCode>,
+  ): void {
+    const end = describeEnd(response, false, code === "caller_gone" ? "caller" : "entry");
+    this._log(progress, "cut", { ...result, ...end }, code);
   }
 
   /** Counts the bytes of a whole answer until its caller has taken them, or has disconnected. */
-  private _countUntilSent(response: ServerResponse, bytes: number): void {
+  private _countUntilSent(response: ServerResponse, call: CallMetadata | undefined, bytes: number): void {
     const waiting = this._options.dependencies.buffers.open(() => {
       this._options.metrics.increment("answers_not_taken", 1);
       breakOffNow(response);
     });
-    response.once("close", () => waiting.close());
+    response.once("close", () => {
+      waiting.close();
+      if (!response.writableFinished) this._logNotReceived(call, bytes);
+    });
     waiting.setBytes(bytes);
   }
 
+  private _logNotReceived(call: CallMetadata | undefined, bytes: number): void {
+    this._options.logger.info({ event: "answer_not_received", request: call?.requestId ?? "", bytes });
+  }
+
   /** Sends the final answer when the request's time has expired, and aborts the attempts in progress. */
   private _endExpired(response: ServerResponse, progress: RequestProgress): void {
     const { exchange } = progress;
@@ -566,7 +585,7 @@
 }
 
 /** Gets which side ended an answer early. */
-function getCutCode(exchange: Exchange): string {
+function getCutCode(exchange: Exchange): "time_over" | "caller_gone" | "endpoint_broke_off" {
   if (exchange.getRemainingMs() <= 0) return "time_over";
   return exchange.isCancelled ? "caller_gone" : "endpoint_broke_off";
 }
--- a/test/gateway/explanation.test.ts
+++ b/test/gateway/explanation.test.ts
@@ -70,6 +70,15 @@
     expect(await countRequests("cut", "endpoint_broke_off")).toBe(true);
   });
 
+  it.each([
+    ["a whole stream", "stream", "whole", { framing: "chunks", closes: true, ended_by: "lastChunk" }],
+    ["a broken stream", "stream", "cut", { framing: "chunks", closes: true, ended_by: "missingChunk" }],
+    ["a plain answer", "repeatable", "whole", { framing: "length", closes: true, ended_by: "length" }],
+  ] as const)("that was answered: how its answer ended: %s", async (name, kind, end, expected) => {
+    harness = await GatewayHarness.start([streamEvents([1, 2], end)], { kind });
+    expect(await callAndExplain(name)).toMatchObject(expected);
+  });
+
   it("that fails repeatedly: which calls were the same request, and whether an answer had started", async () => {
     const cut = streamEvents([], "cut");
     harness = await GatewayHarness.start([cut, streamEvents([1], "cut")], {
