Hold first requests until their entry knows its declaration and targets

What callers saw: an entry that was killed and started again answered its first request with 503 no_declaration and a Retry-After of 1.0 to 1.5 s, and took its declaration 0.02 s after it listened. An entry whose service had just reported its first endpoints to control answered 503 no_target; the view with them came some 0.1 s later.

Cause: the entry refused what it did not know as if it knew that there was nothing. Ruled out: control's delay (the view is there when the entry asks).

Repair: RequestHold. A request waits for the first declaration (or for its confirmation, where the recovered one does not allow it) in the first 2 s after the start, and for the first target of a service in the first 2 s after the service was declared to this entry, in which reports that come every 1.2 s reach it. It waits 1 s at most and 0.3 of its caller's time, which leaves time to retry; 256 wait at most. Decided at once as before: what another entry relayed (a further one can be asked), a service that had targets, anything after these 2 s, and everything once the entry stops. A wait ends when the caller leaves.

The decision about a request moved to RequestAuthorizer.

Evidence: test/system/firstRequests (real processes): first answers after six restarts were 503 six times, 200 six times now; first requests at three entries right after the acknowledgement of a service's first report were 503 three times, 200 now. test/gateway/firstView states the bounds.

--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -163,12 +163,13 @@
     links.updateTargets();
     links.setPeers(view.getPeers());
     updateRoutes();
+    server.updateView();
   };
   const updateRoutes = () => {
     const cached = view.declaration;
     if (cached === undefined || cached.version === routes?.declaration.version) return;
     routes = new RouteTable(format.parse(unpackDocument(cached.document)));
-    server.updateLimits();
+    server.updateDeclaration();
     metrics.gauge("declaration_version", cached.version);
   };
   const isConfirmed = () => view.isConfirmed && watcher.isCurrent;
@@ -234,7 +235,10 @@
     clock,
     logger,
     onChange,
-    onDeclaration: updateRoutes,
+    onDeclaration: () => {
+      updateRoutes();
+      server.updateView();
+    },
   });
   const suspicions = new SuspicionReporter({
     send: (suspected) => watcher.reportSuspicions(suspected),
--- a/src/gateway/GatewayRefusal.ts
+++ b/src/gateway/GatewayRefusal.ts
@@ -50,6 +50,11 @@
   return new GatewayRefusal({ status: 503, code, reason, retryAfterMs });
 }
 
+/** Creates a refusal that tells no time to retry. */
+export function createFinalRefusal(status: number, code: GatewayRefusalCode, reason: string): GatewayRefusal {
+  return new GatewayRefusal({ status, code, reason, retryAfterMs: undefined });
+}
+
 /** Creates the refusal with which another entry finally refused a relayed request. */
 export function createPeerRefusal(
   status: number,
@@ -85,6 +90,5 @@
 
 /** Creates the refusal of a request that may have run. */
 export function createOutcomeUnknownRefusal(code: GatewayRefusalCode, reason: string): GatewayRefusal {
-  const status = code === "time_over" ? 504 : 502;
-  return new GatewayRefusal({ status, code, reason, retryAfterMs: undefined });
+  return createFinalRefusal(code === "time_over" ? 504 : 502, code, reason);
 }
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -23,13 +23,15 @@
 import { describeEnd } from "./describeEnd";
 import { Exchange, type ExchangeDependencies } from "./Exchange";
 import type { ExchangeRequest } from "./ExchangeRequest";
-import { createNotRunRefusal, GatewayRefusal } from "./GatewayRefusal";
+import { createFinalRefusal, createNotRunRefusal, GatewayRefusal } from "./GatewayRefusal";
 import { dropHeaders, FRAMING_HEADERS, getEndToEndHeaders } from "./headers";
+import { getHoldEnd } from "./holdTime";
+import { NewServices } from "./NewServices";
 import { PlainExchange } from "./PlainExchange";
 import type { CompleteAnswer } from "./PlainSource";
-import { getOrganisation, isAllowedAlike } from "./permissions";
+import { type Authorization, isDenial, RequestAuthorizer } from "./RequestAuthorizer";
+import { RequestHold } from "./RequestHold";
 import { createRelayAnswerHeaders, type RelayedRequest } from "./relay";
-import { getFirstViewRetryAfterMs } from "./retryAfter";
 import { StreamExchange, type StreamResult } from "./StreamExchange";
 import { mayRepeat } from "./timeouts";
 import { addRelayOutcome, refuseMalformed, writeRefusal } from "./writeRefusal";
@@ -78,6 +80,16 @@
   reservation: BodyReservation | undefined;
   body: RequestBody | undefined;
   exchange: Exchange | undefined;
+  /** Time for which the request waited for what this entry was expecting, milliseconds. */
+  heldMs: number;
+}
+
+/** What a request waits for. */
+interface Expectation {
+  readonly reason: "declaration" | "targets";
+  /** Since when this entry has been expecting it, monotonic milliseconds. */
+  readonly since: number;
+  readonly isKnown: () => boolean;
 }
 
 /** A request in progress. */
@@ -93,6 +105,9 @@
   private readonly _server: Server;
   private readonly _connections: Connections;
   private readonly _callerTimeouts = new CallerTimeouts();
+  private readonly _newServices = new NewServices();
+  private readonly _held = new RequestHold();
+  private readonly _authorizer: RequestAuthorizer;
   private readonly _startedAt: number;
   private readonly _running = new Map<Exchange, RunningRequest>();
   /** Answers whose last bytes have not been sent. */
@@ -106,6 +121,7 @@
   constructor(options: GatewayServerOptions) {
     this._options = options;
     this._startedAt = options.clock.getMonotonicMs();
+    this._authorizer = new RequestAuthorizer({ ...options, startedAt: this._startedAt });
     this._server = createHttpServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true });
     const { memory } = options.dependencies;
     this._connections = new Connections(this._server, () => options.clock.getMonotonicMs(), {
@@ -139,10 +155,22 @@
     await listen(this._server, this._options.listen);
   }
 
-  /** Applies the limits of the current declaration. */
-  updateLimits(): void {
-    const limits = this._options.getRoutes()?.declaration.limits;
-    if (limits === undefined) return;
+  /** Gets the number of requests that wait for what this entry expects after its start. */
+  get heldCount(): number {
+    return this._held.count;
+  }
+
+  /** Lets requests continue for which a change of the view has decided. */
+  updateView(): void {
+    this._held.update();
+  }
+
+  /** Applies the limits and services of the current declaration. */
+  updateDeclaration(): void {
+    const declaration = this._options.getRoutes()?.declaration;
+    if (declaration === undefined) return;
+    this._newServices.setDeclaration(this._options.clock.getMonotonicMs(), declaration);
+    const { limits } = declaration;
     this._server.keepAliveTimeout = limits.idleMs + IDLE_TIMEOUT_MARGIN_MS;
     this._server.headersTimeout = limits.headerMs + IDLE_TIMEOUT_MARGIN_MS;
   }
@@ -177,6 +205,7 @@
   /** Refuses new requests; those in progress continue. */
   refuseAll(): void {
     this._refusesRequests = true;
+    this._held.end();
     this._options.dependencies.gate.refuseAll();
   }
 
@@ -232,6 +261,7 @@
       reservation: undefined,
       body: undefined,
       exchange: undefined,
+      heldMs: 0,
     };
     try {
       await this._run(incoming, response, progress);
@@ -256,7 +286,8 @@
     response: ServerResponse,
     progress: RequestProgress,
   ): Promise<void> {
-    const request = await this._accept(incoming, progress);
+    const request = await this._accept(incoming, response, progress);
+    await this._waitForTargets(response, progress, request.service);
     if (response.destroyed) return;
     const exchange = new Exchange(request, this._options.dependencies);
     progress.exchange = exchange;
@@ -285,47 +316,15 @@
     exchange.peers.setCounted();
   }
 
-  private async _accept(incoming: IncomingMessage, progress: RequestProgress): Promise<ExchangeRequest> {
+  private async _accept(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    progress: RequestProgress,
+  ): Promise<ExchangeRequest> {
     const { relayed, receivedAt } = progress;
     const call = this._readCall(incoming, relayed);
     progress.call = call;
-    const routes = this._options.getRoutes();
-    if (routes === undefined) {
-      throw this._createRefusalBeforeFirstView(
-        "no_declaration",
-        "this entry has not received a declaration yet",
-        progress,
-        call,
-      );
-    }
-    if (this._refusesRequests || (relayed !== undefined && this._isStopping))
-      throw createNotRunRefusal("stopping", "this entry is stopping", STOPPING_RETRY_MS);
-    const route = routes.getRoute(incoming.headers.host ?? "", incoming.url ?? "");
-    if (route === undefined) {
-      throw this._createDeclarationRefusal(
-        404,
-        "no_route",
-        "no route matches this host and path",
-        progress,
-        call,
-      );
-    }
-    progress.route = route;
-    const organisation = getOrganisation(routes, route, call.key);
-    if (organisation === "unknown") {
-      throw this._createDeclarationRefusal(
-        401,
-        "unknown_key",
-        "the request needs a valid key",
-        progress,
-        call,
-      );
-    }
-    const proposed = this._options.getProposedRoutes();
-    if (proposed !== undefined && !isAllowedAlike(proposed, incoming, call.key, { route, organisation })) {
-      const reason = `declaration ${proposed.declaration.version}, which may be in force, does not allow it`;
-      throw this._createRefusalBeforeFirstView("unconfirmed_declaration", reason, progress, call);
-    }
+    const { routes, route, organisation } = await this._authorize(incoming, response, progress, call);
     const owner = { organisation: organisation?.name, isRepeatable: mayRepeat(route) };
     progress.reservation = this._options.dependencies.memory.open(owner);
     const timeoutMs = call.waitMs ?? route.timeoutMs;
@@ -356,41 +355,69 @@
     };
   }
 
-  /** Reads what the caller sent; the time left and the last event of a relayed request are those now. */
-  private _readCall(incoming: IncomingMessage, relayed: RelayedRequest | undefined): CallMetadata {
-    const call = this._options.dependencies.dialect.readCall(incoming.headers);
-    if (relayed === undefined) return call;
-    return { ...call, waitMs: relayed.leftMs, lastEventId: relayed.lastEventId };
-  }
-
   /**
-   * Creates the refusal of a request that the declaration does not allow. The refusal is only final when the
-   * declaration is confirmed. A declaration that was recovered after a start, or that no control process
-   * publishes any more, may be older than the newest acknowledged version. After a kill of all processes
-   * right after an acknowledgement, a route of the acknowledged version got 404 from the entry's first
-   * listening until the entry received the view of a leader.
+   * Waits for the declaration that decides about a request, if this entry has just started.
+   * @throws GatewayRefusal - When the declaration does not allow the request, or has not arrived.
    */
-  private _createDeclarationRefusal(
-    status: number,
-    code: GatewayRefusal["code"],
-    reason: string,
+  private async _authorize(
+    incoming: IncomingMessage,
+    response: ServerResponse,
     progress: RequestProgress,
     call: CallMetadata,
-  ): GatewayRefusal {
-    if (this._options.isConfirmed()) return createFinalRefusal(status, code, reason);
-    const unconfirmedReason = `${reason} in the cached declaration, which may be outdated`;
-    return this._createRefusalBeforeFirstView("unconfirmed_declaration", unconfirmedReason, progress, call);
+  ): Promise<Authorization> {
+    const decide = () => this._authorizer.decide(this._options.clock.getMonotonicMs(), incoming, call);
+    const isKnown = () => {
+      const decision = decide();
+      return !isDenial(decision) || !decision.isProvisional;
+    };
+    await this._hold(response, progress, { reason: "declaration", since: this._startedAt, isKnown });
+    if (this._refusesRequests || (progress.relayed !== undefined && this._isStopping))
+      throw createNotRunRefusal("stopping", "this entry is stopping", STOPPING_RETRY_MS);
+    const decision = decide();
+    progress.route = decision.route;
+    if (isDenial(decision)) throw decision.refusal;
+    return decision;
   }
 
-  private _createRefusalBeforeFirstView(
-    code: GatewayRefusal["code"],
-    reason: string,
-    { receivedAt }: RequestProgress,
-    { waitMs }: CallMetadata,
-  ): GatewayRefusal {
-    const sinceStartMs = receivedAt - this._startedAt;
-    const retryAfterMs = getFirstViewRetryAfterMs(sinceStartMs, waitMs, this._options.random.next());
-    return createNotRunRefusal(code, reason, retryAfterMs);
+  /** Waits for the first targets of a service that is new to this entry. */
+  private async _waitForTargets(
+    response: ServerResponse,
+    progress: RequestProgress,
+    service: string,
+  ): Promise<void> {
+    const since = this._newServices.getDeclaredAt(service);
+    if (since === undefined) return;
+    const { pool } = this._options.dependencies;
+    await this._hold(response, progress, {
+      reason: "targets",
+      since,
+      isKnown: () => pool.hasService(service),
+    });
+  }
+
+  /** Lets a request wait for what this entry expects; one that another entry relayed can be served elsewhere. */
+  private async _hold(
+    response: ServerResponse,
+    progress: RequestProgress,
+    { reason, since, isKnown }: Expectation,
+  ): Promise<void> {
+    if (progress.relayed !== undefined || isKnown()) return;
+    const { clock, metrics } = this._options;
+    const heldAt = clock.getMonotonicMs();
+    const endsAt = getHoldEnd(since, progress.receivedAt, progress.call?.waitMs);
+    const update = () => this._held.update();
+    response.once("close", update);
+    const hasArrived = await this._held.wait(heldAt, { isKnown, isOver: () => response.destroyed, endsAt });
+    response.off("close", update);
+    progress.heldMs += Math.round(clock.getMonotonicMs() - heldAt);
+    metrics.increment("gateway_requests_held", 1, { reason, outcome: hasArrived ? "arrived" : "missing" });
+  }
+
+  /** Reads what the caller sent; the time left and the last event of a relayed request are those now. */
+  private _readCall(incoming: IncomingMessage, relayed: RelayedRequest | undefined): CallMetadata {
+    const call = this._options.dependencies.dialect.readCall(incoming.headers);
+    if (relayed === undefined) return call;
+    return { ...call, waitMs: relayed.leftMs, lastEventId: relayed.lastEventId };
   }
 
   /** Chooses a service with the probability given by its weight. */
@@ -566,6 +593,7 @@
       outcome,
       code,
       took_ms: tookMs,
+      held_ms: progress.heldMs === 0 ? undefined : progress.heldMs,
       sent: exchange?.sentCount ?? 0,
       // Shows why a request was not sent again: other entries may use attempts without telling at once.
       attempts_taken: exchange?.takenCount ?? 0,
@@ -600,10 +628,6 @@
   return exchange !== undefined && (exchange.failures.length > 0 || code === "kept_away");
 }
 
-function createFinalRefusal(status: number, code: GatewayRefusal["code"], reason: string): GatewayRefusal {
-  return new GatewayRefusal({ status, code, reason, retryAfterMs: undefined });
-}
-
 function toRefusal(cause: unknown): GatewayRefusal {
   if (cause instanceof GatewayRefusal) return cause;
   return createFinalRefusal(502, "answer_lost", String(cause));
--- a/src/gateway/TargetPool.ts
+++ b/src/gateway/TargetPool.ts
@@ -66,6 +66,12 @@
     return this._targets.has(id);
   }
 
+  /** Checks whether a service has any target. */
+  hasService(service: string): boolean {
+    for (const { target } of this._targets.values()) if (target.service === service) return true;
+    return false;
+  }
+
   /** Gets the number of requests in flight at a target. */
   getInFlight(id: string): number {
     return this._targets.get(id)?.inFlight ?? 0;
--- a/src/gateway/retryAfter.ts
+++ b/src/gateway/retryAfter.ts
@@ -21,8 +21,8 @@
 const FIRST_VIEW_MS = 1_000;
 /** Callers refused before the first view retry spread over this time. */
 const FIRST_VIEW_SPREAD_MS = 1_200;
-/** Assumed remaining time of a caller that does not state its timeout. */
-const DEFAULT_REMAINING_MS = 2_000;
+/** Assumed remaining time of a caller that does not state its timeout, milliseconds. */
+export const DEFAULT_REMAINING_MS = 2_000;
 
 /**
  * Gets when a caller may retry whose request found no endpoint or no capacity.
--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -35,6 +35,7 @@
   | "bodies_gave_way"
   | "connections_full"
   | "answers_not_taken"
+  | "gateway_requests_held"
   | "instance_orders"
   | "replica_moves"
   | "leaderships"
--- a/test/gateway/GatewayHarness.ts
+++ b/test/gateway/GatewayHarness.ts
@@ -152,6 +152,8 @@
   peakBodyBytes = 0;
   /** Whether a leader has confirmed the declaration. */
   isConfirmed = true;
+  /** Whether the gateway has received its declaration. */
+  hasDeclaration = true;
   /** Routes of a newer declaration that may be in force. */
   proposedRoutes: RouteTable | undefined;
   /** The declaration in force. */
@@ -288,6 +290,23 @@
     this._pool.setTargets(this._pool.getTargets().filter((target) => target.id !== id));
   }
 
+  /** Applies what the fields of this harness say, as after an update of the view. */
+  updateView({ targets = this.targets }: { targets?: readonly Target[] } = {}): void {
+    this._pool.setTargets(targets);
+    this._gateway.updateDeclaration();
+    this._gateway.updateView();
+  }
+
+  /** Gets the number of requests that wait for what the gateway expects after its start. */
+  get heldCount(): number {
+    return this._gateway.heldCount;
+  }
+
+  /** Lets the gateway refuse new requests, as in the course of a stop. */
+  refuseAll(): void {
+    this._gateway.refuseAll();
+  }
+
   /** Ends an endpoint like a crash: its connections are reset and its port refuses new ones. */
   endEndpoint(index: number): void {
     const server = this._servers[index]!;
@@ -411,7 +430,7 @@
         takeRetry: () => this.retries-- > 0,
         onSuspicion: () => {},
       },
-      getRoutes: () => routes,
+      getRoutes: () => (this.hasDeclaration ? routes : undefined),
       isConfirmed: () => this.isConfirmed,
       getProposedRoutes: () => this.proposedRoutes,
       getPublishedView: () => this.publishedView,
--- a/test/platform/WorkerStandin.ts
+++ b/test/platform/WorkerStandin.ts
@@ -113,6 +113,7 @@
   /** Number of orders that it has begun. */
   private _orderCount = 0;
   private _reportTarget: string | undefined;
+  private _hasReported = false;
   /** Index of the next control process to report to; the first one is chosen at random. */
   private _nextControl: number | undefined;
   private _reportTimer: NodeJS.Timeout | undefined;
@@ -155,6 +156,11 @@
     return this._isReporting;
   }
 
+  /** Checks whether control has acknowledged a report. */
+  get hasReported(): boolean {
+    return this._hasReported;
+  }
+
   /** Starts to serve and to report. */
   async start(): Promise<void> {
     await new Promise<void>((resolve) => this._server.listen(0, "127.0.0.1", resolve));
@@ -265,6 +271,7 @@
       this._reportTarget = answer.ok
         ? ((await answer.json()) as { beatTarget?: string }).beatTarget
         : undefined;
+      this._hasReported ||= answer.ok;
       return answer.ok;
     } catch {
       this._reportTarget = undefined;
