Send streams with a length to callers that receive no chunks

Cause: such a caller receives no chunks, so the close of its connection was all that ended its stream, and the kernel closes a killed process's in order. While the entry lives it resets the connection of a broken one.

Repair: a stream to such a caller is held until it is complete, and sent with its length. Nothing of it is sent before, so one that breaks off is refused (502, 504), or resumed where its route allows that, and a killed entry leaves no answer. Bounded by the budget for answers; where there is no room: 502 no_memory. Weighed: SO_LINGER set in advance, which the kernel would turn into a reset (Node has no public means for it, and some callers read a reset that comes together with bytes as an orderly end). Cost: these callers get all events at the end. The pages' own callers speak HTTP/1.1 and get each event at once.

--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -475,8 +475,7 @@
   ): Promise<void> {
     const stream = new StreamExchange(exchange, response);
     const result = await stream.run();
-    if (result.isWhole)
-      this._log(progress, "done", { ...result, ...describeEnd(response, false, undefined) });
+    if (result.isWhole) this._log(progress, "done", { ...result, ...describeEnd(response, undefined) });
     else this._logCut(progress, response, result, getCutCode(exchange));
     if (result.firstEventMs === undefined) return;
     this._options.metrics.timing("gateway_first_event_ms", result.firstEventMs);
@@ -497,7 +496,7 @@
       return;
     }
     response.end(answer.body);
-    this._log(progress, "done", { status: answer.status, ...describeEnd(response, true, undefined) });
+    this._log(progress, "done", { status: answer.status, ...describeEnd(response, undefined) });
   }
 
   private _logCut(
@@ -506,7 +505,7 @@
     result: StreamResult,
     code: ReturnType<typeof getCutCode>,
   ): void {
-    const end = describeEnd(response, false, code === "caller_gone" ? "caller" : "entry");
+    const end = describeEnd(response, code === "caller_gone" ? "caller" : "entry");
     this._log(progress, "cut", { ...result, ...end }, code);
   }
 
--- a/src/gateway/StreamExchange.ts
+++ b/src/gateway/StreamExchange.ts
@@ -1,11 +1,11 @@
 /**
  * Runs a request whose answer is a stream of events.
  *
- * Complete events are passed on as they arrive. Where the route allows it, a stream whose endpoint breaks off
+ * Complete events are passed on as they arrive, or together to callers that receive no chunks. Where the route allows it, a stream whose endpoint breaks off
  * or stalls is resumed at another endpoint after the last event that was passed on, within the same answer.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { breakOff, closeAfter, endWhole } from "../http";
+import { closeAfter } from "../http";
 import type { AnsweringAttempt } from "./Attempt";
 import type { AttemptRace } from "./AttemptRace";
 import { createRace } from "./createRace";
@@ -14,6 +14,7 @@
 import { dropHeaders, FRAMING_HEADERS, getEndToEndHeaders } from "./headers";
 import { createRelayAnswerHeaders } from "./relay";
 import type { StreamAdmission } from "./StreamGate";
+import { createStreamOutput, type StreamOutput } from "./StreamOutput";
 import { type StreamPart, type StreamProgress, StreamSource } from "./StreamSource";
 import { getAnswerTimeoutMs, getGapTimeoutMs } from "./timeouts";
 
@@ -29,6 +30,7 @@
 export class StreamExchange {
   private readonly _exchange: Exchange;
   private readonly _response: ServerResponse;
+  private readonly _output: StreamOutput;
   private _lastEventId: string | undefined;
   private _firstEventMs: number | undefined;
   private _lastEventAt: number | undefined;
@@ -45,6 +47,7 @@
   constructor(exchange: Exchange, response: ServerResponse) {
     this._exchange = exchange;
     this._response = response;
+    this._output = createStreamOutput(response, exchange.dependencies.buffers);
     this._lastEventId = exchange.request.call.lastEventId;
   }
 
@@ -60,7 +63,7 @@
 
   /**
    * Runs the request.
-   * @throws GatewayRefusal - When no part of an answer has been sent.
+   * @throws GatewayRefusal - When no part of an answer was sent and none will be.
    */
   async run(): Promise<StreamResult> {
     this._admission = await this._exchange.enterGate();
@@ -83,18 +86,20 @@
         for (const event of part.events) await this._passOn(part.attempt, event);
         if (part.isEnd) return await this._complete(part.attempt);
       }
+    } catch (cause) {
+      exchange.cancel();
+      throw cause;
     } finally {
       race.close();
     }
-    if (!this._response.headersSent) throw exchange.createRefusal();
-    void breakOff(this._response);
+    if (!this._output.breakOff()) throw exchange.createRefusal();
     return this.getResult(false);
   }
 
   private _getProgress({ hasHedge }: AttemptRace<StreamPart>): StreamProgress {
     return {
       lastEventId: this._lastEventId,
-      hasSentHead: this._response.headersSent,
+      hasSentHead: this._output.hasHead,
       startedUnframed: this._startedUnframed,
       hasHedge,
     };
@@ -107,7 +112,7 @@
 
   private async _complete(attempt: AnsweringAttempt): Promise<StreamResult> {
     this._writeHead(attempt);
-    await endWhole(this._response);
+    await this._output.end();
     return this.getResult(true);
   }
 
@@ -115,22 +120,18 @@
     this._writeHead(attempt);
     this._addEvent();
     if (id !== undefined) this._lastEventId = id;
-    const response = this._response;
-    if (response.write(bytes) || response.destroyed) return;
-    await new Promise<void>((resolve) => {
-      response.once("drain", resolve);
-      response.once("close", resolve);
-    });
+    await this._output.write(bytes);
   }
 
   private _writeHead({ incoming, isFramed }: AnsweringAttempt): void {
-    if (this._response.headersSent) return;
+    if (this._output.hasHead) return;
     this._startedUnframed = !isFramed;
     const { request, sentCount } = this._exchange;
     // Another entry keeps its connection; it closes the one of its own caller.
     if (!isFramed && !request.isRelayed) closeAfter(this._response);
     const relayHeaders = request.isRelayed ? createRelayAnswerHeaders(sentCount, isFramed) : [];
-    this._response.writeHead(incoming.statusCode ?? 0, [...getStreamHeaders(incoming), ...relayHeaders]);
+    const headers = [...getStreamHeaders(incoming), ...relayHeaders];
+    this._output.start({ status: incoming.statusCode ?? 0, headers });
   }
 
   private _addEvent(): void {
--- a/src/http/answerEnd.ts
+++ b/src/http/answerEnd.ts
@@ -4,7 +4,7 @@
  * A length or a last chunk marks the end of a whole answer, so an answer is also visibly broken when this process
  * is killed and the operating system closes its connections in order. Callers that speak another version than
  * HTTP/1.1 receive no chunks; where an answer to them has no length, the close of its connection marks its end,
- * and a broken one has its connection reset.
+ * and a broken one has its connection reset, unless this process is killed first.
  *
  * An answer that its endpoint ended with its connection closes the caller's connection as well, so that a caller
  * that reads to the close does not wait until the connection has been idle for too long.
--- a/test/system/killedEntry.test.ts
+++ b/test/system/killedEntry.test.ts
@@ -12,6 +12,8 @@
 /** More than the buffers of a connection hold for a caller that reads nothing. */
 const LARGE_BYTES = 16 * 1_024 * 1_024;
 const CALLS = 8;
+/** Time in which an entry passes on what it has received. */
+const PASS_ON_MS = 200;
 /** Shorter than the time for which an unused connection of a caller stays open. */
 const MAX_CLOSE_MS = 2_000;
 
@@ -76,6 +78,31 @@
     await expectBrokenAfterKill(0, begun);
   });
 
+  // Guards against parts of streams that callers without chunks take for whole ones.
+  it("is not begun for callers that speak HTTP/1.0 when its entry is killed: streams", async () => {
+    await start(1);
+    let answered = 0;
+    answerAll((socket) => {
+      sendFirstEvents(socket);
+      answered += 1;
+    });
+    const begun = begin(0, { path: "/live/x", version: "1.0" });
+    await waitUntil("all are being answered", () => answered === CALLS);
+    await pause(PASS_ON_MS);
+    await cluster.entries[0]!.kill();
+    await Promise.all(begun.map(({ ended }) => ended));
+    expect(begun.map(({ text }) => text)).toEqual(begun.map(() => ""));
+  });
+
+  it("has a length for callers that speak HTTP/1.0 when nothing is killed: streams", async () => {
+    await start(1);
+    answerAll(sendEvents);
+    const [call] = begin(0, { path: "/live/x", version: "1.0" }, 1);
+    await call!.ended;
+    expect(call!.text.toLowerCase()).toContain(`\r\ncontent-length: ${createEvents(EVENT_COUNT).length}\r\n`);
+    expect(call!.isComplete).toBe(true);
+  });
+
   // Guards against large answers that look complete although their callers have not received all of them.
   it.each(["1.0", "1.1"])(
     "looks broken when its entry is killed: plain answers, HTTP/%s",
