Tests of entries that end in other ways than by SIGKILL

An abort (as when out of memory), an interrupt, the time to stop used up, a second stop signal, and a kill during the stop each leave broken streams, to callers of HTTP/1.0 none.

--- a/test/system/killedEntry.test.ts
+++ b/test/system/killedEntry.test.ts
@@ -12,6 +12,7 @@
 /** More than the buffers of a connection hold for a caller that reads nothing. */
 const LARGE_BYTES = 16 * 1_024 * 1_024;
 const CALLS = 8;
+const BETWEEN_SIGNALS_MS = 100;
 /** Time in which an entry passes on what it has received. */
 const PASS_ON_MS = 200;
 /** Shorter than the time for which an unused connection of a caller stays open. */
@@ -78,6 +79,31 @@
     await expectBrokenAfterKill(0, begun);
   });
 
+  // Guards against parts that look complete after an end of their entry other than a kill.
+  it.each([
+    ["aborts, as when it is out of memory", ["SIGABRT"]],
+    ["is interrupted", ["SIGINT"]],
+    ["has used up its time to stop", ["SIGTERM"]],
+    ["is told to stop twice", ["SIGTERM", "SIGTERM"]],
+    ["is killed while it stops", ["SIGTERM", "SIGKILL"]],
+  ] as const)("looks broken when its entry %s: streams, HTTP/1.0 and HTTP/1.1", async (_name, signals) => {
+    await start(1);
+    answerAll(sendFirstEvents);
+    const begun = begin(0, { path: "/live/x" });
+    const old = begin(0, { path: "/live/x", version: "1.0" });
+    await waitUntil("all have begun", () => begun.every(({ hasBegun }) => hasBegun));
+    for (const signal of signals) {
+      cluster.entries[0]!.sendSignal(signal);
+      await pause(BETWEEN_SIGNALS_MS);
+    }
+    await cluster.entries[0]!.waitForEnd();
+    await Promise.all([...begun, ...old].map(({ ended }) => ended));
+    expect(begun.map(({ status, isComplete }) => ({ status, isComplete }))).toEqual(
+      begun.map(() => ({ status: 200, isComplete: false })),
+    );
+    for (const { text } of old) expect(text).not.toMatch(/^HTTP\/1\.1 200 /);
+  });
+
   // Guards against parts of streams that callers without chunks take for whole ones.
   it("is not begun for callers that speak HTTP/1.0 when its entry is killed: streams", async () => {
     await start(1);
