Keep serving when the log can't be written

What callers saw: an entry whose log was on a full disk answered nobody and did not end: their connections stayed open until their own time was over. Found with standard output at /dev/full, while looking at the ways in which an entry ends.

Cause: the log's destination had no listener for errors, so the first failed write ended the process as an uncaught error. On the way out the destination is flushed, and its library repeats a write that fails with ENOSPC without end: one core busy for the ten minutes until it was killed, no answer, no exit.

Ruled out: a write that blocks (it is made in the background).

Repair: a failed write is no error of the process; its lines stay buffered (1 MB, then they are dropped and counted, as behind a stalled reader) and go out with the next line that can be written. Nothing is flushed while writing fails.

--- a/src/metrics/BoundedLog.ts
+++ b/src/metrics/BoundedLog.ts
@@ -2,7 +2,8 @@
  * A log that does not block its process.
  *
  * Lines are written in the background. If the reader stalls, lines beyond a size limit are dropped and
- * requests are not delayed. The number of dropped lines is logged once lines can be written again.
+ * requests are not delayed. The number of dropped lines is logged once lines can be written again. The same
+ * holds while writing fails, for example because the disk is full.
  */
 import { type DestinationStream, type Logger, pino } from "pino";
 import type { LogLevel } from "./logger";
@@ -11,6 +12,8 @@
 /** Maximum size of buffered lines, bytes; further lines are dropped. */
 const MAX_BUFFERED_BYTES = 1_000_000;
 const REPORT_MS = 1_000;
+/** File descriptor. */
+const STANDARD_OUTPUT = 1;
 
 /** A log destination that may drop lines. */
 export interface LossyDestination extends DestinationStream {
@@ -18,6 +21,25 @@
   flushSync(): void;
 }
 
+/** Creates the destination that writes to standard output. */
+function createDestination(): LossyDestination {
+  const destination = pino.destination({ dest: STANDARD_OUTPUT, sync: false, maxLength: MAX_BUFFERED_BYTES });
+  let isFailing = false;
+  // Without a listener an error would end the process. The lines stay buffered and are written again with the next.
+  destination.on("error", () => {
+    isFailing = true;
+  });
+  destination.on("drain", () => {
+    isFailing = false;
+  });
+  const flush = destination.flushSync.bind(destination);
+  // Called at each end of the process; it repeats a failing write without end.
+  destination.flushSync = () => {
+    if (!isFailing) flush();
+  };
+  return destination;
+}
+
 /** The log of a process, written without blocking. */
 export class BoundedLog {
   readonly logger: Logger;
@@ -34,7 +56,7 @@
     level: LogLevel,
     process: { readonly role: string; readonly name: string },
     metrics: Metrics,
-    destination: LossyDestination = pino.destination({ dest: 1, sync: false, maxLength: MAX_BUFFERED_BYTES }),
+    destination: LossyDestination = createDestination(),
   ) {
     this._metrics = metrics;
     this._destination = destination;
--- a/test/support/ProcessHandle.ts
+++ b/test/support/ProcessHandle.ts
@@ -43,19 +43,21 @@
     return this._outputTail;
   }
 
-  /** Starts the process. */
-  start(): void {
+  /**
+   * Starts the process.
+   * @param output - Where its standard output goes; to the log file by default.
+   */
+  start(output: "pipe" | number = "pipe"): void {
     const child = spawn(process.execPath, [...NODE_ARGS, ...this._args], {
-      stdio: ["ignore", "pipe", "pipe"],
+      stdio: ["ignore", output, "pipe"],
     });
     const log = createWriteStream(this.logFile, { flags: "a" });
-    child.stdout.pipe(log, { end: false });
-    child.stderr.pipe(log, { end: false });
     this._child = child;
     this._isEndExpected = false;
     this._outputTail = "";
     for (const stream of [child.stdout, child.stderr]) {
-      stream.on("data", (chunk: Buffer) => {
+      stream?.pipe(log, { end: false });
+      stream?.on("data", (chunk: Buffer) => {
         this._outputTail = (this._outputTail + chunk.toString()).slice(-OUTPUT_TAIL_CHARACTERS);
       });
     }
