Keep serving when the log can't be written: processes of the models too

Related path: control and entry of the command line wrote their log blockingly, and the first failed write ended them as an uncaught error. They use BoundedLog now, which also keeps a stalled reader from holding a request up.

--- a/src/cli/processes.ts
+++ b/src/cli/processes.ts
@@ -6,7 +6,7 @@
 import { Effect, type Scope } from "effect";
 import { initializeDataFolder, startControlProcess } from "../control";
 import { startEntryProcess } from "../entry";
-import { createLogger, type Logger, type Metrics, NoopMetrics, StatsdMetrics } from "../metrics";
+import { BoundedLog, type Metrics, NoopMetrics, StatsdMetrics } from "../metrics";
 import { ProcessSignals, reportResources, runProcess } from "../process";
 import { readControlSettings, readEntrySettings, readSecret } from "../settings";
 import { EXIT, printLine } from "./output";
@@ -44,17 +44,20 @@
     operator: await readSecret(settings.secrets.operatorFile),
     order: await readSecret(settings.secrets.orderFile),
   };
-  const logger = createLogger(settings.log.level, { role: "control", name: settings.process.name });
-  const metrics = createMetrics(settings.metrics, "control", settings.process.name);
+  const { name } = settings.process;
+  const metrics = createMetrics(settings.metrics, "control", name);
+  const log = new BoundedLog(settings.log.level, { role: "control", name }, metrics);
+  const { logger } = log;
   // Storage failed or an invariant is violated. A restart is safer than continuing with that state.
   const onFatal = (cause: unknown) => {
     logger.fatal({ event: "control_failed", reason: String(cause) });
+    log.close();
     process.exit(EXIT.failure);
   };
   await runUntilStopped(
     startControlProcess({ settings, secrets, logger, metrics, onFatal }),
     metrics,
-    logger,
+    log,
     signals,
   );
 }
@@ -64,10 +67,12 @@
   const settings = await readEntrySettings(file);
   const clusterSecret = await readSecret(settings.secrets.clusterFile);
   const orderSecret = await readSecret(settings.secrets.orderFile);
-  const logger = createLogger(settings.log.level, { role: "entry", name: settings.process.name });
-  const metrics = createMetrics(settings.metrics, "entry", settings.process.name);
+  const { name } = settings.process;
+  const metrics = createMetrics(settings.metrics, "entry", name);
+  const log = new BoundedLog(settings.log.level, { role: "entry", name }, metrics);
+  const { logger } = log;
   const start = startEntryProcess({ settings, clusterSecret, orderSecret, logger, metrics });
-  await runUntilStopped(start, metrics, logger, signals);
+  await runUntilStopped(start, metrics, log, signals);
 }
 
 function createMetrics(
@@ -84,7 +89,7 @@
 async function runUntilStopped(
   start: Effect.Effect<unknown, unknown, Scope.Scope>,
   metrics: Metrics,
-  logger: Logger,
+  log: BoundedLog,
   signals: ProcessSignals,
 ): Promise<void> {
   const program = Effect.gen(function* () {
@@ -92,8 +97,9 @@
     yield* reportResources(metrics);
   });
   try {
-    await runProcess(program, logger, signals);
+    await runProcess(program, log.logger, signals);
   } finally {
+    log.close();
     metrics.close();
   }
 }
--- a/test/settings/LiveSettings.test.ts
+++ b/test/settings/LiveSettings.test.ts
@@ -1,8 +1,8 @@
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { pino } from "pino";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { createLogger } from "../../src/metrics";
 import { LiveSettings, readGatewaySettings } from "../../src/settings";
 import { waitUntil } from "../support/waitUntil";
 
@@ -20,7 +20,7 @@
     folder = await mkdtemp(join(tmpdir(), "settings-"));
     file = join(folder, "settings.toml");
     await writeFile(file, createText(["127.0.0.1:2"]));
-    const logger = createLogger("silent", { role: "entry", name: "test" });
+    const logger = pino({ level: "silent" });
     live = new LiveSettings({ file, read: readGatewaySettings, logger }, await readGatewaySettings(file));
     live.start();
   });
