Split the log of requests from GatewayServer

RequestLog logs and counts how requests end; RequestProgress is what both use. No change of behaviour.

--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -11,7 +11,6 @@
   type BodyFailure,
   BodyReader,
   type BodyReading,
-  type BodyReservation,
   createHttpServer,
   dropBody,
   getDeclaredBytes,
@@ -31,8 +30,10 @@
 import type { CompleteAnswer } from "./PlainSource";
 import { type Authorization, isDenial, RequestAuthorizer } from "./RequestAuthorizer";
 import { RequestHold } from "./RequestHold";
+import { RequestLog } from "./RequestLog";
+import type { RequestProgress } from "./RequestProgress";
 import { createRelayAnswerHeaders, type RelayedRequest } from "./relay";
-import { StreamExchange, type StreamResult } from "./StreamExchange";
+import { StreamExchange } from "./StreamExchange";
 import { mayRepeat } from "./timeouts";
 import { addRelayOutcome, refuseMalformed, writeRefusal } from "./writeRefusal";
 
@@ -69,21 +70,6 @@
 /** Callers reuse a connection up to the declared time, so the server closes it a little later. */
 const IDLE_TIMEOUT_MARGIN_MS = 1_000;
 
-/** State of a partially processed request. */
-interface RequestProgress {
-  readonly receivedAt: number;
-  /** `undefined` for a request that came from its caller. */
-  readonly relayed: RelayedRequest | undefined;
-  call: CallMetadata | undefined;
-  route: Route | undefined;
-  /** Room for the body, from before it is read. */
-  reservation: BodyReservation | undefined;
-  body: RequestBody | undefined;
-  exchange: Exchange | undefined;
-  /** Time for which the request waited for what this entry was expecting, milliseconds. */
-  heldMs: number;
-}
-
 /** What a request waits for. */
 interface Expectation {
   readonly reason: "declaration" | "targets";
@@ -108,6 +94,7 @@
   private readonly _newServices = new NewServices();
   private readonly _held = new RequestHold();
   private readonly _authorizer: RequestAuthorizer;
+  private readonly _log: RequestLog;
   private readonly _startedAt: number;
   private readonly _running = new Map<Exchange, RunningRequest>();
   /** Answers whose last bytes have not been sent. */
@@ -123,7 +110,8 @@
     this._startedAt = options.clock.getMonotonicMs();
     this._authorizer = new RequestAuthorizer({ ...options, startedAt: this._startedAt });
     this._server = createHttpServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true });
-    const { memory } = options.dependencies;
+    const { memory, pool } = options.dependencies;
+    this._log = new RequestLog({ ...options, memory, pool });
     this._connections = new Connections(this._server, () => options.clock.getMonotonicMs(), {
       maxConnections: options.maxConnections,
       endSlowest: (now) => memory.endSlowest(now),
@@ -475,8 +463,7 @@
   ): Promise<void> {
     const stream = new StreamExchange(exchange, response);
     const result = await stream.run();
-    if (result.isWhole) this._log(progress, "done", { ...result, ...describeEnd(response, undefined) });
-    else this._logCut(progress, response, result, getCutCode(exchange));
+    this._log.addStream(this._options.clock.getMonotonicMs(), progress, response, result);
     if (result.firstEventMs === undefined) return;
     this._options.metrics.timing("gateway_first_event_ms", result.firstEventMs);
     this._options.metrics.timing("gateway_gap_ms", result.longestGapMs);
@@ -492,21 +479,20 @@
     response.writeHead(answer.status, headers);
     this._countUntilSent(response, progress.call, answer.body.length);
     if (response.destroyed) {
-      this._log(progress, "cut", { status: answer.status }, "no_memory");
+      this._log.addEnd(
+        this._options.clock.getMonotonicMs(),
+        progress,
+        "cut",
+        { status: answer.status },
+        "no_memory",
+      );
       return;
     }
     response.end(answer.body);
-    this._log(progress, "done", { status: answer.status, ...describeEnd(response, undefined) });
-  }
-
-  private _logCut(
-    progress: RequestProgress,
-    response: ServerResponse,
-    result: StreamResult,
-    code: ReturnType<typeof getCutCode>,
-  ): void {
-    const end = describeEnd(response, code === "caller_gone" ? "caller" : "entry");
-    this._log(progress, "cut", { ...result, ...end }, code);
+    this._log.addEnd(this._options.clock.getMonotonicMs(), progress, "done", {
+      status: answer.status,
+      ...describeEnd(response, undefined),
+    });
   }
 
   /** Counts the bytes of a whole answer until its caller has taken them, or has disconnected. */
@@ -517,15 +503,11 @@
     });
     response.once("close", () => {
       waiting.close();
-      if (!response.writableFinished) this._logNotReceived(call, bytes);
+      if (!response.writableFinished) this._log.addNotReceived(call, bytes);
     });
     waiting.setBytes(bytes);
   }
 
-  private _logNotReceived(call: CallMetadata | undefined, bytes: number): void {
-    this._options.logger.info({ event: "answer_not_received", request: call?.requestId ?? "", bytes });
-  }
-
   /** Sends the final answer when the request's time has expired, and aborts the attempts in progress. */
   private _endExpired(response: ServerResponse, progress: RequestProgress): void {
     const { exchange } = progress;
@@ -553,80 +535,16 @@
       writeRefusal(response, refusal);
     }
     const code = isDisconnected ? "caller_gone" : refusal.code;
-    this._log(progress, "refused", { status: refusal.status, reason: refusal.reason }, code);
-  }
-
-  private _countAttempts({ failures }: Exchange, kind: string): void {
-    const { metrics } = this._options;
-    const abandonedCount = failures.filter(({ wasLeft }) => wasLeft).length;
-    metrics.increment("gateway_failed_attempts", failures.length - abandonedCount, { kind });
-    metrics.increment("gateway_left_attempts", abandonedCount, { kind });
-  }
-
-  private _log(progress: RequestProgress, outcome: string, details: object, code = ""): void {
-    const { call, route, exchange, receivedAt } = progress;
-    const { metrics, clock } = this._options;
-    const tookMs = Math.round(clock.getMonotonicMs() - receivedAt);
-    const kind = route?.kind ?? "none";
-    const publishedView = this._options.getPublishedView();
-    metrics.increment("gateway_requests", 1, { kind, outcome, code });
-    metrics.timing("gateway_answer_ms", tookMs, { kind });
-    metrics.gauge("gateway_buffered_bytes", this._options.dependencies.memory.bytes);
-    if (exchange?.peers.servedBy !== undefined) metrics.increment("gateway_relayed", 1, { kind, outcome });
-    if (exchange !== undefined) this._countAttempts(exchange, kind);
-    this._options.logger.info({
-      event: "request_ended",
-      request: call?.requestId ?? "",
-      route: route?.name ?? "",
-      model: call?.model ?? "",
-      objective_ms: route?.objectiveMs ?? 0,
-      gap_objective_ms: route?.gapObjectiveMs,
-      declaration: this._options.getRoutes()?.declaration.version ?? 0,
-      view_term: publishedView.term,
-      view_control: publishedView.control,
-      // Shows whether a failure concerns one endpoint or all of them.
-      endpoint_silence_ms: getFiniteMs(
-        clock.getMonotonicMs() - this._options.dependencies.pool.lastActivityAt,
-      ),
-      view_silence_ms: getFiniteMs(publishedView.heartbeatAgeMs),
-      outcome,
+    this._log.addEnd(
+      this._options.clock.getMonotonicMs(),
+      progress,
+      "refused",
+      { status: refusal.status, reason: refusal.reason },
       code,
-      took_ms: tookMs,
-      held_ms: progress.heldMs === 0 ? undefined : progress.heldMs,
-      sent: exchange?.sentCount ?? 0,
-      // Shows why a request was not sent again: other entries may use attempts without telling at once.
-      attempts_taken: exchange?.takenCount ?? 0,
-      // Shows whether a refusal may say that the request did not run.
-      may_have_run: exchange?.mayHaveRun ?? false,
-      relayed: progress.relayed === undefined ? undefined : true,
-      relayed_to: exchange?.peers.servedBy,
-      failures: exchange?.failures,
-      not_repeated: exchange?.denial,
-      // Shows whether two failed calls were the same request.
-      digest: shouldLogDigest(exchange, code) ? exchange?.containment.digest : undefined,
-      kept_away_part: code === "kept_away" ? exchange?.containment.confirmedPart : undefined,
-      // Shows what failed calls with different digests have in common.
-      parts: shouldLogDigest(exchange, code) ? exchange?.containment.sharedParts : undefined,
-      ...details,
-    });
+    );
   }
 }
 
-/** Gets which side ended an answer early. */
-function getCutCode(exchange: Exchange): "time_over" | "caller_gone" | "endpoint_broke_off" {
-  if (exchange.getRemainingMs() <= 0) return "time_over";
-  return exchange.isCancelled ? "caller_gone" : "endpoint_broke_off";
-}
-
-/** Rounds a duration; `undefined` for an infinite one (nothing was received yet), which JSON can't represent. */
-function getFiniteMs(milliseconds: number): number | undefined {
-  return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined;
-}
-
-function shouldLogDigest(exchange: Exchange | undefined, code: string): boolean {
-  return exchange !== undefined && (exchange.failures.length > 0 || code === "kept_away");
-}
-
 function toRefusal(cause: unknown): GatewayRefusal {
   if (cause instanceof GatewayRefusal) return cause;
   return createFinalRefusal(502, "answer_lost", String(cause));
