Build the platform program beside running processes without ending them

Cause: the build copied the native library over the one that the running processes had mapped into memory.

Repair: each file is written under another name and renamed, so that a process keeps what it has open. An operator who builds again in place ends nothing.

--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -5,9 +5,12 @@
  * A process that starts from the snapshot needs hardly more processor time than Node alone. Starting from the
  * bundle takes 0.14 s more (252 against 107 ms until an entry listens, medians of five starts), which is 0.7
  * s on a fifth of a core, at every start.
+ *
+ * Each file is written under another name first, then renamed: processes that run from the folder have the native
+ * library mapped into memory, and would end if it changed there.
  */
 import { execFileSync } from "node:child_process";
-import { copyFileSync, mkdirSync } from "node:fs";
+import { copyFileSync, mkdirSync, renameSync } from "node:fs";
 import { createRequire } from "node:module";
 import { join } from "node:path";
 import { build } from "esbuild";
@@ -28,7 +31,9 @@
 const [folder] = process.argv.slice(2);
 if (folder === undefined) throw new Error("usage: bundlePlatform.mjs DIR");
 mkdirSync(folder, { recursive: true });
-const bundle = join(folder, "platform.cjs");
+/** Gets the path of a file while it is being written. */
+const getUnfinished = (name) => join(folder, `${name}.${process.pid}`);
+const bundle = getUnfinished("platform.cjs");
 await build({
   entryPoints: ["platform/main.ts"],
   bundle: true,
@@ -42,11 +47,13 @@
   plugins: [{ name: "late-modules", setup: addDeferredModules }],
 });
 // Native code cannot be bundled: the program loads it on first use from its own folder.
-copyFileSync(NATIVE_LIBRARY, join(folder, "koffi.node"));
-const snapshot = join(folder, "platform.blob");
+copyFileSync(NATIVE_LIBRARY, getUnfinished("koffi.node"));
+const snapshot = getUnfinished("platform.blob");
 execFileSync(process.execPath, [...SNAPSHOT_OPTIONS, "--snapshot-blob", snapshot, "--build-snapshot", bundle], {
   stdio: "inherit",
 });
+for (const name of ["koffi.node", "platform.cjs", "platform.blob"])
+  renameSync(getUnfinished(name), join(folder, name));
 
 /** Replaces deferred modules by objects whose members load the real module. */
 function addDeferredModules(context) {
