Send services' answers with a length to callers that receive no chunks

Related path of the streams of the gateway: an entry for models passed a service's answer without a length on to a caller of HTTP/1.0 with the close of its connection as its only end, so a part looked whole when the entry was killed. It is held until it is complete (1 MiB at most, else 502) and sent with its length; nothing of a broken one is sent.

Generations to such callers are streamed as before: 'data: [DONE]' ends them.

--- a/src/entry/filters/ServiceDispatch.ts
+++ b/src/entry/filters/ServiceDispatch.ts
@@ -5,12 +5,10 @@
  * not run, and never after the first byte of an answer. An endpoint's answer is relayed with any status.
  */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from "node:http";
-import { pipeline } from "node:stream/promises";
 import type { Clock } from "../../clock";
 import type { RandomSource } from "../../consensus";
-import { LostAnswer } from "../../errors";
 import type { ServiceEndpoint } from "../../gen/ploverstage/v1/control_pb";
-import { breakOff, checkServerRuns, closeAfter, endWhole, type HttpClient, isFramed } from "../../http";
+import { checkServerRuns, type HttpClient } from "../../http";
 import type { EntryLease } from "../../leases";
 import { type Candidate, EndpointPool, LeastWorkPlacement, RetryBudget, type Work } from "../../routing";
 import { ANSWER_HEADER } from "../AnswerWriter";
@@ -20,6 +18,7 @@
 import { Refusal } from "../Refusal";
 import type { ClassifiedRequest, ServiceCall } from "../requests";
 import type { Admission, Placer } from "./Admission";
+import { passOnAnswer } from "./passOnAnswer";
 import { runAttempts } from "./runAttempts";
 
 /** A classified service call. */
@@ -144,35 +143,16 @@
       beforeSend: () => this._throwIfNotAllowed(request, route),
     });
     route.work.addProgress(this._options.clock.getMonotonicMs(), 0);
-    if (!isFramed(answer, call.method)) closeAfter(response);
-    response.writeHead(answer.statusCode ?? 502, createAnswerHeaders(answer, request, route.endpoint));
-    await this._relayAnswer(answer, response, call.method, route.endpoint);
+    await passOnAnswer(response, {
+      incoming: answer,
+      headers: createAnswerHeaders(answer, request, route.endpoint),
+      address: route.endpoint.address,
+      checkEnd: () => this._checkEnd(route.endpoint),
+    });
     this._finish(request, route.work);
     return answer.statusCode ?? 0;
   }
 
-  /**
-   * Forwards the body of an answer as it arrives. If the answer is cut, its copy to the caller is cut too and
-   * never ends like a complete one.
-   */
-  private async _relayAnswer(
-    answer: IncomingMessage,
-    response: ServerResponse,
-    method: string,
-    endpoint: ServiceEndpoint,
-  ): Promise<void> {
-    try {
-      await pipeline(answer, response, { end: false });
-      if (!isFramed(answer, method)) await this._checkEnd(endpoint);
-      await endWhole(response);
-    } catch (cause) {
-      await breakOff(response);
-      throw cause instanceof LostAnswer
-        ? cause
-        : new LostAnswer({ address: endpoint.address, reason: String(cause) });
-    }
-  }
-
   /**
    * Checks that the endpoint of an answer without a length still runs, unless it had announced its end.
    * @throws LostAnswer - When it has ended, so that the answer may have been cut.
