Decide about a request once, and count which requests waited

Found on reading the change again: each request was looked up twice, and one that did not wait counted as one that had waited in vain. gateway_requests_held has the outcome notHeld for those.

--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -28,7 +28,7 @@
 import { NewServices } from "./NewServices";
 import { PlainExchange } from "./PlainExchange";
 import type { CompleteAnswer } from "./PlainSource";
-import { type Authorization, isDenial, RequestAuthorizer } from "./RequestAuthorizer";
+import { type Authorization, isDenial, isProvisional, RequestAuthorizer } from "./RequestAuthorizer";
 import { RequestHold } from "./RequestHold";
 import { RequestLog } from "./RequestLog";
 import type { RequestProgress } from "./RequestProgress";
@@ -157,7 +157,7 @@
   updateDeclaration(): void {
     const declaration = this._options.getRoutes()?.declaration;
     if (declaration === undefined) return;
-    this._newServices.setDeclaration(this._options.clock.getMonotonicMs(), declaration);
+    this._newServices.setDeclaration(this._getNow(), declaration);
     const { limits } = declaration;
     this._server.keepAliveTimeout = limits.idleMs + IDLE_TIMEOUT_MARGIN_MS;
     this._server.headersTimeout = limits.headerMs + IDLE_TIMEOUT_MARGIN_MS;
@@ -220,6 +220,11 @@
     this._server.closeAllConnections();
   }
 
+  /** Gets the monotonic time in milliseconds. */
+  private _getNow(): number {
+    return this._options.clock.getMonotonicMs();
+  }
+
   private _endIfIdle(): void {
     if (this._requestCount === 0) this._onIdle();
   }
@@ -242,7 +247,7 @@
     this._responses.add(response);
     for (const event of ["finish", "close"]) response.once(event, () => this._responses.delete(response));
     const progress: RequestProgress = {
-      receivedAt: this._options.clock.getMonotonicMs(),
+      receivedAt: this._getNow(),
       relayed,
       call: undefined,
       route: undefined,
@@ -264,7 +269,7 @@
   }
 
   private _releaseBody({ reservation, body }: RequestProgress): void {
-    const now = this._options.clock.getMonotonicMs();
+    const now = this._getNow();
     body?.release(now);
     reservation?.release(now);
   }
@@ -320,8 +325,8 @@
     const body = await this._readBody(incoming, {
       maxBytes: routes.declaration.limits.bodyBytes,
       reservation: progress.reservation,
-      getNow: () => this._options.clock.getMonotonicMs(),
-      timeoutMs: deadlineAt - this._options.clock.getMonotonicMs(),
+      getNow: () => this._getNow(),
+      timeoutMs: deadlineAt - this._getNow(),
     });
     progress.body = body;
     const ageMs = relayed?.ageMs ?? this._callerTimeouts.addTimeout(receivedAt, route.name, timeoutMs);
@@ -353,15 +358,15 @@
     progress: RequestProgress,
     call: CallMetadata,
   ): Promise<Authorization> {
-    const decide = () => this._authorizer.decide(this._options.clock.getMonotonicMs(), incoming, call);
-    const isKnown = () => {
-      const decision = decide();
-      return !isDenial(decision) || !decision.isProvisional;
-    };
-    await this._hold(response, progress, { reason: "declaration", since: this._startedAt, isKnown });
+    const decide = () => this._authorizer.decide(this._getNow(), incoming, call);
+    let decision = decide();
+    if (isProvisional(decision)) {
+      const isKnown = () => !isProvisional(decide());
+      await this._hold(response, progress, { reason: "declaration", since: this._startedAt, isKnown });
+      decision = decide();
+    }
     if (this._refusesRequests || (progress.relayed !== undefined && this._isStopping))
       throw createNotRunRefusal("stopping", "this entry is stopping", STOPPING_RETRY_MS);
-    const decision = decide();
     progress.route = decision.route;
     if (isDenial(decision)) throw decision.refusal;
     return decision;
@@ -390,15 +395,14 @@
     { reason, since, isKnown }: Expectation,
   ): Promise<void> {
     if (progress.relayed !== undefined || isKnown()) return;
-    const { clock, metrics } = this._options;
-    const heldAt = clock.getMonotonicMs();
+    const heldAt = this._getNow();
     const endsAt = getHoldEnd(since, progress.receivedAt, progress.call?.waitMs);
     const update = () => this._held.update();
     response.once("close", update);
-    const hasArrived = await this._held.wait(heldAt, { isKnown, isOver: () => response.destroyed, endsAt });
+    const outcome = await this._held.wait(heldAt, { isKnown, isOver: () => response.destroyed, endsAt });
     response.off("close", update);
-    progress.heldMs += Math.round(clock.getMonotonicMs() - heldAt);
-    metrics.increment("gateway_requests_held", 1, { reason, outcome: hasArrived ? "arrived" : "missing" });
+    progress.heldMs += Math.round(this._getNow() - heldAt);
+    this._options.metrics.increment("gateway_requests_held", 1, { reason, outcome });
   }
 
   /** Reads what the caller sent; the time left and the last event of a relayed request are those now. */
@@ -463,7 +467,7 @@
   ): Promise<void> {
     const stream = new StreamExchange(exchange, response);
     const result = await stream.run();
-    this._log.addStream(this._options.clock.getMonotonicMs(), progress, response, result);
+    this._log.addStream(this._getNow(), progress, response, result);
     if (result.firstEventMs === undefined) return;
     this._options.metrics.timing("gateway_first_event_ms", result.firstEventMs);
     this._options.metrics.timing("gateway_gap_ms", result.longestGapMs);
@@ -479,17 +483,11 @@
     response.writeHead(answer.status, headers);
     this._countUntilSent(response, progress.call, answer.body.length);
     if (response.destroyed) {
-      this._log.addEnd(
-        this._options.clock.getMonotonicMs(),
-        progress,
-        "cut",
-        { status: answer.status },
-        "no_memory",
-      );
+      this._log.addEnd(this._getNow(), progress, "cut", { status: answer.status }, "no_memory");
       return;
     }
     response.end(answer.body);
-    this._log.addEnd(this._options.clock.getMonotonicMs(), progress, "done", {
+    this._log.addEnd(this._getNow(), progress, "done", {
       status: answer.status,
       ...describeEnd(response, undefined),
     });
@@ -536,7 +534,7 @@
     }
     const code = isDisconnected ? "caller_gone" : refusal.code;
     this._log.addEnd(
-      this._options.clock.getMonotonicMs(),
+      this._getNow(),
       progress,
       "refused",
       { status: refusal.status, reason: refusal.reason },
--- a/src/gateway/RequestAuthorizer.ts
+++ b/src/gateway/RequestAuthorizer.ts
@@ -38,6 +38,11 @@
   return "refusal" in decision;
 }
 
+/** Checks whether a request is denied for want of the declaration that decides about it. */
+export function isProvisional(decision: Authorization | Denial): boolean {
+  return isDenial(decision) && decision.isProvisional;
+}
+
 /** Decides about the requests of one entry. */
 export class RequestAuthorizer {
   private readonly _options: RequestAuthorizerOptions;
--- a/src/gateway/RequestHold.ts
+++ b/src/gateway/RequestHold.ts
@@ -15,6 +15,9 @@
   readonly endsAt: number;
 }
 
+/** Whether what a request waited for has arrived or is missing, or whether the request did not wait for it. */
+export type HoldOutcome = "arrived" | "missing" | "notHeld";
+
 /** Maximum number of requests that wait in an entry at the same time. */
 const MAX_HELD = 256;
 
@@ -28,13 +31,9 @@
     return this._waiting.size;
   }
 
-  /**
-   * Waits until this entry has received what a request needs, unless too many requests wait already.
-   * @returns Whether it has received that.
-   */
-  async wait(now: number, request: HeldRequest): Promise<boolean> {
-    if (request.isKnown()) return true;
-    if (this._isEnded || now >= request.endsAt || this._waiting.size >= MAX_HELD) return false;
+  /** Waits until this entry has received what a request needs, unless too many requests wait already. */
+  async wait(now: number, request: HeldRequest): Promise<HoldOutcome> {
+    if (this._isEnded || now >= request.endsAt || this._waiting.size >= MAX_HELD) return "notHeld";
     await new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, request.endsAt - now);
       this._waiting.set(request, () => {
@@ -43,7 +42,7 @@
       });
     });
     this._waiting.delete(request);
-    return request.isKnown();
+    return request.isKnown() ? "arrived" : "missing";
   }
 
   /** Lets the requests continue that need to wait no longer. */
