Log why the call that carries consensus messages to a member ended

The logs told the positions of the members but not what became of the calls between them, so a lost election and a call that never ends looked alike. consensus_call_ended has the peer, the batches sent, the messages dropped and the reason; attempts at a peer that does not listen carry nothing and are not logged.

--- a/src/control/ControlProcess.ts
+++ b/src/control/ControlProcess.ts
@@ -68,7 +68,7 @@
       catch: (cause) => cause,
     });
     const transport = yield* Effect.acquireRelease(
-      Effect.sync(() => new PeerTransport(transports)),
+      Effect.sync(() => new PeerTransport(transports, options.logger)),
       (opened) => Effect.sync(() => opened.close()),
     );
     const driver = createMemberDriver({
--- a/src/membership/PeerTransport.ts
+++ b/src/membership/PeerTransport.ts
@@ -9,6 +9,7 @@
   ConsensusService,
   type DeliverRequestSchema,
 } from "../gen/ploverstage/v1/consensus_pb";
+import type { Logger } from "../metrics";
 import type { TransportPool } from "../rpc";
 
 const MAX_QUEUED_MESSAGES = 2_000;
@@ -16,13 +17,18 @@
 
 /** A queue of messages to one address, sent over one streaming call that is reopened when it fails. */
 class PeerQueue {
+  private readonly _address: string;
+  private readonly _logger: Logger;
   private readonly _client: Client<typeof ConsensusService>;
   private _messages: ConsensusMessage[] = [];
   private _wakeSender: () => void = () => {};
   private _isOpen = false;
+  private _sentBatches = 0;
   private readonly _closeController = new AbortController();
 
-  constructor(address: string, transports: TransportPool) {
+  constructor(address: string, transports: TransportPool, logger: Logger) {
+    this._address = address;
+    this._logger = logger;
     this._client = createClient(ConsensusService, transports.getTransport(address));
   }
 
@@ -44,7 +50,9 @@
     this._isOpen = true;
     const callController = new AbortController();
     const { signal } = this._closeController;
-    await this._client.deliver(this._generateBatches(callController.signal), { signal }).catch(() => {});
+    this._sentBatches = 0;
+    const batches = this._generateBatches(callController.signal);
+    await this._client.deliver(batches, { signal }).catch((cause: unknown) => this._logEnd(cause));
     callController.abort();
     this._wakeSender();
     // Messages that were queued for an unreachable peer are stale by the time it is reachable again.
@@ -53,6 +61,18 @@
     this._isOpen = false;
   }
 
+  /** Logs the end of a call that carried messages; attempts at a peer that does not listen are frequent. */
+  private _logEnd(cause: unknown): void {
+    if (this._sentBatches === 0 || this._closeController.signal.aborted) return;
+    this._logger.info({
+      event: "consensus_call_ended",
+      peer: this._address,
+      batches: this._sentBatches,
+      dropped: this._messages.length,
+      reason: String(cause),
+    });
+  }
+
   /**
    * Generates the batches of one call. The generator ends when its call fails, so that it takes no messages
    * from the generator of the next call.
@@ -69,6 +89,7 @@
       }
       const messages = this._messages;
       this._messages = [];
+      this._sentBatches += 1;
       yield { messages };
     }
   }
@@ -77,13 +98,16 @@
 /** Message queues to all members. */
 export class PeerTransport implements Transport {
   private readonly _transports: TransportPool;
+  private readonly _logger: Logger;
   private readonly _queues = new Map<string, PeerQueue>();
 
   /**
    * @param transports - Transports to the other members.
+   * @param logger - Records why calls to members end.
    */
-  constructor(transports: TransportPool) {
+  constructor(transports: TransportPool, logger: Logger) {
     this._transports = transports;
+    this._logger = logger;
   }
 
   /** Queues a message; a message without an address is dropped. */
@@ -91,7 +115,7 @@
     if (address === "") return;
     let queue = this._queues.get(address);
     if (queue === undefined) {
-      queue = new PeerQueue(address, this._transports);
+      queue = new PeerQueue(address, this._transports, this._logger);
       this._queues.set(address, queue);
     }
     queue.add(message);
--- a/src/registration/FleetControlProcess.ts
+++ b/src/registration/FleetControlProcess.ts
@@ -87,7 +87,7 @@
       (opened) => Effect.sync(() => opened.stop()),
     );
     const transport = yield* Effect.acquireRelease(
-      Effect.sync(() => new PeerTransport(transports)),
+      Effect.sync(() => new PeerTransport(transports, logger)),
       (opened) => Effect.sync(() => opened.close()),
     );
     // A member's name is its address, so the process can answer before it has received the member list.
--- a/test/rpc/TransportPool.test.ts
+++ b/test/rpc/TransportPool.test.ts
@@ -1,5 +1,6 @@
 import { create } from "@bufbuild/protobuf";
 import { createClient } from "@connectrpc/connect";
+import { pino } from "pino";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { ConsensusMessageSchema, ConsensusService } from "../../src/gen/ploverstage/v1/consensus_pb";
 import { FleetService } from "../../src/gen/ploverstage/v1/fleet_pb";
@@ -51,7 +52,7 @@
     });
     relay = await TcpProxy.start(listen);
     transports = new TransportPool(undefined);
-    members = new PeerTransport(transports);
+    members = new PeerTransport(transports, pino({ level: "silent" }));
   });
 
   afterEach(async () => {
