Calls between processes end when their peer closes the stream without an answer

Callers were refused and configurations were not acknowledged: after restarts of control processes no leader was elected for 40 s and more, or one was lost and replicas were formed again, which cut answers.

Cause: a peer that stops may end a stream with NO_ERROR and no answer. The RPC library ends a call on an answer, an error or an error code only, so the call stayed open for good, and every later message of consensus to that member waited behind it. Calls with a timeout waited for all of it.

Evidence: traces of twelve calls that never ended: each had 'aborted' and 'end' with code 0 and no response, and a batch that was written after it. Ruled out: a port in use, a write that never returns, pre-votes that refuse each other.

Failed before: createRpcTransport 'fails a call at once whose peer closes the stream', PeerTransport 'opens another call when a peer closes the stream without an error'.

The stream now emits an error in that case, once the library listens, so the call fails as unavailable and the next one opens another stream.

--- a/src/rpc/ReconnectingSessionManager.ts
+++ b/src/rpc/ReconnectingSessionManager.ts
@@ -6,6 +6,9 @@
  * event, and an error event without a listener ends the process. If a session ends without an error while its
  * session manager waits for a ping, that manager waits forever. For these reasons each session gets an error
  * listener, and its manager is replaced when it ends.
+ *
+ * A peer that stops may close a stream without an answer and without an error. The library reports no end of
+ * such a call, so its stream emits an error here.
  */
 import { type ClientHttp2Stream, constants, type Http2Session } from "node:http2";
 import { Code, ConnectError } from "@connectrpc/connect";
@@ -78,6 +81,7 @@
     try {
       const stream = await Promise.race([opening, state.sessionEnded]);
       if (stream.session !== undefined) this._addSession(state, stream.session);
+      failWithoutAnswer(stream);
       return stream;
     } catch (cause) {
       // A stream that opens later is closed without a body, so the peer does not run its call.
@@ -128,3 +132,26 @@
     });
   }
 }
+
+/** Makes a stream emit an error when its peer closes it without an error before an answer has begun. */
+function failWithoutAnswer(stream: ClientHttp2Stream): void {
+  let isWaiting = true;
+  stream.once("response", () => {
+    isWaiting = false;
+  });
+  const fail = () => {
+    if (!isWaiting || stream.rstCode !== constants.NGHTTP2_NO_ERROR) return;
+    isWaiting = false;
+    const error = new ConnectError("the peer closed the stream without an answer", Code.Unavailable);
+    // The library listens for errors once it has received the stream.
+    setImmediate(() => emitError(stream, error));
+  };
+  // A stream with an unfinished write is aborted and not closed until its session ends.
+  stream.once("aborted", fail);
+  stream.once("close", fail);
+}
+
+function emitError(stream: ClientHttp2Stream, error: ConnectError): void {
+  if (stream.destroyed) stream.emit("error", error);
+  else stream.destroy(error);
+}
--- a/test/membership/PeerTransport.test.ts
+++ b/test/membership/PeerTransport.test.ts
@@ -59,6 +59,16 @@
     expect(streams.length).toBe(count);
   }
 
+  // Guards against a member that sends nothing to another one for good, so that no leader is elected.
+  it.each([
+    ["without an error", constants.NGHTTP2_NO_ERROR],
+    ["with an error", constants.NGHTTP2_CANCEL],
+  ])("opens another call when a peer closes the stream %s", async (_, code) => {
+    await waitForCall(1);
+    streams[0]!.close(code);
+    await waitForCall(2);
+  });
+
   it("opens another call when a peer that stops ends its session without an error", async () => {
     await waitForCall(1);
     streams[0]!.session!.destroy();
--- a/test/rpc/ReconnectingSessionManager.test.ts
+++ b/test/rpc/ReconnectingSessionManager.test.ts
@@ -18,6 +18,7 @@
     }
   }
 
+  const createStream = (session: object) => Object.assign(new EventEmitter(), { session });
   const createSession = () => Object.assign(new EventEmitter(), { setLocalWindowSize: () => {} });
 
   /** Starts a manager with one open session, and a call that waits for its stream. */
@@ -31,7 +32,7 @@
     }, pinger);
     const first = createSession();
     const firstCall = manager.request("POST", "/", {}, {});
-    fakes[0]!.openings[0]!({ session: first });
+    fakes[0]!.openings[0]!(createStream(first));
     await firstCall;
     return { manager, fakes, first, call: manager.request("POST", "/", {}, {}) };
   }
@@ -41,7 +42,7 @@
     const { fakes, first, call } = await startCall();
     first.emit("close");
     await waitUntil("the stream is opened again", () => fakes[1]?.openings.length === 1);
-    const stream = { session: createSession() };
+    const stream = createStream(createSession());
     fakes[1]!.openings[0]!(stream);
     expect(await call).toBe(stream);
     expect(fakes.map(({ openings }) => openings.length)).toEqual([2, 1]);
@@ -53,7 +54,7 @@
     await waitUntil("the stream is opened again", () => fakes[1]?.openings.length === 1);
     const second = createSession();
     const otherCall = manager.request("POST", "/", {}, {});
-    fakes[1]!.openings[1]!({ session: second });
+    fakes[1]!.openings[1]!(createStream(second));
     await otherCall;
     second.emit("close");
     await expect(call).rejects.toThrow("the session ended");
@@ -71,7 +72,7 @@
     };
     const lateStream = Object.assign(new EventEmitter(), { session, close });
     fakes[0]!.openings[1]!(lateStream);
-    fakes[1]!.openings[0]!({ session: createSession() });
+    fakes[1]!.openings[0]!(createStream(createSession()));
     await call;
     expect(closedWith).toBe(constants.NGHTTP2_CANCEL);
     const resetError = new Error("read ECONNRESET");
@@ -83,7 +84,7 @@
     const session = Object.assign(new EventEmitter(), { setLocalWindowSize: () => {} });
     const fakeManager = {
       authority: "http://127.0.0.1:1",
-      request: () => Promise.resolve({ session }),
+      request: () => Promise.resolve(createStream(session)),
       notifyResponseByteRead: () => {},
     };
     const pinger = new SessionPinger({ getMonotonicMs: () => 0, getWallMs: () => 0 });
--- a/test/rpc/createRpcTransport.test.ts
+++ b/test/rpc/createRpcTransport.test.ts
@@ -1,6 +1,8 @@
-import { createClient } from "@connectrpc/connect";
+import { constants, createServer, type ServerHttp2Session, type ServerHttp2Stream } from "node:http2";
+import { Code, ConnectError, createClient } from "@connectrpc/connect";
 import { describe, expect, it } from "vitest";
 import { FleetService } from "../../src/gen/ploverstage/v1/fleet_pb";
+import { listen } from "../../src/http";
 import { createRpcTransport, RpcServer } from "../../src/rpc";
 import { getFreeAddresses } from "../support/ports";
 import { TcpProxy } from "../support/TcpProxy";
@@ -55,6 +57,25 @@
     expect(errors).toEqual([]);
   });
 
+  // Guards against calls that wait for their whole timeout, or for good, for a peer that has ended.
+  it("fails a call at once whose peer closes the stream without an answer and without an error", async () => {
+    const [address] = (await getFreeAddresses(1)) as [string];
+    const server = createServer();
+    const sessions: ServerHttp2Session[] = [];
+    server.on("session", (session) => sessions.push(session));
+    server.on("stream", (stream: ServerHttp2Stream) => {
+      stream.resume();
+      stream.on("end", () => stream.close(constants.NGHTTP2_NO_ERROR));
+    });
+    await listen(server, address);
+    const client = createClient(FleetService, createRpcTransport(address, undefined));
+    const call = client.getDeclaration({}).catch((cause: unknown) => ConnectError.from(cause).code);
+    const outcome = await Promise.race([call, sleep(CALL_TIMEOUT_MS).then(() => "unanswered")]);
+    for (const session of sessions) session.destroy();
+    server.close();
+    expect(outcome).toBe(Code.Unavailable);
+  });
+
   it("sends a large declaration within two round trips", async () => {
     const [listen] = (await getFreeAddresses(1)) as [string];
     const server = await RpcServer.start({
--- a/test/soak/AnswerSoak.ts
+++ b/test/soak/AnswerSoak.ts
@@ -8,7 +8,7 @@
  */
 import { SeededRandom } from "../../src/consensus";
 import { createConfig } from "../platform/createConfig";
-import { KeepAliveCallers } from "../platform/KeepAliveCallers";
+import { KeepAliveCallers, type RequestRecord } from "../platform/KeepAliveCallers";
 import { PlatformCluster } from "../platform/PlatformCluster";
 import type { EndlessKind } from "../platform/WorkerStandin";
 import type { ProcessHandle } from "../support/ProcessHandle";
@@ -219,8 +219,9 @@
 
   private _createResult(groups: readonly KeepAliveCallers[]): SoakResult {
     for (const [entry, callers] of groups.entries()) {
+      const times = [...callers.getByOutcome("cut"), ...callers.getByOutcome("unanswered")].map(getEndTime);
       for (const [description, count] of Object.entries(callers.countByOutcome("cut", "unanswered"))) {
-        this._violations.push(`entry ${entry}: ${count} ${description}`);
+        this._violations.push(`entry ${entry}: ${count} ${description}; ends at ${times.join(", ")}`);
       }
     }
     return {
@@ -246,6 +247,11 @@
   }
 }
 
+/** Gets the time of day at which a request ended, for comparison with the logs of the processes. */
+function getEndTime({ endedAt }: RequestRecord): string {
+  return new Date(performance.timeOrigin + endedAt).toISOString();
+}
+
 function pause(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- a/test/soak/answers.test.ts
+++ b/test/soak/answers.test.ts
@@ -17,6 +17,13 @@
     expect(result.violations).toEqual([]);
   });
 
+  // Guards against members whose calls to a restarted one never end: no leader was elected for 40 s.
+  it("cuts no answer while control processes restart one after another", async () => {
+    const soak = new AnswerSoak(CI_SEEDS[0]!, { faults: ["stopControl", "changeConfig"] });
+    const result = await soak.run(CI_DURATION_MS);
+    expect(result.violations).toEqual([]);
+  });
+
   it("detects cut answers if a stopping entry is killed (injected defect)", async () => {
     const soak = new AnswerSoak(CI_SEEDS[0]!, { faults: ["stopEntry"], killsStoppingEntries: true });
     const result = await soak.run(CI_DURATION_MS / 2);
