--- a/src/entry/filters/ServiceDispatch.ts
+++ b/src/entry/filters/ServiceDispatch.ts
@@ -10,7 +10,7 @@
 import type { RandomSource } from "../../consensus";
 import { LostAnswer } from "../../errors";
 import type { ServiceEndpoint } from "../../gen/ploverstage/v1/control_pb";
-import { breakOff, checkServerRuns, endWhole, type HttpClient, isFramed } from "../../http";
+import { breakOff, checkServerRuns, closeAfter, endWhole, type HttpClient, isFramed } from "../../http";
 import type { EntryLease } from "../../leases";
 import { type Candidate, EndpointPool, LeastWorkPlacement, RetryBudget, type Work } from "../../routing";
 import { ANSWER_HEADER } from "../AnswerWriter";
@@ -144,6 +144,7 @@
       beforeSend: () => this._throwIfNotAllowed(request, route),
     });
     route.work.addProgress(this._options.clock.getMonotonicMs(), 0);
+    if (!isFramed(answer, call.method)) closeAfter(response);
     response.writeHead(answer.statusCode ?? 502, createAnswerHeaders(answer, request, route.endpoint));
     await this._relayAnswer(answer, response, call.method, route.endpoint);
     this._finish(request, route.work);
--- a/src/gateway/GatewayServer.ts
+++ b/src/gateway/GatewayServer.ts
@@ -4,7 +4,7 @@
 import type { Clock } from "../clock";
 import type { RandomSource } from "../consensus";
 import type { Route, RouteTable } from "../declaration";
-import { breakOff, breakOffNow, Connections, listen } from "../http";
+import { breakOff, breakOffNow, Connections, closeAfter, listen } from "../http";
 import type { Logger, Metrics } from "../metrics";
 import type { ReceivedView } from "../registration";
 import {
@@ -462,6 +462,7 @@
     const headers = createAnswerHeaders(answer, response);
     if (relayed !== undefined)
       headers.push(...createRelayAnswerHeaders(exchange?.sentCount ?? 0, answer.isFramed));
+    else if (!answer.isFramed) closeAfter(response);
     response.writeHead(answer.status, headers);
     this._countUntilSent(response, progress.call, answer.body.length);
     if (response.destroyed) {
--- a/src/gateway/StreamExchange.ts
+++ b/src/gateway/StreamExchange.ts
@@ -5,7 +5,7 @@
  * or stalls is resumed at another endpoint after the last event that was passed on, within the same answer.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { breakOff, endWhole } from "../http";
+import { breakOff, closeAfter, endWhole } from "../http";
 import type { AnsweringAttempt } from "./Attempt";
 import type { AttemptRace } from "./AttemptRace";
 import { createRace } from "./createRace";
@@ -127,6 +127,8 @@
     if (this._response.headersSent) return;
     this._startedUnframed = !isFramed;
     const { request, sentCount } = this._exchange;
+    // Another entry keeps its connection; it closes the one of its own caller.
+    if (!isFramed && !request.isRelayed) closeAfter(this._response);
     const relayHeaders = request.isRelayed ? createRelayAnswerHeaders(sentCount, isFramed) : [];
     this._response.writeHead(incoming.statusCode ?? 0, [...getStreamHeaders(incoming), ...relayHeaders]);
   }
--- a/src/http/answerEnd.ts
+++ b/src/http/answerEnd.ts
@@ -5,6 +5,9 @@
  * is killed and the operating system closes its connections in order. Callers that speak another version than
  * HTTP/1.1 receive no chunks; where an answer to them has no length, the close of its connection marks its end,
  * and a broken one has its connection reset.
+ *
+ * An answer that its endpoint ended with its connection closes the caller's connection as well, so that a caller
+ * that reads to the close does not wait until the connection has been idle for too long.
  */
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -15,6 +18,11 @@
 /** Maximum time that the last bytes may wait for a caller that reads slowly, in milliseconds. */
 const MAX_FLUSH_MS = 200;
 
+/** Closes the caller's connection after an answer whose head has not been sent, and announces it in the head. */
+export function closeAfter(response: ServerResponse): void {
+  response.shouldKeepAlive = false;
+}
+
 /** Ends an answer as whole. Resolves once its last bytes have been sent, or its caller has disconnected. */
 export function endWhole(response: ServerResponse): Promise<void> {
   if (response.destroyed) return Promise.resolve();
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,5 +1,5 @@
 /** HTTP/1.1 client for endpoints and the platform, and a JSON server. */
-export { breakOff, breakOffNow, endWhole } from "./answerEnd";
+export { breakOff, breakOffNow, closeAfter, endWhole } from "./answerEnd";
 export { type ConnectionLimit, Connections } from "./Connections";
 export { checkServerRuns } from "./checkServerRuns";
 export { getJsonCost } from "./getJsonCost";
--- a/test/system/endedService.test.ts
+++ b/test/system/endedService.test.ts
@@ -1,6 +1,7 @@
 /** Answers of a service that ends, or that breaks off, before it has sent all of them. */
 import type { Socket } from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { pause } from "../../src/clock";
 import { resetConnection } from "../../src/http";
 import { Cluster } from "../support/Cluster";
 import { callEntry } from "../support/callEntry";
@@ -10,6 +11,8 @@
 
 const PATH = "/v1/services/guichet/members";
 const ORGANISATION = { "ploverstage-organisation": "alpha", connection: "close" };
+/** Shorter than the time for which an unused connection of a caller stays open. */
+const MAX_CLOSE_MS = 2_000;
 const PART = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart";
 
 describe("an answer without a length", () => {
@@ -56,6 +59,18 @@
     expect(answer.isComplete).toBe(true);
   });
 
+  // Guards against callers that read to the close and wait for it long after the last byte of a whole answer.
+  it("ends the connection of a caller that would keep it", async () => {
+    cluster.services[0]!.answerWith = (socket) => {
+      socket.end(PART);
+    };
+    const headers = { "ploverstage-organisation": "alpha", "ploverstage-repeatable": "no" };
+    const call = new RawCall(cluster.entryAddresses[0]!, { path: PATH, id: "call-1", headers });
+    const ended = await Promise.race([call.ended, pause(MAX_CLOSE_MS)]);
+    call.close();
+    expect(ended?.isComplete).toBe(true);
+  });
+
   it.each(["1.0", "1.1"])("of the entry itself has a length: HTTP/%s", async (version) => {
     const addresses = new RawCall(cluster.entryAddresses[0]!, { path: "/v1/none", id: "call-1", version });
     await waitUntil("the refusal has arrived", () => addresses.isComplete);
--- a/test/system/killedEntry.test.ts
+++ b/test/system/killedEntry.test.ts
@@ -1,6 +1,7 @@
 /** What callers see of answers in progress when an entry that passes them on is killed. */
 import type { Socket } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
+import { pause } from "../../src/clock";
 import { createConfig } from "../platform/createConfig";
 import { getEntryIp, PlatformCluster } from "../platform/PlatformCluster";
 import { RawCall, type RawRequest } from "../support/RawCall";
@@ -11,6 +12,8 @@
 /** More than the buffers of a connection hold for a caller that reads nothing. */
 const LARGE_BYTES = 16 * 1_024 * 1_024;
 const CALLS = 8;
+/** Shorter than the time for which an unused connection of a caller stays open. */
+const MAX_CLOSE_MS = 2_000;
 
 describe("an answer that its worker sends without a length or chunks", () => {
   let cluster: PlatformCluster;
@@ -105,6 +108,15 @@
     for (const { text } of begun) expect(text).toContain(createEvent(EVENT_COUNT));
     for (const { text } of begun) expect(text.match(/^id: /gm)).toHaveLength(EVENT_COUNT);
   });
+
+  // Guards against callers that read to the close and wait for it long after the last event.
+  it("ends its caller's connection when nothing is killed", async () => {
+    await start(1);
+    answerAll(sendEvents);
+    const begun = begin(0, { path: "/live/x" });
+    await Promise.race([Promise.all(begun.map(({ ended }) => ended)), pause(MAX_CLOSE_MS)]);
+    expect(begun.map(({ end }) => end)).toEqual(begun.map(() => "in order"));
+  });
 });
 
 function createEvent(id: number): string {
