--- a/bench/answers.ts
+++ b/bench/answers.ts
@@ -3,13 +3,13 @@
  * is stopped with a second SIGTERM during its shutdown and started again. One replica head after another
  * stalls, and another head sends endless responses during the first stall.
  */
+import { pause } from "../src/clock";
 import { createConfig } from "../test/platform/createConfig";
 import { KeepAliveCallers } from "../test/platform/KeepAliveCallers";
 import { PlatformCluster } from "../test/platform/PlatformCluster";
 import type { ProcessHandle } from "../test/support/ProcessHandle";
 import { waitUntil } from "../test/support/waitUntil";
 import type { Bench, Figure } from "./Figure";
-import { pause } from "./support/processes";
 
 export const answersBench: Bench = { name: "answers", run };
 
--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -11,6 +11,7 @@
 import { runInNewContext } from "node:vm";
 import { create, toBinary } from "@bufbuild/protobuf";
 import { type Client, createClient } from "@connectrpc/connect";
+import { pause } from "../src/clock";
 import { createConfigurationPatch, parseConfiguration } from "../src/configuration";
 import { type LogEntry, LogEntrySchema } from "../src/gen/ploverstage/v1/consensus_pb";
 import { EntryService } from "../src/gen/ploverstage/v1/control_pb";
@@ -23,7 +24,7 @@
 import { TcpProxy } from "../test/support/TcpProxy";
 import type { Bench, Figure } from "./Figure";
 import { measurePlanning } from "./support/planning";
-import { getResidentMb, measureCpu, pause } from "./support/processes";
+import { getResidentMb, measureCpu } from "./support/processes";
 
 export const capacityBench: Bench = { name: "capacity", run };
 
--- a/bench/containment.ts
+++ b/bench/containment.ts
@@ -3,6 +3,7 @@
  * Also counts how often a request is wrongly refused that only ran on instances when their rack was lost.
  */
 import { create } from "@bufbuild/protobuf";
+import { pause } from "../src/clock";
 import {
   CrashLedger,
   getPartDigest,
@@ -18,7 +19,7 @@
 import { PlatformCluster } from "../test/platform/PlatformCluster";
 import type { Bench, Figure } from "./Figure";
 import { measureRequests } from "./gateway";
-import { measureCpu, pause } from "./support/processes";
+import { measureCpu } from "./support/processes";
 
 export const containmentBench: Bench = { name: "containment", run };
 
--- a/bench/firstStart.ts
+++ b/bench/firstStart.ts
@@ -2,12 +2,12 @@
  * `firstStart`: all processes start for the first time at once: control processes on small cores, instances
  * that report and entries that watch. Measures the time until the first replicas serve.
  */
+import { pause } from "../src/clock";
 import { createConfig } from "../test/platform/createConfig";
 import { PlatformCluster } from "../test/platform/PlatformCluster";
 import type { Bench, Figure } from "./Figure";
 import { getLeadershipStarts, getWorstStallMs, readControlLogs } from "./support/controlLog";
 import { createWatcher } from "./support/createWatcher";
-import { pause } from "./support/processes";
 
 export const firstStartBench: Bench = { name: "firstStart", run };
 
--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -3,13 +3,14 @@
  * other control processes, and the cost of each further instance and entry.
  */
 import { createClient } from "@connectrpc/connect";
+import { pause } from "../src/clock";
 import { FleetService } from "../src/gen/ploverstage/v1/fleet_pb";
 import { createRpcTransport } from "../src/rpc";
 import { createConfig } from "../test/platform/createConfig";
 import { type ClusterOptions, PlatformCluster } from "../test/platform/PlatformCluster";
 import type { Bench, Figure } from "./Figure";
 import { createWatcher } from "./support/createWatcher";
-import { getCpuMs, getResidentMb, pause } from "./support/processes";
+import { getCpuMs, getResidentMb } from "./support/processes";
 
 export const fleetBench: Bench = { name: "fleet", run };
 
--- a/bench/gateway.ts
+++ b/bench/gateway.ts
@@ -1,8 +1,9 @@
 /** `gateway`: processor time of an entry that routes by declarations, when idle, per stream and per call. */
+import { pause } from "../src/clock";
 import { createConfig, MODEL } from "../test/platform/createConfig";
 import { PlatformCluster } from "../test/platform/PlatformCluster";
 import type { Bench, Figure } from "./Figure";
-import { measureCpu, pause } from "./support/processes";
+import { measureCpu } from "./support/processes";
 
 export const gatewayBench: Bench = { name: "gateway", run };
 
--- a/bench/lives.ts
+++ b/bench/lives.ts
@@ -2,13 +2,14 @@
  * `lives`: an instance ends and starts again, under its own id and under another id, in a small and in a
  * large fleet. Measures the time until it runs a request, and the cost of checking reports.
  */
+
 import { readHeartbeat } from "../platform/PlatformReports";
+import { pause } from "../src/clock";
 import { checkReport } from "../src/registration/checkReport";
 import { createConfig } from "../test/platform/createConfig";
 import { PlatformCluster } from "../test/platform/PlatformCluster";
 import type { WorkerStandin } from "../test/platform/WorkerStandin";
 import type { Bench, Figure } from "./Figure";
-import { pause } from "./support/processes";
 
 export const livesBench: Bench = { name: "lives", run };
 
--- a/bench/overload.ts
+++ b/bench/overload.ts
@@ -3,6 +3,7 @@
  * entries. Meanwhile instances report, entries watch, callers query the directory and an operator sends
  * configuration versions. Measures how soon control answers again.
  */
+import { pause } from "../src/clock";
 import { createConfig } from "../test/platform/createConfig";
 import { DirectoryCallers } from "../test/platform/DirectoryCallers";
 import { OperatorStandin } from "../test/platform/OperatorStandin";
@@ -12,7 +13,6 @@
 import { CpuSampler } from "./support/CpuSampler";
 import { type LogLine, readControlLogs } from "./support/controlLog";
 import { getLongestUndisturbedWaitMs, isWithin, type PowerSpan } from "./support/powerSpans";
-import { pause } from "./support/processes";
 
 export const overloadBench: Bench = { name: "overload", run };
 
--- a/bench/path.ts
+++ b/bench/path.ts
@@ -5,6 +5,7 @@
  * same engines, which generate 16 tokens at once.
  */
 import { join } from "node:path";
+import { pause } from "../src/clock";
 import { Cluster } from "../test/support/Cluster";
 import { createChat } from "../test/support/callEntry";
 import { createConfiguration } from "../test/support/configuration";
@@ -13,7 +14,7 @@
 import { waitUntil } from "../test/support/waitUntil";
 import type { Bench, Figure } from "./Figure";
 import { type CallerResult, runCallers } from "./support/callers";
-import { getResidentMb, pause } from "./support/processes";
+import { getResidentMb } from "./support/processes";
 
 const HELPER_FILE = "dist/benchHelper.mjs";
 const CALLERS = [1, 32, 256] as const;
--- a/bench/powerLoss.ts
+++ b/bench/powerLoss.ts
@@ -2,13 +2,13 @@
  * `powerLoss`: all control processes lose power at once and start again on small cores, while a fleet of
  * instances reports and entries watch.
  */
+import { pause } from "../src/clock";
 import { createConfig } from "../test/platform/createConfig";
 import { PlatformCluster } from "../test/platform/PlatformCluster";
 import { Throttle } from "../test/support/Throttle";
 import type { Bench, Figure } from "./Figure";
 import { getLeadershipStarts, getWorstStallMs, type LogLine, readControlLogs } from "./support/controlLog";
 import { createWatcher } from "./support/createWatcher";
-import { pause } from "./support/processes";
 
 export const powerLossBench: Bench = { name: "powerLoss", run };
 
--- a/bench/support/processes.ts
+++ b/bench/support/processes.ts
@@ -20,10 +20,6 @@
   return (Number(line?.[1]) * BYTES_PER_KB) / BYTES_PER_MB;
 }
 
-export function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 /**
  * Measures the processor time that a process uses during an action, and the duration of the action, both in
  * milliseconds.
--- a/test/platform/PlatformCluster.ts
+++ b/test/platform/PlatformCluster.ts
@@ -8,6 +8,7 @@
 import { ProcessorQuota } from "../support/ProcessorQuota";
 import { getFreeAddresses } from "../support/ports";
 import { Throttle } from "../support/Throttle";
+import { waitUntil } from "../support/waitUntil";
 import { renderTemplate } from "./renderTemplate";
 import { type StreamTiming, type WorkerEvent, type WorkerOptions, WorkerStandin } from "./WorkerStandin";
 
@@ -250,6 +251,14 @@
     return { status: answer.status, body: await answer.text() };
   }
 
+  /** Waits until every control process answers reads of the configuration; none does without a leader. */
+  async waitForControls(): Promise<void> {
+    await waitUntil("every control process reads the configuration", async () => {
+      const answers = await Promise.all(this.controls.map((_, index) => this.getConfig(index)));
+      return answers.every((answer) => answer.status === 200);
+    });
+  }
+
   /** Calls an entry as a client does. */
   async call(
     path: string,
--- a/test/platform/runPowerLosses.ts
+++ b/test/platform/runPowerLosses.ts
@@ -2,6 +2,7 @@
  * Control processes with a small processor share that lose power twice, the first time together with their
  * watchers.
  */
+import { pause } from "../../src/clock";
 import { createConfig } from "./createConfig";
 import { DirectoryCallers } from "./DirectoryCallers";
 import { OperatorStandin, type SentVersion } from "./OperatorStandin";
@@ -107,7 +108,3 @@
   const models = [{ ...llm!.engine!.models[0]!, size: REPLICA_SIZE }];
   return { ...config, services: [{ ...llm!, engine: { ...llm!.engine!, ...LOAD_LIMITS, models } }, app] };
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/test/registration/outdated/SimulatedFleet.ts
+++ b/test/registration/outdated/SimulatedFleet.ts
@@ -6,6 +6,7 @@
 import { create } from "@bufbuild/protobuf";
 import { Code, ConnectError } from "@connectrpc/connect";
 import type { Clock } from "../../../src/clock";
+import { pause } from "../../../src/clock";
 import { createMembership, MemoryLog, SeededRandom } from "../../../src/consensus";
 import { EntryEndpointSchema, type WatchRequest } from "../../../src/gen/ploverstage/v1/fleet_pb";
 import { type Declaration, DeclarationSchema } from "../../../src/gen/ploverstage/v1/state_pb";
@@ -191,7 +192,7 @@
   }
 
   private async *_watch(request: WatchRequest, signal: AbortSignal): AsyncGenerator<unknown> {
-    await delay(1);
+    await pause(1);
     if (!this.isUp) throw new ConnectError("refused", Code.Unavailable);
     const ended = AbortSignal.any([signal, this._stopSignal.signal]);
     await this._waitWhileOverloaded(ended);
@@ -206,7 +207,7 @@
     const { consensus, clock } = this._fleet;
     const isOverloaded = () =>
       consensus.leader === this._index && clock.getMonotonicMs() < consensus.overloadedUntil;
-    while (isOverloaded() && !signal.aborted) await delay(20);
+    while (isOverloaded() && !signal.aborted) await pause(20);
     if (signal.aborted) throw new ConnectError("ended", Code.Unavailable);
   }
 }
@@ -422,7 +423,3 @@
 function createDeclaration(version: number): Declaration {
   return create(DeclarationSchema, { version, document: new Uint8Array([version]) });
 }
-
-function delay(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/test/rpc/createRpcTransport.test.ts
+++ b/test/rpc/createRpcTransport.test.ts
@@ -1,6 +1,7 @@
 import { constants, createServer, type ServerHttp2Session, type ServerHttp2Stream } from "node:http2";
 import { Code, ConnectError, createClient } from "@connectrpc/connect";
 import { describe, expect, it } from "vitest";
+import { pause } from "../../src/clock";
 import { FleetService } from "../../src/gen/ploverstage/v1/fleet_pb";
 import { listen } from "../../src/http";
 import { createRpcTransport, RpcServer } from "../../src/rpc";
@@ -14,10 +15,6 @@
 const ONE_WAY_DELAY_MS = 100;
 const LARGE_BYTES = 360_000;
 
-function sleep(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 describe("createRpcTransport", () => {
   it("survives a peer that closes its sessions after the last call, and calls it again", async () => {
     const [address] = (await getFreeAddresses(1)) as [string];
@@ -70,7 +67,7 @@
     await listen(server, address);
     const client = createClient(FleetService, createRpcTransport(address, undefined));
     const call = client.getDeclaration({}).catch((cause: unknown) => ConnectError.from(cause).code);
-    const outcome = await Promise.race([call, sleep(CALL_TIMEOUT_MS).then(() => "unanswered")]);
+    const outcome = await Promise.race([call, pause(CALL_TIMEOUT_MS).then(() => "unanswered")]);
     for (const session of sessions) session.destroy();
     server.close();
     expect(outcome).toBe(Code.Unavailable);
@@ -114,15 +111,15 @@
         (cause: unknown) => String(cause),
       );
     const outcomes = [await call()];
-    await sleep(IDLE_MS);
+    await pause(IDLE_MS);
     relay.cut("fromTarget");
     const lostCall = call();
-    await sleep(CALL_TIMEOUT_MS / 7);
+    await pause(CALL_TIMEOUT_MS / 7);
     relay.heal();
     await lostCall;
     for (let i = 0; i < 3; i++) {
       outcomes.push(await call());
-      await sleep(IDLE_MS);
+      await pause(IDLE_MS);
     }
     await relay.stop();
     await server.stop();
--- a/test/soak/AnswerSoak.ts
+++ b/test/soak/AnswerSoak.ts
@@ -6,6 +6,7 @@
  * processes, endpoints that stall and resume or that send without end, and configuration changes. No fault
  * ends an endpoint, so every incomplete answer was cut by the system.
  */
+import { pause } from "../../src/clock";
 import { SeededRandom } from "../../src/consensus";
 import { createConfig } from "../platform/createConfig";
 import { KeepAliveCallers, type RequestRecord } from "../platform/KeepAliveCallers";
@@ -180,7 +181,7 @@
     handle.start();
     // Before the process has installed its handlers, Node.js ends it on a signal by default.
     await waitUntil("the process handles signals", () => handle.handlesSignal("SIGHUP"));
-    if (this._cluster.controls.includes(handle)) await this._waitForControl();
+    if (this._cluster.controls.includes(handle)) await this._cluster.waitForControls();
     this._stopping.delete(handle);
   }
 
@@ -201,13 +202,6 @@
     return (await this._cluster.putConfig(this._drawInteger(3), createConfig(version))) === 200;
   }
 
-  private async _waitForControl(): Promise<void> {
-    await waitUntil("every control process reads the configuration", async () => {
-      const answers = await Promise.all([0, 1, 2].map((index) => this._cluster.getConfig(index)));
-      return answers.every((answer) => answer.status === 200);
-    });
-  }
-
   private async _waitForService(groups: readonly KeepAliveCallers[]): Promise<void> {
     const servedBefore = groups.map((callers) => callers.getByOutcome("whole").length);
     await waitUntil("each entry serves", () =>
@@ -251,7 +245,3 @@
 function getEndTime({ endedAt }: RequestRecord): string {
   return new Date(performance.timeOrigin + endedAt).toISOString();
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/test/soak/ConfigurationSoak.ts
+++ b/test/soak/ConfigurationSoak.ts
@@ -7,6 +7,7 @@
  * right after a change was acknowledged.
  */
 import { Agent, request } from "node:http";
+import { pause } from "../../src/clock";
 import { SeededRandom } from "../../src/consensus";
 import { callOnce } from "../platform/callOnce";
 import { createConfig } from "../platform/createConfig";
@@ -468,7 +469,3 @@
     return Math.floor(this._random.next() * bound);
   }
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/test/soak/Soak.ts
+++ b/test/soak/Soak.ts
@@ -8,6 +8,7 @@
  * cut in one or both directions while other faults are active; and configuration changes.
  * Not covered yet: faults of links between the system's own processes and of storage.
  */
+import { pause } from "../../src/clock";
 import { SeededRandom } from "../../src/consensus";
 import { createConfig, MODEL, STREAM } from "../platform/createConfig";
 import { sendInvalidReports } from "../platform/invalidReports";
@@ -171,7 +172,7 @@
     await control.kill();
     await pause(this._drawInteger(MAX_DOWNTIME_MS));
     control.start();
-    await this._waitForControl();
+    await this._cluster.waitForControls();
   }
 
   private async _pauseControl(): Promise<void> {
@@ -179,14 +180,14 @@
     control.pause();
     await pause(this._drawInteger(MAX_DOWNTIME_MS));
     control.resume();
-    await this._waitForControl();
+    await this._cluster.waitForControls();
   }
 
   private async _stopControl(): Promise<void> {
     const control = this._drawControl();
     await control.stop();
     control.start();
-    await this._waitForControl();
+    await this._cluster.waitForControls();
   }
 
   private async _killEntry(): Promise<void> {
@@ -327,13 +328,6 @@
     return this._cluster.workers.filter(({ id, isRunning }) => isRunning && id.startsWith("llm-"));
   }
 
-  private async _waitForControl(): Promise<void> {
-    await waitUntil("every control process reads the configuration", async () => {
-      const answers = await Promise.all([0, 1, 2].map((index) => this._cluster.getConfig(index)));
-      return answers.every((answer) => answer.status === 200);
-    });
-  }
-
   private _createResult(): SoakResult {
     const { workers } = this._cluster;
     for (const violation of workers.flatMap((worker) => [...worker.wrongJoins, ...worker.partialRuns])) {
@@ -356,7 +350,3 @@
     return Math.floor(this._random.next() * bound);
   }
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/test/system/crashingPart.test.ts
+++ b/test/system/crashingPart.test.ts
@@ -1,5 +1,6 @@
 /** Requests that are all different and have one part of their prompts in common, which crashes what runs it. */
 import { afterEach, describe, expect, it } from "vitest";
+import { pause } from "../../src/clock";
 import { createConfig, MODEL, STREAM } from "../platform/createConfig";
 import { getEntryIp, type PlatformAnswer, PlatformCluster } from "../platform/PlatformCluster";
 import { CRASHING_PART } from "../platform/WorkerStandin";
@@ -47,10 +48,6 @@
   ).flat();
 }
 
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 describe("a part of a prompt that crashes the instances that run it", () => {
   let cluster: PlatformCluster;
   afterEach(() => cluster.stop());
--- a/test/system/crashingRequest.test.ts
+++ b/test/system/crashingRequest.test.ts
@@ -12,8 +12,10 @@
  * events.
  */
 import { afterEach, describe, expect, it } from "vitest";
+import { pause } from "../../src/clock";
 import { createConfig, MODEL, STREAM } from "../platform/createConfig";
-import { getEntryIp, type PlatformAnswer, PlatformCluster } from "../platform/PlatformCluster";
+import { createEntryRoutes } from "../platform/createEntryRoutes";
+import { type PlatformAnswer, PlatformCluster } from "../platform/PlatformCluster";
 import { CRASHING_BODY } from "../platform/WorkerStandin";
 import { waitUntil } from "../support/waitUntil";
 
@@ -45,20 +47,6 @@
   readonly tookMs: number;
 }
 
-/** Each entry is a separate host, with the routes of the first entry and a route for repeatable requests. */
-function createRoutes() {
-  const { routes } = createConfig(1);
-  const repeatable = { ...routes[1]!, name: "r-idem", pathPrefix: "/idem/", routeType: "idempotent" };
-  const all = [...routes, { ...repeatable, maxAttempts: 3 }];
-  return Array.from({ length: ENTRIES }, (_, i) =>
-    all.map((route) => ({ ...route, name: `${route.name}-${i}`, host: getEntryIp(i) })),
-  ).flat();
-}
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 describe("a request that crashes the instances that run it", () => {
   let cluster: PlatformCluster;
   afterEach(() => cluster.stop());
@@ -67,7 +55,8 @@
     cluster = await PlatformCluster.start(engines, { entries: ENTRIES, restartMs: RESTART_DELAY_MS });
     await waitUntil(
       "the configuration is accepted",
-      async () => (await cluster.putConfig(0, createConfig(3, { routes: createRoutes() }))) === 200,
+      async () =>
+        (await cluster.putConfig(0, createConfig(3, { routes: createEntryRoutes(ENTRIES) }))) === 200,
     );
     if (engines === 0) return;
     await waitUntil("all replicas are open", () => {
@@ -222,7 +211,8 @@
     cluster = await PlatformCluster.start(0, { entries: ENTRIES, restartMs: RESTART_DELAY_MS });
     await waitUntil(
       "the configuration is accepted",
-      async () => (await cluster.putConfig(0, createConfig(3, { routes: createRoutes() }))) === 200,
+      async () =>
+        (await cluster.putConfig(0, createConfig(3, { routes: createEntryRoutes(ENTRIES) }))) === 200,
     );
     for (let i = 1; i < 6; i++) await cluster.addWorker(`app-${i}`, "app", "");
     await waitUntil("all workers have run a request", async () => {
--- a/test/system/cutEntries.test.ts
+++ b/test/system/cutEntries.test.ts
@@ -1,6 +1,8 @@
 /** Entries that reach no endpoint, while callers and the other entries still reach them. */
 import { afterEach, describe, expect, it } from "vitest";
+import { pause } from "../../src/clock";
 import { createConfig, MODEL } from "../platform/createConfig";
+import { createEntryRoutes } from "../platform/createEntryRoutes";
 import { getEntryIp, PlatformCluster } from "../platform/PlatformCluster";
 import type { ConnectionFault } from "../support/TcpProxy";
 import { waitUntil } from "../support/waitUntil";
@@ -28,20 +30,6 @@
   readonly isServed: boolean;
 }
 
-/** Each entry is a separate host with a streaming and a repeatable route. */
-function createRoutes() {
-  const { routes } = createConfig(1);
-  const repeatable = { ...routes[1]!, name: "r-idem", pathPrefix: "/idem/", routeType: "idempotent" };
-  const all = [...routes, { ...repeatable, maxAttempts: 3 }];
-  return Array.from({ length: ENTRIES }, (_, i) =>
-    all.map((route) => ({ ...route, name: `${route.name}-${i}`, host: getEntryIp(i) })),
-  ).flat();
-}
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 function getServedShare(requests: readonly FirstRequest[], fromMs: number, toMs: number): number {
   const selected = requests.filter(({ sentMs }) => sentMs >= fromMs && sentMs < toMs);
   expect(selected.length).toBeGreaterThan(0);
@@ -61,7 +49,8 @@
     for (let i = 1; i < APPS; i++) await cluster.addWorker(`app-${i}`, "app", "");
     await waitUntil(
       "the configuration is accepted",
-      async () => (await cluster.putConfig(0, createConfig(3, { routes: createRoutes() }))) === 200,
+      async () =>
+        (await cluster.putConfig(0, createConfig(3, { routes: createEntryRoutes(ENTRIES) }))) === 200,
     );
     await waitUntil("all replicas are open", () => {
       const open = cluster.workers.filter((worker) => worker.place?.state === "open");
